--- /dev/null
+++ b/pkg/config/dynamic/config.go
@@ -0,0 +1,118 @@
+// Package dynamic holds the configuration that operators edit: the plans that
+// customers hold and what each plan may use.
+package dynamic
+
+import "time"
+
+// Config is the content of both lists, as parsed and validated.
+type Config struct {
+	Customers   []Customer   `cbor:"1,keyasint" json:"customers"`
+	Plans       []Plan       `cbor:"2,keyasint" json:"plans"`
+	Services    []Service    `cbor:"3,keyasint" json:"services"`
+	Departments []Department `cbor:"4,keyasint" json:"departments"`
+}
+
+// Customer holds one plan and proves its identity by any of its keys.
+type Customer struct {
+	Name string `cbor:"1,keyasint" json:"name"`
+	Plan string `cbor:"2,keyasint" json:"plan"`
+	// KeyDigests are the SHA-256 digests of the customer's keys in lower-case hex.
+	KeyDigests []string `cbor:"3,keyasint" json:"keyDigests"`
+}
+
+// Plan says what its customers may use.
+type Plan struct {
+	Name     string        `cbor:"1,keyasint" json:"name"`
+	Limits   Limits        `cbor:"2,keyasint" json:"limits"`
+	Services []Entitlement `cbor:"3,keyasint" json:"services"`
+}
+
+// Limits bound each customer of a plan. Zero means no limit, but for Share.
+type Limits struct {
+	// RatePerSecond and Burst bound calls at each entry node.
+	RatePerSecond float64 `cbor:"1,keyasint" json:"ratePerSecond,omitempty"`
+	Burst         int     `cbor:"2,keyasint" json:"burst,omitempty"`
+	// Concurrency bounds calls in flight at each entry node.
+	Concurrency int `cbor:"3,keyasint" json:"concurrency,omitempty"`
+	// Share is the customer's weight where customers contend for a target's slots; at least 1.
+	Share int `cbor:"4,keyasint" json:"share,omitempty"`
+}
+
+// Entitlement allows the use of a service. Empty Routes allow all its routes.
+type Entitlement struct {
+	Service string   `cbor:"1,keyasint" json:"service"`
+	Routes  []string `cbor:"2,keyasint" json:"routes,omitempty"`
+}
+
+// Service is a group of targets that answer the same routes.
+type Service struct {
+	Name   string  `cbor:"1,keyasint" json:"name"`
+	Routes []Route `cbor:"2,keyasint" json:"routes"`
+	// Version is the target version that takes all traffic when no move is under way.
+	Version string `cbor:"3,keyasint" json:"version"`
+	// Move is nil if no move is wanted.
+	Move *Move `cbor:"4,keyasint" json:"move,omitempty"`
+}
+
+// Route is one kind of call of a service.
+type Route struct {
+	Name       string   `cbor:"1,keyasint" json:"name"`
+	Methods    []string `cbor:"2,keyasint" json:"methods"`
+	PathPrefix string   `cbor:"3,keyasint" json:"pathPrefix"`
+	Idempotent bool     `cbor:"4,keyasint" json:"idempotent,omitempty"`
+	// Deadline caps the time of a call.
+	Deadline   time.Duration `cbor:"5,keyasint" json:"deadline"`
+	Department string        `cbor:"6,keyasint" json:"department"`
+}
+
+// Move asks that a new target version takes over.
+type Move struct {
+	To       string    `cbor:"1,keyasint" json:"to"`
+	FinishBy time.Time `cbor:"2,keyasint" json:"finishBy"`
+	Paused   bool      `cbor:"3,keyasint" json:"paused,omitempty"`
+	Canceled bool      `cbor:"4,keyasint" json:"canceled,omitempty"`
+}
+
+// Department defines success for the routes it owns and promises a share of it.
+type Department struct {
+	Name    string  `cbor:"1,keyasint" json:"name"`
+	Success Success `cbor:"2,keyasint" json:"success"`
+	// PromisedShare is the share of good calls that is promised, in (0, 1].
+	PromisedShare float64 `cbor:"3,keyasint" json:"promisedShare"`
+	// Period is the span over which the promise is judged.
+	Period time.Duration `cbor:"4,keyasint" json:"period"`
+}
+
+// Success is a department's definition of a good call.
+type Success struct {
+	// Statuses are HTTP statuses ("404") or classes ("2xx") that are good.
+	Statuses []string `cbor:"1,keyasint" json:"statuses"`
+	// Latency is the time within which a good call ends; 0 means any.
+	Latency time.Duration `cbor:"2,keyasint" json:"latency,omitempty"`
+}
+
+// Part is an independently distributed piece of a configuration, such as one
+// service or one group of customers.
+type Part struct {
+	// Name is stable over versions, for example "service/stock" or "customers/17".
+	Name string
+	// Digest is the SHA-256 of Data in lower-case hex.
+	Digest string
+	Data   []byte
+}
+
+// PartRef names a part without its content.
+type PartRef struct {
+	Name   string `cbor:"1,keyasint" json:"name"`
+	Digest string `cbor:"2,keyasint" json:"digest"`
+	Size   int    `cbor:"3,keyasint" json:"size"`
+}
+
+// Manifest describes one accepted version.
+type Manifest struct {
+	// Version increases strictly with each accepted configuration; 0 is none.
+	Version uint64 `cbor:"1,keyasint" json:"version"`
+	// Digest is the SHA-256 over the sorted parts' names and digests.
+	Digest string    `cbor:"2,keyasint" json:"digest"`
+	Parts  []PartRef `cbor:"3,keyasint" json:"parts"`
+}
--- /dev/null
+++ b/pkg/reducer/reducer.go
@@ -0,0 +1,48 @@
+// Package reducer runs deterministic state machines: events go in one at a
+// time, effects come out as data and are carried out by an executor.
+package reducer
+
+import (
+	"context"
+	"time"
+)
+
+// Reducer is a deterministic state machine. Step does no I/O, starts no
+// goroutine and reads no clock; equal events at equal times give equal effects.
+type Reducer[E, F any] interface {
+	// Step applies one event at time now and returns the effects in the order in
+	// which they must be carried out.
+	Step(now time.Time, event E) []F
+}
+
+// Executor carries out effects. Execute must not block for long; it starts slow
+// work in the background and reports its result as a later event.
+type Executor[F any] interface {
+	Execute(ctx context.Context, effect F)
+}
+
+// ExecutorFunc is a function that is an Executor.
+type ExecutorFunc[F any] func(ctx context.Context, effect F)
+
+// Execute calls f.
+func (f ExecutorFunc[F]) Execute(ctx context.Context, effect F) { f(ctx, effect) }
+
+// Entry is one recorded event.
+type Entry[E any] struct {
+	At    time.Time
+	Event E
+}
+
+// Recorder receives each event before it is applied.
+type Recorder[E any] interface {
+	Record(entry Entry[E])
+}
+
+// Replay applies recorded events to r and returns the effects of each.
+func Replay[E, F any](r Reducer[E, F], log []Entry[E]) [][]F {
+	effects := make([][]F, 0, len(log))
+	for _, entry := range log {
+		effects = append(effects, r.Step(entry.At, entry.Event))
+	}
+	return effects
+}
--- /dev/null
+++ b/pkg/timeline/timeline.go
@@ -0,0 +1,116 @@
+// Package timeline records what happens in each process and merges the records
+// of all processes into one causal order.
+package timeline
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Kind names what happened, for example "config-activated".
+type Kind string
+
+// Event is one record of the time line.
+type Event struct {
+	Time          Timestamp         `json:"hlc"`
+	Instance      string            `json:"instance"`
+	FailureDomain string            `json:"failureDomain"`
+	Region        string            `json:"region"`
+	Kind          Kind              `json:"event"`
+	ConfigVersion uint64            `json:"configVersion,omitempty"`
+	Move          string            `json:"move,omitempty"`
+	RequestID     string            `json:"requestId,omitempty"`
+	Fields        map[string]string `json:"fields,omitempty"`
+}
+
+// Recorder takes events. Implementations are safe for concurrent use, and set
+// Time, Instance, FailureDomain and Region.
+type Recorder interface {
+	Record(event Event)
+}
+
+// Discard is a Recorder that drops all events.
+type Discard struct{}
+
+// Record drops event.
+func (Discard) Record(Event) {}
+
+// Origin identifies the process that records.
+type Origin struct {
+	Instance      string
+	FailureDomain string
+	Region        string
+}
+
+// Log keeps the newest events in memory and writes each as a JSON line.
+type Log struct {
+	clock  *Clock
+	origin Origin
+	logger *logrus.Logger
+
+	mu     sync.Mutex
+	events []Event
+	next   int
+}
+
+// ringSize is the number of events that a process keeps for azurespringctl timeline.
+const ringSize = 4096
+
+// NewLog returns a log that stamps events with clock and origin. A nil logger
+// writes no lines.
+func NewLog(clock *Clock, origin Origin, logger *logrus.Logger) *Log {
+	return &Log{clock: clock, origin: origin, logger: logger, events: make([]Event, 0, ringSize)}
+}
+
+// Record implements Recorder.
+func (l *Log) Record(event Event) {
+	event.Time = l.clock.Now()
+	event.Instance = l.origin.Instance
+	event.FailureDomain = l.origin.FailureDomain
+	event.Region = l.origin.Region
+	l.append(event)
+	if l.logger != nil {
+		l.logger.WithFields(logFields(event)).WithTime(time.UnixMilli(event.Time.Millis)).Info(string(event.Kind))
+	}
+}
+
+func (l *Log) append(event Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.events) < ringSize {
+		l.events = append(l.events, event)
+		return
+	}
+	l.events[l.next] = event
+	l.next = (l.next + 1) % ringSize
+}
+
+// Events returns the kept events, oldest first.
+func (l *Log) Events() []Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Concat(l.events[l.next:], l.events[:l.next])
+}
+
+func logFields(event Event) logrus.Fields {
+	fields := logrus.Fields{
+		"instance": event.Instance, "failureDomain": event.FailureDomain, "region": event.Region,
+		"event": event.Kind, "hlc": event.Time,
+	}
+	if event.ConfigVersion != 0 {
+		fields["configVersion"] = event.ConfigVersion
+	}
+	if event.Move != "" {
+		fields["move"] = event.Move
+	}
+	if event.RequestID != "" {
+		fields["requestId"] = event.RequestID
+	}
+	if len(event.Fields) != 0 {
+		fields["fields"] = event.Fields
+	}
+	return fields
+}
--- /dev/null
+++ b/pkg/transport/transport.go
@@ -0,0 +1,74 @@
+// Package transport carries control messages and calls between nodes.
+package transport
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// Kind identifies a control message. Each package owns a range of 16.
+type Kind uint16
+
+// The first kind of each package's range.
+const (
+	KindGossip       Kind = 0x10
+	KindMembership   Kind = 0x20
+	KindDistribution Kind = 0x30
+	KindMove         Kind = 0x40
+	KindReport       Kind = 0x50
+	KindIdempotency  Kind = 0x60
+	KindTimeline     Kind = 0x70
+)
+
+// Limits of the protocol in bytes.
+const (
+	MaxMessageBytes    = 4 << 20
+	MaxCallHeaderBytes = 64 << 10
+	MaxCallFrameBytes  = 32 << 10
+)
+
+// Peer is the authenticated other end of a connection.
+type Peer struct {
+	// Instance is the name in the peer's certificate.
+	Instance string
+	// Address is the peer's remote IP and port.
+	Address string
+	// Protocol is the negotiated version of the node-to-node protocol.
+	Protocol int
+}
+
+// MessageHandler answers control messages of one kind. The payload is CBOR.
+// An error reaches the sender as text.
+type MessageHandler func(ctx context.Context, from Peer, payload []byte) (reply []byte, err error)
+
+// CallHandler serves one call stream and closes it.
+type CallHandler func(ctx context.Context, from Peer, stream Stream)
+
+// Stream is a bidirectional byte stream of one call.
+type Stream interface {
+	io.Reader
+	io.Writer
+	// CloseWrite ends the sending side in order.
+	CloseWrite() error
+	// Cancel aborts both directions; the peer's reads and writes fail.
+	Cancel()
+	// SetDeadline bounds all reads and writes.
+	SetDeadline(t time.Time) error
+	// Context ends when the peer cancels the stream or the connection is lost.
+	Context() context.Context
+}
+
+// Requester sends control messages.
+type Requester interface {
+	// Request sends payload to the node at address and waits for its reply. Errors
+	// do not say whether the peer handled the message.
+	Request(ctx context.Context, address string, kind Kind, payload []byte) (reply []byte, err error)
+}
+
+// CallOpener opens call streams.
+type CallOpener interface {
+	// OpenCall returns a stream on which no byte has been sent. An error means
+	// that nothing reached the peer.
+	OpenCall(ctx context.Context, address string) (Stream, error)
+}
--- /dev/null
+++ b/pkg/verdict/verdict.go
@@ -0,0 +1,146 @@
+// Package verdict says of a failed call whether the target may have run it.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Verdict says whether a request may have run on a target. The zero value is
+// MayHaveRun, so that an error whose origin is unknown is never retried by
+// mistake.
+type Verdict uint8
+
+const (
+	// MayHaveRun means that the target may have run the request in whole or in part.
+	MayHaveRun Verdict = iota
+	// NotRun means that no byte of the request was handed to a target, or that the
+	// target's documented shed reply said that it did not run it.
+	NotRun
+)
+
+// String returns the value of the Azurespring-Verdict header.
+func (v Verdict) String() string {
+	if v == NotRun {
+		return "not-run"
+	}
+	return "may-have-run"
+}
+
+// Parse returns the verdict that String writes as s. Any other text is MayHaveRun.
+func Parse(s string) Verdict {
+	if s == NotRun.String() {
+		return NotRun
+	}
+	return MayHaveRun
+}
+
+// Code identifies the kind of a refusal or failure in answers, logs and metrics.
+type Code string
+
+// The codes that callers see. The HTTP status of each is in statuses.
+const (
+	Unauthenticated     Code = "unauthenticated"
+	NotEntitled         Code = "not-entitled"
+	UnknownService      Code = "unknown-service"
+	UnknownRoute        Code = "unknown-route"
+	BadRequest          Code = "bad-request"
+	RateLimited         Code = "rate-limited"
+	ConcurrencyLimited  Code = "concurrency-limited"
+	TooDeep             Code = "too-deep"
+	NoTarget            Code = "no-target"
+	Overloaded          Code = "overloaded"
+	DeadlineUnreachable Code = "deadline-unreachable"
+	Draining            Code = "draining"
+	Quarantined         Code = "quarantined"
+	KeyInUse            Code = "key-in-use"
+	KeyStoreUnavailable Code = "key-store-unavailable"
+	TargetShed          Code = "target-shed"
+	TargetUnreachable   Code = "target-unreachable"
+	TargetFailed        Code = "target-failed"
+	TargetCrashed       Code = "target-crashed"
+	AnswerCut           Code = "answer-cut"
+	DeadlineExceeded    Code = "deadline-exceeded"
+	Canceled            Code = "canceled"
+	Internal            Code = "internal"
+)
+
+// statusClientClosedRequest is the customary status for a call that its caller gave up.
+const statusClientClosedRequest = 499
+
+var statuses = map[Code]int{
+	Unauthenticated:     http.StatusUnauthorized,
+	NotEntitled:         http.StatusForbidden,
+	UnknownService:      http.StatusNotFound,
+	UnknownRoute:        http.StatusNotFound,
+	BadRequest:          http.StatusBadRequest,
+	RateLimited:         http.StatusTooManyRequests,
+	ConcurrencyLimited:  http.StatusTooManyRequests,
+	TooDeep:             http.StatusLoopDetected,
+	NoTarget:            http.StatusServiceUnavailable,
+	Overloaded:          http.StatusServiceUnavailable,
+	DeadlineUnreachable: http.StatusGatewayTimeout,
+	Draining:            http.StatusServiceUnavailable,
+	Quarantined:         http.StatusUnprocessableEntity,
+	KeyInUse:            http.StatusConflict,
+	KeyStoreUnavailable: http.StatusServiceUnavailable,
+	TargetShed:          http.StatusServiceUnavailable,
+	TargetUnreachable:   http.StatusServiceUnavailable,
+	TargetFailed:        http.StatusBadGateway,
+	TargetCrashed:       http.StatusBadGateway,
+	AnswerCut:           http.StatusBadGateway,
+	DeadlineExceeded:    http.StatusGatewayTimeout,
+	Canceled:            statusClientClosedRequest,
+	Internal:            http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status that goes with c.
+func (c Code) Status() int {
+	if status, ok := statuses[c]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Error is a refused or failed call together with its verdict.
+type Error struct {
+	Code    Code
+	Verdict Verdict
+	Detail  string
+	// RetryAfter is the time after which a resend has a chance; 0 if unknown.
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Refuse returns an error for a call that did not run.
+func Refuse(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Verdict: NotRun, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Fail returns an error for a call that may have run.
+func Fail(code Code, cause error, format string, args ...any) *Error {
+	return &Error{Code: code, Verdict: MayHaveRun, Detail: fmt.Sprintf(format, args...), Cause: cause}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Detail)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Of returns the verdict of err: that of the first *Error in its chain, else MayHaveRun.
+func Of(err error) Verdict {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
