--- /dev/null
+++ b/pkg/config/dynamic/parts.go
@@ -0,0 +1,185 @@
+package dynamic
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// customerBuckets is the number of parts that customers are spread over, so
+// that a change of one customer transfers a small part.
+const customerBuckets = 64
+
+// MaxPartBytes is the largest encoded part, half of what the platform holds in
+// one value.
+const MaxPartBytes = 512 << 10
+
+// Prefixes of part names; the rest is the entry's name or the bucket's number.
+const (
+	servicePrefix    = "service/"
+	planPrefix       = "plan/"
+	departmentPrefix = "department/"
+	customersPrefix  = "customers/"
+)
+
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Split encodes a configuration as parts ordered by name. Equal entries give
+// equal parts. It fails if a part exceeds MaxPartBytes.
+func Split(config Config) ([]Part, error) {
+	var parts []Part
+	var errs []error
+	add := func(name string, value any) {
+		part, err := newPart(name, value)
+		parts, errs = append(parts, part), append(errs, err)
+	}
+	for _, service := range config.Services {
+		add(servicePrefix+service.Name, service)
+	}
+	for _, plan := range config.Plans {
+		add(planPrefix+plan.Name, plan)
+	}
+	for _, department := range config.Departments {
+		add(departmentPrefix+department.Name, department)
+	}
+	for bucket, customers := range bucketCustomers(config.Customers) {
+		add(fmt.Sprintf("%s%d", customersPrefix, bucket), customers)
+	}
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(a.Name, b.Name) })
+	return parts, nil
+}
+
+func bucketCustomers(customers []Customer) map[uint64][]Customer {
+	buckets := make(map[uint64][]Customer)
+	for _, customer := range customers {
+		bucket := xxhash.Sum64String(customer.Name) % customerBuckets
+		buckets[bucket] = append(buckets[bucket], customer)
+	}
+	for _, bucket := range buckets {
+		slices.SortFunc(bucket, func(a, b Customer) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return buckets
+}
+
+func newPart(name string, value any) (Part, error) {
+	data, err := encoding.Marshal(value)
+	if err != nil {
+		return Part{}, eris.Wrapf(err, "encode part %s", name)
+	}
+	if len(data) > MaxPartBytes {
+		return Part{}, eris.Errorf("part %s has %d bytes, the limit is %d", name, len(data), MaxPartBytes)
+	}
+	return Part{Name: name, Digest: DigestOf(data), Data: data}, nil
+}
+
+// DigestOf returns the SHA-256 of data in lower-case hex.
+func DigestOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// NewManifest describes parts, which must be ordered by name, as one version.
+func NewManifest(version uint64, parts []Part) Manifest {
+	manifest := Manifest{Version: version, Parts: make([]PartRef, 0, len(parts))}
+	for _, part := range parts {
+		manifest.Parts = append(manifest.Parts, PartRef{Name: part.Name, Digest: part.Digest, Size: len(part.Data)})
+	}
+	manifest.Digest = manifest.contentDigest()
+	return manifest
+}
+
+func (m Manifest) contentDigest() string {
+	hash := sha256.New()
+	for _, ref := range m.Parts {
+		fmt.Fprintf(hash, "%s %s\n", ref.Name, ref.Digest)
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+// Verify returns an error unless parts are exactly those that m lists and all
+// digests agree.
+func (m Manifest) Verify(parts []Part) error {
+	if m.Digest != m.contentDigest() {
+		return eris.Errorf("manifest of version %d does not match its digest", m.Version)
+	}
+	if len(parts) != len(m.Parts) {
+		return eris.Errorf("version %d lists %d parts, got %d", m.Version, len(m.Parts), len(parts))
+	}
+	byName := make(map[string]Part, len(parts))
+	for _, part := range parts {
+		byName[part.Name] = part
+	}
+	for _, ref := range m.Parts {
+		part, ok := byName[ref.Name]
+		if !ok || DigestOf(part.Data) != ref.Digest {
+			return eris.Errorf("part %s of version %d is missing or has a wrong digest", ref.Name, m.Version)
+		}
+	}
+	return nil
+}
+
+// Assemble decodes parts into a configuration, ordered by name. It does not
+// check references; Compile does.
+func Assemble(parts []Part) (Config, error) {
+	var config Config
+	for _, part := range parts {
+		if err := config.addPart(part); err != nil {
+			return Config{}, eris.Wrapf(err, "decode part %s", part.Name)
+		}
+	}
+	config.sort()
+	return config, nil
+}
+
+func (c *Config) addPart(part Part) error {
+	switch {
+	case strings.HasPrefix(part.Name, servicePrefix):
+		return decodeInto(part.Data, &c.Services)
+	case strings.HasPrefix(part.Name, planPrefix):
+		return decodeInto(part.Data, &c.Plans)
+	case strings.HasPrefix(part.Name, departmentPrefix):
+		return decodeInto(part.Data, &c.Departments)
+	case strings.HasPrefix(part.Name, customersPrefix):
+		var customers []Customer
+		if err := cbor.Unmarshal(part.Data, &customers); err != nil {
+			return err
+		}
+		c.Customers = append(c.Customers, customers...)
+		return nil
+	}
+	return eris.New("unknown kind of part")
+}
+
+func decodeInto[T any](data []byte, list *[]T) error {
+	var value T
+	if err := cbor.Unmarshal(data, &value); err != nil {
+		return err
+	}
+	*list = append(*list, value)
+	return nil
+}
+
+func (c *Config) sort() {
+	slices.SortFunc(c.Customers, func(a, b Customer) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Plans, func(a, b Plan) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Departments, func(a, b Department) int { return cmp.Compare(a.Name, b.Name) })
+}
--- /dev/null
+++ b/pkg/config/dynamic/snapshot.go
@@ -0,0 +1,176 @@
+package dynamic
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Snapshot is one configuration version, compiled for look-ups. It is
+// immutable and its references are closed: every name that an entry uses is
+// defined in the same snapshot.
+type Snapshot struct {
+	manifest    Manifest
+	config      Config
+	byKey       map[string]*Customer
+	plans       map[string]*planIndex
+	services    map[string]*Service
+	departments map[string]*Department
+}
+
+type planIndex struct {
+	plan     *Plan
+	services map[string]*Entitlement
+}
+
+// Compile builds a snapshot, or returns an error if a reference is dangling or
+// a name or key is defined twice.
+func Compile(manifest Manifest, config Config) (*Snapshot, error) {
+	s := &Snapshot{
+		manifest: manifest, config: config,
+		byKey:       make(map[string]*Customer, len(config.Customers)),
+		plans:       make(map[string]*planIndex, len(config.Plans)),
+		services:    make(map[string]*Service, len(config.Services)),
+		departments: make(map[string]*Department, len(config.Departments)),
+	}
+	for _, step := range []func() error{s.indexDepartments, s.indexServices, s.indexPlans, s.indexCustomers} {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Snapshot) indexDepartments() error {
+	for i := range s.config.Departments {
+		department := &s.config.Departments[i]
+		if s.departments[department.Name] != nil {
+			return eris.Errorf("department %q is defined twice", department.Name)
+		}
+		s.departments[department.Name] = department
+	}
+	return nil
+}
+
+func (s *Snapshot) indexServices() error {
+	for i := range s.config.Services {
+		service := &s.config.Services[i]
+		if s.services[service.Name] != nil {
+			return eris.Errorf("service %q is defined twice", service.Name)
+		}
+		for _, route := range service.Routes {
+			if s.departments[route.Department] == nil {
+				return eris.Errorf("route %q of service %q names unknown department %q",
+					route.Name, service.Name, route.Department)
+			}
+		}
+		s.services[service.Name] = service
+	}
+	return nil
+}
+
+func (s *Snapshot) indexPlans() error {
+	for i := range s.config.Plans {
+		plan := &s.config.Plans[i]
+		if s.plans[plan.Name] != nil {
+			return eris.Errorf("plan %q is defined twice", plan.Name)
+		}
+		index := &planIndex{plan: plan, services: make(map[string]*Entitlement, len(plan.Services))}
+		for j := range plan.Services {
+			entitlement := &plan.Services[j]
+			if err := s.checkEntitlement(plan.Name, entitlement); err != nil {
+				return err
+			}
+			index.services[entitlement.Service] = entitlement
+		}
+		s.plans[plan.Name] = index
+	}
+	return nil
+}
+
+func (s *Snapshot) checkEntitlement(plan string, entitlement *Entitlement) error {
+	service := s.services[entitlement.Service]
+	if service == nil {
+		return eris.Errorf("plan %q names unknown service %q", plan, entitlement.Service)
+	}
+	for _, name := range entitlement.Routes {
+		if !slices.ContainsFunc(service.Routes, func(r Route) bool { return r.Name == name }) {
+			return eris.Errorf("plan %q names unknown route %q of service %q", plan, name, service.Name)
+		}
+	}
+	return nil
+}
+
+func (s *Snapshot) indexCustomers() error {
+	for i := range s.config.Customers {
+		customer := &s.config.Customers[i]
+		if s.plans[customer.Plan] == nil {
+			return eris.Errorf("customer %q holds unknown plan %q", customer.Name, customer.Plan)
+		}
+		for _, digest := range customer.KeyDigests {
+			if other := s.byKey[digest]; other != nil {
+				return eris.Errorf("customers %q and %q have the same key", other.Name, customer.Name)
+			}
+			s.byKey[digest] = customer
+		}
+	}
+	return nil
+}
+
+// Manifest returns the version, digest and parts of s.
+func (s *Snapshot) Manifest() Manifest { return s.manifest }
+
+// Version returns the configuration version.
+func (s *Snapshot) Version() uint64 { return s.manifest.Version }
+
+// Config returns the entries. Callers must not change them.
+func (s *Snapshot) Config() Config { return s.config }
+
+// Customer returns the customer that key belongs to, or nil.
+func (s *Snapshot) Customer(key string) *Customer { return s.byKey[DigestOf([]byte(key))] }
+
+// Plan returns the plan called name, or nil.
+func (s *Snapshot) Plan(name string) *Plan {
+	if index := s.plans[name]; index != nil {
+		return index.plan
+	}
+	return nil
+}
+
+// Service returns the service called name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Department returns the department called name, or nil.
+func (s *Snapshot) Department(name string) *Department { return s.departments[name] }
+
+// Entitled reports whether the plan allows calls to a route of a service.
+func (s *Snapshot) Entitled(plan, service, route string) bool {
+	index := s.plans[plan]
+	if index == nil {
+		return false
+	}
+	entitlement := index.services[service]
+	return entitlement != nil && (len(entitlement.Routes) == 0 || slices.Contains(entitlement.Routes, route))
+}
+
+// MatchRoute returns the route with the longest prefix of path that accepts
+// method, or nil. A prefix matches whole path segments.
+func (s *Service) MatchRoute(method, path string) *Route {
+	var best *Route
+	for i := range s.Routes {
+		route := &s.Routes[i]
+		if !slices.Contains(route.Methods, method) || !matchesPrefix(path, route.PathPrefix) {
+			continue
+		}
+		if best == nil || len(route.PathPrefix) > len(best.PathPrefix) {
+			best = route
+		}
+	}
+	return best
+}
+
+func matchesPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/')
+}
