Add a process harness and a load generator

Cause: integration tests and the demo start real processes and send bounded load. Before/after: none, new code.

--- /dev/null
+++ b/internal/loadgen/loadgen.go
@@ -0,0 +1,244 @@
+// Package loadgen sends a bounded number of calls to nodes and keeps the
+// outcome of each, for tests, the demo and measurements.
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"github.com/azurespring/azurespring/pkg/verdict"
+)
+
+// Options describes a run. Calls go to Nodes in turn.
+type Options struct {
+	// Nodes are caller addresses (host:port).
+	Nodes   []string
+	Service string
+	Method  string
+	Path    string
+	// Key is the customer's key.
+	Key  string
+	Body []byte
+	// Header is added to each call.
+	Header http.Header
+	// Keyed gives each call its own idempotency key.
+	Keyed bool
+	// Resend sends a call again to the next node while its outcome is unknown or
+	// it did not run, up to this number of times.
+	Resend int
+	// Rate is calls per second; 0 means as fast as Workers allow.
+	Rate    float64
+	Workers int
+	Count   int
+	Timeout time.Duration
+	Client  *http.Client
+}
+
+// Attempt is one sending of a call.
+type Attempt struct {
+	RequestID string
+	Status    int
+	Code      verdict.Code
+	Verdict   verdict.Verdict
+	// Refused is set if the answer is a refusal or error of the system.
+	Refused bool
+	Version string
+	Latency time.Duration
+	Body    []byte
+	// Err is set if no whole answer arrived.
+	Err error
+}
+
+// OK reports whether the target's whole answer arrived.
+func (a Attempt) OK() bool { return a.Err == nil && !a.Refused }
+
+// Call is one call with all its attempts.
+type Call struct {
+	Key      string
+	Started  time.Time
+	Attempts []Attempt
+}
+
+// Last returns the newest attempt.
+func (c Call) Last() Attempt { return c.Attempts[len(c.Attempts)-1] }
+
+// Result is what a run gave.
+type Result struct {
+	Calls   []Call
+	Elapsed time.Duration
+}
+
+// Percentile returns the latency that p percent of the answered calls did not exceed.
+func (r Result) Percentile(p float64) time.Duration {
+	histogram := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	for _, call := range r.Calls {
+		if last := call.Last(); last.OK() {
+			_ = histogram.RecordValue(last.Latency.Microseconds())
+		}
+	}
+	return time.Duration(histogram.ValueAtPercentile(p)) * time.Microsecond
+}
+
+// OK counts the calls that ended with the target's whole answer.
+func (r Result) OK() int {
+	count := 0
+	for _, call := range r.Calls {
+		if call.Last().OK() {
+			count++
+		}
+	}
+	return count
+}
+
+// Versions counts whole answers by target version.
+func (r Result) Versions() map[string]int {
+	counts := make(map[string]int)
+	for _, call := range r.Calls {
+		if last := call.Last(); last.OK() {
+			counts[last.Version]++
+		}
+	}
+	return counts
+}
+
+// Codes counts the last refusals by code.
+func (r Result) Codes() map[verdict.Code]int {
+	counts := make(map[verdict.Code]int)
+	for _, call := range r.Calls {
+		if last := call.Last(); last.Refused {
+			counts[last.Code]++
+		}
+	}
+	return counts
+}
+
+// Run sends calls until Count are done or ctx ends.
+func Run(ctx context.Context, o Options) Result {
+	g := newGenerator(o)
+	started := time.Now()
+	var wg sync.WaitGroup
+	for range max(1, o.Workers) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			g.work(ctx)
+		}()
+	}
+	wg.Wait()
+	return Result{Calls: g.calls, Elapsed: time.Since(started)}
+}
+
+type generator struct {
+	options Options
+	client  *http.Client
+	limiter *rate.Limiter
+	next    atomic.Int64
+
+	mu    sync.Mutex
+	calls []Call
+}
+
+func newGenerator(o Options) *generator {
+	g := &generator{options: o, client: o.Client, limiter: rate.NewLimiter(rate.Inf, 1)}
+	if o.Rate > 0 {
+		g.limiter = rate.NewLimiter(rate.Limit(o.Rate), 1)
+	}
+	if g.client == nil {
+		g.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: max(1, o.Workers), DisableCompression: true}}
+	}
+	return g
+}
+
+func (g *generator) work(ctx context.Context) {
+	for ctx.Err() == nil {
+		number := g.next.Add(1) - 1
+		if number >= int64(g.options.Count) || g.limiter.Wait(ctx) != nil {
+			return
+		}
+		call := g.call(ctx, int(number))
+		g.mu.Lock()
+		g.calls = append(g.calls, call)
+		g.mu.Unlock()
+	}
+}
+
+func (g *generator) call(ctx context.Context, number int) Call {
+	call := Call{Started: time.Now()}
+	if g.options.Keyed {
+		call.Key = uuid.NewString()
+	}
+	for try := 0; ; try++ {
+		attempt := g.attempt(ctx, g.options.Nodes[(number+try)%len(g.options.Nodes)], call.Key)
+		call.Attempts = append(call.Attempts, attempt)
+		if attempt.OK() || try >= g.options.Resend || ctx.Err() != nil {
+			return call
+		}
+	}
+}
+
+func (g *generator) attempt(ctx context.Context, node, key string) Attempt {
+	attempt := Attempt{RequestID: uuid.NewString()}
+	timeout := g.options.Timeout
+	if timeout <= 0 {
+		timeout = 10 * time.Second
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, g.options.Method, "http://"+node+g.options.Path, bytes.NewReader(g.options.Body))
+	if err != nil {
+		attempt.Err = err
+		return attempt
+	}
+	g.setHeader(request, attempt.RequestID, key, timeout)
+	started := time.Now()
+	response, err := g.client.Do(request)
+	if err != nil {
+		attempt.Err = err
+		return attempt
+	}
+	defer response.Body.Close()
+	attempt.Body, attempt.Err = io.ReadAll(response.Body)
+	attempt.Latency = time.Since(started)
+	attempt.readHeader(response)
+	return attempt
+}
+
+func (g *generator) setHeader(request *http.Request, id, key string, timeout time.Duration) {
+	for name, values := range g.options.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+g.options.Key)
+	request.Header.Set("Azurespring-Service", g.options.Service)
+	request.Header.Set("Azurespring-Request-Id", id)
+	request.Header.Set("Azurespring-Timeout-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+}
+
+func (a *Attempt) readHeader(response *http.Response) {
+	a.Status = response.StatusCode
+	a.Version = response.Header.Get("Azurespring-Version")
+	text := response.Header.Get("Azurespring-Verdict")
+	if text == "" {
+		return
+	}
+	a.Refused = true
+	a.Verdict = verdict.Parse(text)
+	var problem struct {
+		Code verdict.Code `json:"code"`
+	}
+	_ = json.Unmarshal(a.Body, &problem)
+	a.Code = problem.Code
+}
--- /dev/null
+++ b/internal/testcluster/process.go
@@ -0,0 +1,157 @@
+// Package testcluster is test material: it starts nodes, targets and the
+// stand-in platform as processes on loopback addresses, for integration tests,
+// the demo and measurements.
+package testcluster
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Line is one JSON line that a process logged.
+type Line struct {
+	Event  string            `json:"event"`
+	Fields map[string]string `json:"fields"`
+	Raw    string            `json:"-"`
+}
+
+// Process is one started program. All methods are safe for concurrent use.
+type Process struct {
+	Name string
+
+	cmd    *exec.Cmd
+	exited chan struct{}
+
+	mu      sync.Mutex
+	lines   []Line
+	changed chan struct{}
+}
+
+// StartProcess runs a program and collects the JSON lines of its standard
+// error and output.
+func StartProcess(name, path string, args ...string) (*Process, error) {
+	p := &Process{Name: name, cmd: exec.Command(path, args...), exited: make(chan struct{}), changed: make(chan struct{})}
+	// The child dies with the test process, so that an aborted run leaves nothing behind.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.cmd.Env = append(os.Environ(), "GOTRACEBACK=all")
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return nil, eris.Wrap(err, "create pipe")
+	}
+	p.cmd.Stdout, p.cmd.Stderr = writer, writer
+	if err := p.cmd.Start(); err != nil {
+		return nil, eris.Wrapf(err, "start %s", name)
+	}
+	writer.Close()
+	go p.collect(reader)
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// maxLineBytes bounds one log line; stack traces and large events fit.
+const maxLineBytes = 4 << 20
+
+func (p *Process) collect(reader io.ReadCloser) {
+	defer reader.Close()
+	scanner := bufio.NewScanner(reader)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		line := Line{Raw: scanner.Text()}
+		_ = json.Unmarshal(scanner.Bytes(), &line)
+		p.mu.Lock()
+		p.lines = append(p.lines, line)
+		close(p.changed)
+		p.changed = make(chan struct{})
+		p.mu.Unlock()
+	}
+}
+
+// Lines returns all lines logged so far.
+func (p *Process) Lines() []Line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Line(nil), p.lines...)
+}
+
+// WaitEvent returns the first line with the given event. It fails when the
+// process or ctx ends first.
+func (p *Process) WaitEvent(ctx context.Context, event string) (Line, error) {
+	for next := 0; ; {
+		p.mu.Lock()
+		lines, changed := p.lines[next:], p.changed
+		next = len(p.lines)
+		p.mu.Unlock()
+		for _, line := range lines {
+			if line.Event == event {
+				return line, nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-p.exited:
+			return Line{}, eris.Errorf("%s exited before event %s; last lines: %s", p.Name, event, p.tail())
+		case <-ctx.Done():
+			return Line{}, eris.Wrapf(ctx.Err(), "wait for event %s of %s; last lines: %s", event, p.Name, p.tail())
+		}
+	}
+}
+
+// tailLines is the number of log lines that errors quote.
+const tailLines = 5
+
+func (p *Process) tail() string {
+	lines := p.Lines()
+	text := ""
+	for _, line := range lines[max(0, len(lines)-tailLines):] {
+		text += "\n  " + line.Raw
+	}
+	return text
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Kill ends the process at once, as a crash of the instance would.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// Pause stops the process without ending it; Resume continues it.
+func (p *Process) Pause() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Stop asks the process to shut down in order and kills it after timeout. It
+// returns an error if the process had to be killed or exited with a failure.
+func (p *Process) Stop(timeout time.Duration) error {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-p.exited:
+	case <-timer.C:
+		p.Kill()
+		return eris.Errorf("%s did not stop within %s", p.Name, timeout)
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		return eris.Errorf("%s exited with code %d; last lines: %s", p.Name, code, p.tail())
+	}
+	return nil
+}
