Carry messages and call streams between nodes over QUIC

Cause: the control roles and the proxy need a transport between nodes, and tests need certificates from a common CA. Change: pkg/transport with mutual TLS 1.3, separate connections for control and calls, shared dials with backoff, size limits that hold through decompression, and an orderly Close; internal/testcerts issues certificates.

--- /dev/null
+++ b/internal/testcerts/testcerts.go
@@ -0,0 +1,137 @@
+// Package testcerts issues certificates for tests from a CA held in memory.
+package testcerts
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// validity is the lifetime of certificates. It starts in the past so that
+// clocks that differ between test processes do not matter.
+const validity = 24 * time.Hour
+
+// Authority is a certificate authority for tests.
+type Authority struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+	pem         []byte
+}
+
+// Certificate is an issued certificate with its key, PEM-encoded.
+type Certificate struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// Files are the paths of the PEM files of one node.
+type Files struct {
+	Certificate string
+	Key         string
+	CA          string
+}
+
+// NewAuthority creates a CA with a fresh key.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "generate the CA key")
+	}
+	template := newTemplate("azurespring test CA")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, eris.Wrap(err, "create the CA certificate")
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, eris.Wrap(err, "parse the CA certificate")
+	}
+	return &Authority{key: key, certificate: certificate, pem: encode("CERTIFICATE", der)}, nil
+}
+
+// PEM returns the CA certificate.
+func (a *Authority) PEM() []byte { return a.pem }
+
+// Issue returns a certificate for a node whose instance name is instance. It is
+// valid for both ends of a connection.
+func (a *Authority) Issue(instance string) (Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Certificate{}, eris.Wrap(err, "generate a node key")
+	}
+	template := newTemplate(instance)
+	template.DNSNames = []string{instance}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return Certificate{}, eris.Wrap(err, "create a node certificate")
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Certificate{}, eris.Wrap(err, "encode a node key")
+	}
+	return Certificate{Certificate: encode("CERTIFICATE", der), Key: encode("PRIVATE KEY", keyDER)}, nil
+}
+
+// Write issues a certificate for instance and writes it, its key and the CA
+// certificate to dir. Each file is replaced by a rename, as an operator's tool
+// would do it.
+func (a *Authority) Write(dir, instance string) (Files, error) {
+	issued, err := a.Issue(instance)
+	if err != nil {
+		return Files{}, err
+	}
+	files := Files{
+		Certificate: filepath.Join(dir, instance+".crt"),
+		Key:         filepath.Join(dir, instance+".key"),
+		CA:          filepath.Join(dir, "ca.crt"),
+	}
+	contents := map[string][]byte{
+		files.Certificate: issued.Certificate, files.Key: issued.Key, files.CA: a.pem,
+	}
+	for path, content := range contents {
+		if err := replace(path, content); err != nil {
+			return Files{}, err
+		}
+	}
+	return files, nil
+}
+
+func replace(path string, content []byte) error {
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, content, 0o600); err != nil {
+		return eris.Wrapf(err, "write %s", temporary)
+	}
+	return eris.Wrapf(os.Rename(temporary, path), "rename %s", temporary)
+}
+
+func newTemplate(name string) *x509.Certificate {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		serial = big.NewInt(time.Now().UnixNano())
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-validity),
+		NotAfter:     now.Add(validity),
+	}
+}
+
+func encode(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
--- /dev/null
+++ b/pkg/transport/message.go
@@ -0,0 +1,129 @@
+package transport
+
+import (
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+// compressAbove is the size in bytes above which a message is compressed.
+const compressAbove = 1 << 10
+
+// maxEnvelopeOverhead is what the envelope may add to a payload, in bytes.
+const maxEnvelopeOverhead = 1 << 10
+
+// maxErrorText bounds the error text in a reply, in bytes.
+const maxErrorText = 512
+
+// The first byte of a message says how the rest is encoded.
+const (
+	encodingPlain byte = iota
+	encodingZstd
+)
+
+// ErrTooLarge means that a message exceeds MaxMessageBytes.
+var ErrTooLarge = eris.New("message exceeds the size limit")
+
+// envelope is a control message or the reply to one.
+type envelope struct {
+	Kind    Kind               `cbor:"1,keyasint,omitempty"`
+	Time    timeline.Timestamp `cbor:"2,keyasint"`
+	Payload []byte             `cbor:"3,keyasint,omitempty"`
+	Error   string             `cbor:"4,keyasint,omitempty"`
+}
+
+// codec encodes and decodes envelopes. It is safe for concurrent use.
+type codec struct {
+	decode cbor.DecMode
+	pack   *zstd.Encoder
+	unpack *zstd.Decoder
+}
+
+func newCodec() (*codec, error) {
+	decode, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxMapPairs: 16, MaxArrayElements: 16,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		return nil, eris.Wrap(err, "CBOR decoder")
+	}
+	pack, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest),
+		zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(256<<10))
+	if err != nil {
+		return nil, eris.Wrap(err, "zstd encoder")
+	}
+	unpack, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(MaxMessageBytes+maxEnvelopeOverhead))
+	if err != nil {
+		return nil, eris.Wrap(err, "zstd decoder")
+	}
+	return &codec{decode: decode, pack: pack, unpack: unpack}, nil
+}
+
+func (c *codec) close() {
+	_ = c.pack.Close()
+	c.unpack.Close()
+}
+
+// marshal returns the bytes of a message.
+func (c *codec) marshal(message envelope) ([]byte, error) {
+	if len(message.Payload) > MaxMessageBytes {
+		return nil, eris.Wrapf(ErrTooLarge, "payload of %d bytes", len(message.Payload))
+	}
+	if len(message.Error) > maxErrorText {
+		message.Error = message.Error[:maxErrorText]
+	}
+	encoded, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode message")
+	}
+	if len(encoded) <= compressAbove {
+		return append([]byte{encodingPlain}, encoded...), nil
+	}
+	packed := c.pack.EncodeAll(encoded, append(make([]byte, 0, len(encoded)/2), encodingZstd))
+	if len(packed) > len(encoded) {
+		return append([]byte{encodingPlain}, encoded...), nil
+	}
+	return packed, nil
+}
+
+// unmarshal is the inverse of marshal. The zstd decoder stops at the size limit,
+// so a small message cannot expand into a large one.
+func (c *codec) unmarshal(data []byte) (message envelope, err error) {
+	if len(data) == 0 {
+		return message, eris.New("empty message")
+	}
+	body := data[1:]
+	switch data[0] {
+	case encodingPlain:
+	case encodingZstd:
+		body, err = c.unpack.DecodeAll(body, nil)
+		if err != nil {
+			return message, eris.Wrap(err, "decompress message")
+		}
+	default:
+		return message, eris.Errorf("unknown message encoding %d", data[0])
+	}
+	if len(body) > MaxMessageBytes+maxEnvelopeOverhead {
+		return message, eris.Wrapf(ErrTooLarge, "%d bytes", len(body))
+	}
+	return message, eris.Wrap(c.decode.Unmarshal(body, &message), "decode message")
+}
+
+// readMessage reads one message up to the end of the stream.
+func (c *codec) readMessage(r io.Reader) (message envelope, size int, err error) {
+	const limit = MaxMessageBytes + maxEnvelopeOverhead + 1
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return message, len(data), eris.Wrap(err, "read message")
+	}
+	if len(data) > limit {
+		return message, len(data), eris.Wrap(ErrTooLarge, "read message")
+	}
+	message, err = c.unmarshal(data)
+	return message, len(data), err
+}
--- /dev/null
+++ b/pkg/transport/pool.go
@@ -0,0 +1,183 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// ErrBackoff means that no connection was tried because a recent dial failed.
+var ErrBackoff = eris.New("waiting after a failed dial")
+
+// pool holds one connection per address for one class.
+type pool struct {
+	transport *Transport
+	class     class
+	entries   sync.Map // address to *entry
+}
+
+// entry is the state of one address. The request path only loads conn.
+type entry struct {
+	conn atomic.Pointer[conn]
+
+	mu      sync.Mutex
+	dialing *dial
+	backoff *backoff.ExponentialBackOff
+	retryAt time.Time
+	failure error
+}
+
+// dial is an attempt that all callers of an address wait for.
+type dial struct {
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
+// open returns a new stream on the pooled connection, dialing if there is none.
+func (p *pool) open(ctx context.Context, address string) (*conn, *quic.Stream, error) {
+	// A pooled connection may have ended without the pool's notice; the second
+	// round then dials.
+	const rounds = 2
+	var failure error
+	for range rounds {
+		c, err := p.get(ctx, address)
+		if err != nil {
+			return nil, nil, err
+		}
+		if !c.beginOpen() {
+			failure = ErrClosed
+			continue
+		}
+		stream, err := c.quic.OpenStream()
+		var limit quic.StreamLimitReachedError
+		if errors.As(err, &limit) {
+			stream, err = c.quic.OpenStreamSync(ctx)
+		}
+		if err == nil {
+			c.touch()
+			return c, stream, nil
+		}
+		c.endOpened()
+		if ctx.Err() != nil {
+			return nil, nil, eris.Wrapf(ctx.Err(), "open a stream to %s", address)
+		}
+		p.remove(c)
+		failure = err
+	}
+	return nil, nil, eris.Wrapf(failure, "open a stream to %s", address)
+}
+
+func (p *pool) entry(address string) *entry {
+	if e, ok := p.entries.Load(address); ok {
+		return e.(*entry)
+	}
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = backoffMin, backoffMax
+	e, _ := p.entries.LoadOrStore(address, &entry{backoff: b})
+	return e.(*entry)
+}
+
+func (p *pool) get(ctx context.Context, address string) (*conn, error) {
+	e := p.entry(address)
+	if c := e.conn.Load(); c != nil {
+		return c, nil
+	}
+	d, err := p.startDial(e, address)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, eris.Wrapf(ctx.Err(), "wait for a connection to %s", address)
+	}
+}
+
+// startDial returns the attempt in progress or starts one.
+func (p *pool) startDial(e *entry, address string) (*dial, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c := e.conn.Load(); c != nil {
+		done := make(chan struct{})
+		close(done)
+		return &dial{done: done, conn: c}, nil
+	}
+	if e.dialing != nil {
+		return e.dialing, nil
+	}
+	if time.Now().Before(e.retryAt) {
+		return nil, eris.Wrapf(errors.Join(ErrBackoff, e.failure), "connect to %s", address)
+	}
+	if !p.transport.startTask() {
+		return nil, ErrClosed
+	}
+	d := &dial{done: make(chan struct{})}
+	e.dialing = d
+	go p.dial(e, d, address)
+	return d, nil
+}
+
+func (p *pool) dial(e *entry, d *dial, address string) {
+	defer p.transport.tasks.Done()
+	c, err := p.connect(address)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer close(d.done)
+	d.conn, d.err = c, err
+	e.dialing, e.failure = nil, err
+	if err != nil {
+		e.retryAt = time.Now().Add(e.backoff.NextBackOff())
+		p.transport.options.Scope.Counter("dial_failures").Inc(1)
+		return
+	}
+	e.backoff.Reset()
+	e.conn.Store(c)
+	if c.quic.Context().Err() != nil {
+		// The connection ended before it was stored, after watch looked for it.
+		e.conn.CompareAndSwap(c, nil)
+	}
+}
+
+func (p *pool) connect(address string) (*conn, error) {
+	t := p.transport
+	remote, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "resolve %s", address)
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
+	defer cancel()
+	streams := int64(maxControlStreams)
+	if p.class == calls {
+		streams = maxCallStreams
+	}
+	qc, err := t.quic.Dial(ctx, remote, t.options.TLS.clientConfig(t.alpn, serverNames[p.class]), quicConfig(streams))
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to %s", address)
+	}
+	return t.adopt(qc, p.class, address, true)
+}
+
+// offer puts an accepted connection into the pool if there is none for its
+// address, so that a pair of nodes needs one connection per class only.
+func (p *pool) offer(c *conn) {
+	e := p.entry(c.address)
+	if e.conn.CompareAndSwap(nil, c) && c.quic.Context().Err() != nil {
+		e.conn.CompareAndSwap(c, nil)
+	}
+}
+
+// remove takes c out of the pool. The entry stays while it carries a backoff.
+func (p *pool) remove(c *conn) {
+	if e, ok := p.entries.Load(c.address); ok {
+		e.(*entry).conn.CompareAndSwap(c, nil)
+	}
+}
--- /dev/null
+++ b/pkg/transport/quic.go
@@ -0,0 +1,235 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// ErrClosed is returned once Close has been called.
+var ErrClosed = eris.New("transport closed")
+
+// class separates control messages from calls, so that a large transfer does
+// not delay calls. The dialer names the class as the TLS server name.
+type class uint8
+
+const (
+	control class = iota
+	calls
+	classCount
+)
+
+var serverNames = [classCount]string{control: "control.azurespring", calls: "calls.azurespring"}
+
+// Transport exchanges messages and call streams with other nodes over one UDP
+// socket. It is safe for concurrent use.
+type Transport struct {
+	options  Options
+	codec    *codec
+	alpn     []string
+	socket   *net.UDPConn
+	quic     *quic.Transport
+	listener *quic.Listener
+	pools    [classCount]*pool
+	stats    counters
+
+	messageHandlers sync.Map // Kind to MessageHandler
+	callHandler     atomic.Pointer[CallHandler]
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu      sync.Mutex
+	closing bool
+	conns   map[*conn]struct{}
+}
+
+var (
+	_ Requester  = (*Transport)(nil)
+	_ CallOpener = (*Transport)(nil)
+)
+
+// Listen opens the socket and accepts connections. It fails if the address is
+// not an IP and port, or cannot be bound.
+func Listen(o Options) (*Transport, error) {
+	o.setDefaults()
+	address, err := net.ResolveUDPAddr("udp", o.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "resolve listen address")
+	}
+	codec, err := newCodec()
+	if err != nil {
+		return nil, err
+	}
+	resetKey, err := o.TLS.resetKey()
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "open UDP socket")
+	}
+	t := &Transport{
+		options: o, codec: codec, alpn: alpn(o.Protocols), socket: socket,
+		quic: &quic.Transport{Conn: socket, StatelessResetKey: resetKey}, conns: make(map[*conn]struct{}),
+	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	for c := range classCount {
+		t.pools[c] = &pool{transport: t, class: c}
+	}
+	t.listener, err = t.quic.Listen(o.TLS.serverConfig(t.alpn), t.serverConfig())
+	if err != nil {
+		t.cancel()
+		_ = socket.Close()
+		return nil, eris.Wrap(err, "listen")
+	}
+	t.tasks.Add(2)
+	go t.accept()
+	go t.reap()
+	return t, nil
+}
+
+// alpn returns the protocol identifiers, newest first. A TLS server picks the
+// first of its own list that the client offers too.
+func alpn(protocols []int) []string {
+	sorted := slices.Sorted(slices.Values(protocols))
+	slices.Reverse(sorted)
+	names := make([]string, 0, len(sorted))
+	for _, version := range sorted {
+		names = append(names, alpnPrefix+strconv.Itoa(version))
+	}
+	return names
+}
+
+func (t *Transport) serverConfig() *quic.Config { return quicConfig(maxCallStreams) }
+
+func quicConfig(streams int64) *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  handshakeIdle,
+		MaxIdleTimeout:        maxIdle,
+		KeepAlivePeriod:       keepAlive,
+		MaxIncomingStreams:    streams,
+		MaxIncomingUniStreams: maxUniStreams,
+	}
+}
+
+// Address returns the bound IP and port.
+func (t *Transport) Address() string { return t.socket.LocalAddr().String() }
+
+// HandleMessage sets the handler of messages of a kind.
+func (t *Transport) HandleMessage(kind Kind, h MessageHandler) { t.messageHandlers.Store(kind, h) }
+
+// HandleCalls sets the handler of call streams. Streams that arrive before are
+// canceled.
+func (t *Transport) HandleCalls(h CallHandler) { t.callHandler.Store(&h) }
+
+// OpenCall implements CallOpener. The caller reads the stream to its end and
+// calls CloseWrite, or calls Cancel; until then Close waits for the stream.
+func (t *Transport) OpenCall(ctx context.Context, address string) (Stream, error) {
+	c, stream, err := t.pools[calls].open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &openedStream{Stream: stream, conn: c}, nil
+}
+
+func (t *Transport) accept() {
+	defer t.tasks.Done()
+	for {
+		qc, err := t.listener.Accept(t.ctx)
+		if err != nil {
+			if !errors.Is(err, quic.ErrServerClosed) && t.ctx.Err() == nil {
+				t.options.Logger.WithError(err).Error("accepting connections ended")
+			}
+			return
+		}
+		kind := control
+		if qc.ConnectionState().TLS.ServerName == serverNames[calls] {
+			kind = calls
+		}
+		c, err := t.adopt(qc, kind, qc.RemoteAddr().String(), false)
+		if err != nil {
+			continue
+		}
+		t.pools[kind].offer(c)
+	}
+}
+
+// adopt registers an established connection and starts to serve its streams.
+func (t *Transport) adopt(qc *quic.Conn, kind class, address string, dialed bool) (*conn, error) {
+	state := qc.ConnectionState().TLS
+	protocol, err := strconv.Atoi(strings.TrimPrefix(state.NegotiatedProtocol, alpnPrefix))
+	if err != nil || len(state.PeerCertificates) == 0 {
+		_ = qc.CloseWithError(codeProtocol, "no protocol version or certificate")
+		return nil, eris.Errorf("connection with %s has no protocol version or certificate", address)
+	}
+	c := &conn{
+		transport: t, quic: qc, class: kind, address: address, dialed: dialed,
+		drained: make(chan struct{}), peerDrained: make(chan struct{}),
+		peer: Peer{
+			Instance: instanceName(state.PeerCertificates[0]),
+			Address:  qc.RemoteAddr().String(), Protocol: protocol,
+		},
+	}
+	c.touch()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closing {
+		_ = qc.CloseWithError(codeClosed, "closing")
+		return nil, ErrClosed
+	}
+	t.conns[c] = struct{}{}
+	t.tasks.Add(3)
+	go c.acceptStreams()
+	go c.acceptNotices()
+	go c.watch()
+	return c, nil
+}
+
+func (t *Transport) forget(c *conn) {
+	t.pools[c.class].remove(c)
+	t.mu.Lock()
+	delete(t.conns, c)
+	t.mu.Unlock()
+	t.stats.addClosed(c, t.options.OtherRegion(c.address))
+}
+
+func (t *Transport) connections() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*conn, 0, len(t.conns))
+	for c := range t.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// reap closes connections that have had no stream for a while.
+func (t *Transport) reap() {
+	defer t.tasks.Done()
+	ticker := time.NewTicker(reapInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, c := range t.connections() {
+			if c.dialed && c.unused() {
+				t.pools[c.class].remove(c)
+				_ = c.quic.CloseWithError(codeUnused, "unused")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/transport/stats.go
@@ -0,0 +1,78 @@
+package transport
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/quic-go/quic-go"
+)
+
+// packetOverhead is the size of the UDP and IPv4 headers of a packet in bytes.
+const packetOverhead = 28
+
+// Traffic counts bytes on the wire, with UDP and IP headers and handshakes.
+type Traffic struct {
+	Sent     uint64
+	Received uint64
+}
+
+// Stats is what a Transport has sent and received since it was opened.
+type Stats struct {
+	// Control is the traffic of control connections, and CrossRegion the part of
+	// it with nodes of other regions.
+	Control     Traffic
+	CrossRegion Traffic
+	// Calls is the traffic of call connections.
+	Calls Traffic
+	// MessagesSent and MessagesReceived count control messages without replies.
+	MessagesSent     uint64
+	MessagesReceived uint64
+	// Connections is the number of open connections.
+	Connections int
+}
+
+type counters struct {
+	messagesSent     atomic.Uint64
+	messagesReceived atomic.Uint64
+
+	mu     sync.Mutex
+	closed Stats
+}
+
+func (t *Traffic) add(s quic.ConnectionStats) {
+	t.Sent += s.BytesSent + s.PacketsSent*packetOverhead
+	t.Received += s.BytesReceived + s.PacketsReceived*packetOverhead
+}
+
+func (s *Stats) addConn(c *conn, otherRegion bool) {
+	stats := c.quic.ConnectionStats()
+	if c.class == calls {
+		s.Calls.add(stats)
+		return
+	}
+	s.Control.add(stats)
+	if otherRegion {
+		s.CrossRegion.add(stats)
+	}
+}
+
+func (k *counters) addClosed(c *conn, otherRegion bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed.addConn(c, otherRegion)
+}
+
+// Stats returns the counters. A connection that closes during the call may be
+// counted twice or not at all in this one result.
+func (t *Transport) Stats() Stats {
+	t.stats.mu.Lock()
+	total := t.stats.closed
+	t.stats.mu.Unlock()
+	for _, c := range t.connections() {
+		total.addConn(c, t.options.OtherRegion(c.address))
+		total.Connections++
+	}
+	total.MessagesSent = t.stats.messagesSent.Load()
+	total.MessagesReceived = t.stats.messagesReceived.Load()
+	return total
+}
--- /dev/null
+++ b/pkg/transport/stream.go
@@ -0,0 +1,106 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Bits of the state of a stream's two directions.
+const (
+	readEnded uint32 = 1 << iota
+	writeEnded
+	bothEnded = readEnded | writeEnded
+)
+
+// openedStream is a stream that this node opened.
+type openedStream struct {
+	*quic.Stream
+	conn  *conn
+	state atomic.Uint32
+}
+
+func (s *openedStream) Read(p []byte) (int, error) {
+	n, err := s.Stream.Read(p)
+	if err != nil && !isTimeout(err) {
+		s.end(readEnded)
+	}
+	return n, err
+}
+
+func (s *openedStream) Write(p []byte) (int, error) {
+	n, err := s.Stream.Write(p)
+	if err != nil && !isTimeout(err) {
+		s.end(writeEnded)
+	}
+	return n, err
+}
+
+// CloseWrite implements Stream.
+func (s *openedStream) CloseWrite() error {
+	defer s.end(writeEnded)
+	return s.Close()
+}
+
+// Cancel implements Stream.
+func (s *openedStream) Cancel() {
+	s.CancelRead(streamCanceled)
+	s.CancelWrite(streamCanceled)
+	s.end(bothEnded)
+}
+
+// Context implements Stream. It ends with the connection only: the QUIC
+// stream's own context ends when the request has been sent, and reads report a
+// cancellation by the peer at once.
+func (s *openedStream) Context() context.Context { return s.conn.quic.Context() }
+
+func (s *openedStream) end(bits uint32) {
+	old := s.state.Or(bits)
+	if old != bothEnded && old|bits == bothEnded {
+		s.conn.endOpened()
+	}
+}
+
+// acceptedStream is a stream that the peer opened. Its Context ends when the
+// peer cancels, when the connection is lost, and after CloseWrite.
+type acceptedStream struct {
+	*quic.Stream
+	closed atomic.Bool
+}
+
+// CloseWrite implements Stream.
+func (s *acceptedStream) CloseWrite() error {
+	s.closed.Store(true)
+	return s.Close()
+}
+
+// Cancel implements Stream.
+func (s *acceptedStream) Cancel() { s.cancel(streamCanceled) }
+
+func (s *acceptedStream) refuse() { s.cancel(streamRefused) }
+
+func (s *acceptedStream) cancel(code quic.StreamErrorCode) {
+	s.CancelRead(code)
+	if !s.closed.Swap(true) {
+		s.CancelWrite(code)
+	}
+}
+
+// finish releases what the handler left open, so that a handler that returns
+// early does not leak the stream.
+func (s *acceptedStream) finish() { s.cancel(streamCanceled) }
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	var idle *quic.IdleTimeoutError
+	return errors.As(err, &timeout) && timeout.Timeout() && !errors.As(err, &idle)
+}
+
+// IsRefused reports whether err of a call stream says that the peer gave the
+// stream to no handler, so that the call was not run.
+func IsRefused(err error) bool {
+	var e *quic.StreamError
+	return errors.As(err, &e) && e.Remote && e.ErrorCode == streamRefused
+}
--- /dev/null
+++ b/pkg/transport/tls.go
@@ -0,0 +1,183 @@
+package transport
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// reloadInterval is the shortest time between two looks at the files, so that a
+// storm of handshakes does not become a storm of stat calls.
+const reloadInterval = time.Second
+
+// TLSSource holds the certificate, key and CA of a node and reads them again
+// when the files change.
+type TLSSource struct {
+	certFile, keyFile, caFile string
+
+	mu      sync.Mutex
+	checked time.Time
+	stamp   [3]fileStamp
+	state   *credentials
+	failure error
+}
+
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+// credentials are one consistent reading of the files.
+type credentials struct {
+	certificate tls.Certificate
+	roots       *x509.CertPool
+}
+
+// NewTLSSource reads the PEM files. It fails if one of them cannot be read or
+// parsed, or if the key does not belong to the certificate.
+func NewTLSSource(certFile, keyFile, caFile string) (*TLSSource, error) {
+	s := &TLSSource{certFile: certFile, keyFile: keyFile, caFile: caFile}
+	s.reload(time.Now())
+	if s.state == nil {
+		return nil, s.failure
+	}
+	return s, nil
+}
+
+// Failure returns the error of the newest attempt to read changed files, or nil.
+func (s *TLSSource) Failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failure
+}
+
+// current returns the newest valid credentials.
+func (s *TLSSource) current() *credentials {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.checked) >= reloadInterval {
+		s.reload(now)
+	}
+	return s.state
+}
+
+// reload keeps the old credentials if the files are unreadable or do not match,
+// as they are for a moment while a tool replaces them one by one.
+func (s *TLSSource) reload(now time.Time) {
+	s.checked = now
+	stamp, err := s.stat()
+	if err != nil {
+		s.failure = err
+		return
+	}
+	if s.failure == nil && s.state != nil && stamp == s.stamp {
+		return
+	}
+	state, err := s.load()
+	s.failure = err
+	if err != nil {
+		return
+	}
+	s.state, s.stamp = state, stamp
+}
+
+func (s *TLSSource) stat() (stamp [3]fileStamp, err error) {
+	for i, path := range []string{s.certFile, s.keyFile, s.caFile} {
+		info, err := os.Stat(path)
+		if err != nil {
+			return stamp, eris.Wrap(err, "stat TLS file")
+		}
+		stamp[i] = fileStamp{modified: info.ModTime(), size: info.Size()}
+	}
+	return stamp, nil
+}
+
+func (s *TLSSource) load() (*credentials, error) {
+	certificate, err := tls.LoadX509KeyPair(s.certFile, s.keyFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "load certificate and key")
+	}
+	ca, err := os.ReadFile(s.caFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "read CA file")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(ca) {
+		return nil, eris.Errorf("no certificate in CA file %s", s.caFile)
+	}
+	return &credentials{certificate: certificate, roots: roots}, nil
+}
+
+// resetKey derives the key of stateless resets from the private key, so that a
+// process restarted with the same key ends the connections of its predecessor
+// at once instead of leaving peers to find them silent.
+func (s *TLSSource) resetKey() (*quic.StatelessResetKey, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(s.current().certificate.PrivateKey)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode private key")
+	}
+	mac := hmac.New(sha256.New, der)
+	mac.Write([]byte("azurespring stateless reset"))
+	key := quic.StatelessResetKey(mac.Sum(nil))
+	return &key, nil
+}
+
+// serverConfig returns a configuration that uses the newest credentials for
+// each handshake.
+func (s *TLSSource) serverConfig(protocols []string) *tls.Config {
+	base := &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: protocols}
+	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		state := s.current()
+		return &tls.Config{
+			MinVersion:   tls.VersionTLS13,
+			NextProtos:   protocols,
+			Certificates: []tls.Certificate{state.certificate},
+			ClientAuth:   tls.RequireAndVerifyClientCert,
+			ClientCAs:    state.roots,
+			// Resumption would keep a peer connected whose CA has been replaced.
+			SessionTicketsDisabled: true,
+		}, nil
+	}
+	return base
+}
+
+// clientConfig returns a configuration for one dial. Peers are dialed by IP
+// address, so the chain is verified here without a host name.
+func (s *TLSSource) clientConfig(protocols []string, serverName string) *tls.Config {
+	state := s.current()
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		NextProtos:         protocols,
+		ServerName:         serverName,
+		Certificates:       []tls.Certificate{state.certificate},
+		InsecureSkipVerify: true, //nolint:gosec // VerifyConnection verifies the chain.
+		VerifyConnection:   func(c tls.ConnectionState) error { return verifyServer(c, state.roots) },
+	}
+}
+
+func verifyServer(c tls.ConnectionState, roots *x509.CertPool) error {
+	if len(c.PeerCertificates) == 0 {
+		return eris.New("peer sent no certificate")
+	}
+	options := x509.VerifyOptions{Roots: roots, Intermediates: x509.NewCertPool()}
+	for _, intermediate := range c.PeerCertificates[1:] {
+		options.Intermediates.AddCert(intermediate)
+	}
+	_, err := c.PeerCertificates[0].Verify(options)
+	return eris.Wrap(err, "verify peer certificate")
+}
+
+// instanceName returns the instance that a certificate names.
+func instanceName(certificate *x509.Certificate) string {
+	if len(certificate.DNSNames) != 0 {
+		return certificate.DNSNames[0]
+	}
+	return certificate.Subject.CommonName
+}
--- /dev/null
+++ b/pkg/transport/transport_test.go
@@ -0,0 +1,100 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/internal/testcerts"
+)
+
+// testTimeout only bounds a test that hangs; no test depends on its length.
+const testTimeout = time.Minute
+
+const testKind Kind = 0x7f
+
+func newAuthority(t *testing.T) *testcerts.Authority {
+	t.Helper()
+	authority, err := testcerts.NewAuthority()
+	assert.NilError(t, err)
+	return authority
+}
+
+func newSource(t *testing.T, authority *testcerts.Authority, instance string) *TLSSource {
+	t.Helper()
+	files, err := authority.Write(t.TempDir(), instance)
+	assert.NilError(t, err)
+	source, err := NewTLSSource(files.Certificate, files.Key, files.CA)
+	assert.NilError(t, err)
+	return source
+}
+
+func listen(t *testing.T, o Options) *Transport {
+	t.Helper()
+	o.Address = "127.0.0.1:0"
+	node, err := Listen(o)
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		_ = node.Close(ctx)
+	})
+	return node
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func echo(_ context.Context, _ Peer, payload []byte) ([]byte, error) { return payload, nil }
+
+func echoCalls(_ context.Context, _ Peer, stream Stream) {
+	_, _ = io.Copy(stream, stream)
+	_ = stream.CloseWrite()
+}
+
+func pair(t *testing.T) (a, b *Transport) {
+	t.Helper()
+	authority := newAuthority(t)
+	a = listen(t, Options{TLS: newSource(t, authority, "a")})
+	b = listen(t, Options{TLS: newSource(t, authority, "b")})
+	b.HandleMessage(testKind, echo)
+	b.HandleCalls(echoCalls)
+	return a, b
+}
+
+// Guards against messages that are lost or altered on either side of the
+// compression threshold and at the size limit.
+func TestRequestSizes(t *testing.T) {
+	a, b := pair(t)
+	for _, size := range []int{0, 1, compressAbove, compressAbove + 1, MaxMessageBytes} {
+		payload := bytes.Repeat([]byte{7}, size)
+		reply, err := a.Request(testContext(t), b.Address(), testKind, payload)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(reply, payload), "size %d", size)
+	}
+	_, err := a.Request(testContext(t), b.Address(), testKind, make([]byte, MaxMessageBytes+1))
+	assert.ErrorContains(t, err, ErrTooLarge.Error())
+}
+
+// Guards against call streams that cut off or mix up bodies.
+func TestCallStream(t *testing.T) {
+	a, b := pair(t)
+	stream, err := a.OpenCall(testContext(t), b.Address())
+	assert.NilError(t, err)
+	body := bytes.Repeat([]byte("0123456789"), 100_000)
+	go func() {
+		_, _ = stream.Write(body)
+		_ = stream.CloseWrite()
+	}()
+	answer, err := io.ReadAll(stream)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(answer, body))
+}
