Replicate items by gossip and keep the member table

Cause: every node has to learn of members, targets and configuration versions without a central service. Change: pkg/gossip floods keyed items once on change and repairs losses by comparing digests, buckets and items; pkg/membership keeps member records over it, with rings, gateways, pings, suspicion, refutation and bounded joins; internal/mailbox hands events to a loop without blocking.

--- /dev/null
+++ b/pkg/gossip/service.go
@@ -0,0 +1,286 @@
+package gossip
+
+import (
+	"context"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurespring/azurespring/internal/mailbox"
+	"github.com/azurespring/azurespring/pkg/reducer"
+	"github.com/azurespring/azurespring/pkg/transport"
+)
+
+const (
+	// sendTimeout bounds one message. A message that is not acknowledged by then
+	// is repaired by a later comparison.
+	sendTimeout = 2 * time.Second
+	// maxInFlight bounds the unacknowledged messages to one node.
+	maxInFlight = 8
+	flushPoll   = 2 * time.Millisecond
+)
+
+// Messenger is the part of the transport that gossip uses.
+type Messenger interface {
+	transport.Requester
+	HandleMessage(kind transport.Kind, h transport.MessageHandler)
+}
+
+// Options configures a Service.
+type Options struct {
+	// Address is the address at which other nodes reach this node.
+	Address   string
+	Messenger Messenger
+	// Seed makes the choice of partners reproducible.
+	Seed uint64
+	// Logger and Scope default to ones that discard.
+	Logger *logrus.Logger
+	Scope  tally.Scope
+	// Now defaults to time.Now.
+	Now func() time.Time
+	// Recorder, if set, receives each event before it is applied.
+	Recorder reducer.Recorder[Event]
+}
+
+// Stats counts messages and the bytes of their payloads, before compression.
+type Stats struct {
+	MessagesSent     uint64
+	MessagesReceived uint64
+	BytesSent        uint64
+	BytesReceived    uint64
+}
+
+// Service runs the Reducer over the transport. It is safe for concurrent use.
+type Service struct {
+	options     Options
+	loop        *reducer.Loop[Event, Effect]
+	queue       mailbox.Mailbox[Event]
+	subscribers map[Topic]Subscriber
+
+	mu    sync.Mutex // guards state
+	state *Reducer
+
+	sendMu   sync.Mutex
+	inFlight map[string]int
+	sending  atomic.Int64
+	tasks    sync.WaitGroup
+
+	messagesSent, messagesReceived, bytesSent, bytesReceived atomic.Uint64
+}
+
+var _ Publisher = (*Service)(nil)
+
+// New returns a service that answers messages as soon as Run is called.
+func New(o Options) *Service {
+	if o.Logger == nil {
+		o.Logger = logrus.New()
+		o.Logger.SetLevel(logrus.PanicLevel)
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	s := &Service{
+		options: o, state: NewReducer(o.Address, o.Seed),
+		subscribers: make(map[Topic]Subscriber), inFlight: make(map[string]int),
+	}
+	s.loop = reducer.NewLoop[Event, Effect](lockedReducer{s}, reducer.ExecutorFunc[Effect](s.execute),
+		reducer.Options[Event]{
+			Now: o.Now, Tick: func() Event { return Tick{} }, TickInterval: TickInterval, Recorder: o.Recorder,
+		})
+	o.Messenger.HandleMessage(transport.KindGossip, s.handle)
+	return s
+}
+
+// TopicOption changes how a topic is kept.
+type TopicOption func(*topicStore)
+
+// WithExpiry drops items of the topic when their time has come.
+func WithExpiry(e Expiry) TopicOption { return func(t *topicStore) { t.expiry = e } }
+
+// RegisterTopic adds a topic. It must be called before Run. The subscriber may
+// be nil; it is called from the event loop and must not block.
+func (s *Service) RegisterTopic(name Topic, merge Merge, subscriber Subscriber, options ...TopicOption) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Register(name, merge, nil)
+	for _, option := range options {
+		option(s.state.topic(name))
+	}
+	if subscriber != nil {
+		s.subscribers[name] = subscriber
+	}
+}
+
+// Publish implements Publisher. It does not block.
+func (s *Service) Publish(item Item) { s.queue.Put(Published{Item: item}) }
+
+// Merge takes in items that the node at from sent outside of gossip, as one
+// event. It does not block.
+func (s *Service) Merge(from string, items []Item) {
+	s.queue.Put(Received{Message: Message{From: from, Items: items}})
+}
+
+// SetNeighbours replaces the nodes to which changes are passed on. It does not
+// block.
+func (s *Service) SetNeighbours(list []Neighbour) { s.queue.Put(NeighboursSet{Neighbours: list}) }
+
+// SyncWith starts a comparison with the node at address. It does not block.
+func (s *Service) SyncWith(address string) { s.queue.Put(SyncRequested{Address: address}) }
+
+// Get returns an item of the local copy.
+func (s *Service) Get(topic Topic, key string) (Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Get(topic, key)
+}
+
+// Items returns all items of a topic, ordered by key. Payloads must not be
+// changed.
+func (s *Service) Items(topic Topic) []Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Items(topic)
+}
+
+// Stats returns the counters.
+func (s *Service) Stats() Stats {
+	return Stats{
+		MessagesSent: s.messagesSent.Load(), MessagesReceived: s.messagesReceived.Load(),
+		BytesSent: s.bytesSent.Load(), BytesReceived: s.bytesReceived.Load(),
+	}
+}
+
+// Run handles events until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.tasks.Go(func() { s.queue.Run(ctx, s.loop.Submit) })
+	s.loop.Run(ctx)
+	s.tasks.Wait()
+}
+
+// Flush sends all changes that were published before the call and waits until
+// the neighbours have acknowledged them, or a send has timed out.
+func (s *Service) Flush(ctx context.Context) error {
+	b := barrier{done: make(chan struct{})}
+	s.queue.Put(b)
+	select {
+	case <-b.done:
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "flush gossip")
+	}
+	ticker := time.NewTicker(flushPoll)
+	defer ticker.Stop()
+	for s.sending.Load() != 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "flush gossip")
+		}
+	}
+	return nil
+}
+
+// barrier is an event that flushes and an effect that reports it.
+type barrier struct{ done chan struct{} }
+
+func (barrier) event()  {}
+func (barrier) effect() {}
+
+// lockedReducer steps the state under the mutex, so that Get may read it.
+type lockedReducer struct{ service *Service }
+
+func (l lockedReducer) Step(now time.Time, event Event) []Effect {
+	s := l.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, ok := event.(barrier); ok {
+		return append(s.state.Step(now, FlushDue{}), b)
+	}
+	return s.state.Step(now, event)
+}
+
+func (s *Service) handle(ctx context.Context, _ transport.Peer, payload []byte) ([]byte, error) {
+	message, err := DecodeMessage(payload)
+	if err != nil {
+		return nil, err
+	}
+	s.messagesReceived.Add(1)
+	s.bytesReceived.Add(uint64(len(payload)))
+	if !s.loop.Submit(ctx, Received{Message: message}) {
+		return nil, eris.New("gossip stopped")
+	}
+	return nil, nil
+}
+
+func (s *Service) execute(ctx context.Context, effect Effect) {
+	switch e := effect.(type) {
+	case Send:
+		s.send(ctx, e)
+	case Changed:
+		s.notify(e.Item)
+	case Wake:
+		time.AfterFunc(e.After, func() { s.queue.Put(FlushDue{}) })
+	case barrier:
+		close(e.done)
+	}
+}
+
+func (s *Service) notify(item Item) {
+	defer func() {
+		if r := recover(); r != nil {
+			s.options.Logger.WithField("topic", item.Topic).Errorf("panic in a subscriber: %v\n%s", r, debug.Stack())
+		}
+	}()
+	if subscriber := s.subscribers[item.Topic]; subscriber != nil {
+		subscriber(item)
+	}
+}
+
+func (s *Service) send(ctx context.Context, e Send) {
+	payload, err := cbor.Marshal(e.Message)
+	if err != nil {
+		s.options.Logger.WithError(err).Error("gossip message cannot be encoded")
+		return
+	}
+	if !s.beginSend(e.To) {
+		s.queue.Put(SendFailed{Address: e.To})
+		return
+	}
+	s.messagesSent.Add(1)
+	s.bytesSent.Add(uint64(len(payload)))
+	s.tasks.Go(func() {
+		defer s.endSend(e.To)
+		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+		defer cancel()
+		if _, err := s.options.Messenger.Request(ctx, e.To, transport.KindGossip, payload); err != nil {
+			s.options.Scope.Counter("send_failures").Inc(1)
+			s.options.Logger.WithError(err).WithField("peer", e.To).Debug("gossip message not acknowledged")
+			s.queue.Put(SendFailed{Address: e.To})
+		}
+	})
+}
+
+func (s *Service) beginSend(to string) bool {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	if s.inFlight[to] >= maxInFlight {
+		return false
+	}
+	s.inFlight[to]++
+	s.sending.Add(1)
+	return true
+}
+
+func (s *Service) endSend(to string) {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	s.sending.Add(-1)
+	if s.inFlight[to]--; s.inFlight[to] == 0 {
+		delete(s.inFlight, to)
+	}
+}
--- /dev/null
+++ b/pkg/membership/record.go
@@ -0,0 +1,114 @@
+package membership
+
+import (
+	"bytes"
+	"cmp"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+// deadRetention is how long records of dead and left members are kept, so that
+// an old copy cannot revive them.
+const deadRetention = 10 * time.Minute
+
+// maxTargets bounds the targets of one member. A node serves one instance; the
+// bound only limits what a malformed record can cost.
+const maxTargets = 64
+
+var encodeMode, decodeMode = newModes()
+
+func newModes() (cbor.EncMode, cbor.DecMode) {
+	encode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	decode, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxMapPairs: 32,
+		MaxArrayElements: 4096, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return encode, decode
+}
+
+// Encode returns the gossip item of a record.
+func Encode(m Member) (gossip.Item, error) {
+	payload, err := encodeMode.Marshal(m)
+	if err != nil {
+		return gossip.Item{}, eris.Wrap(err, "encode member record")
+	}
+	return gossip.Item{Topic: gossip.Members, Key: m.Instance, Payload: payload}, nil
+}
+
+// Decode decodes and checks a record.
+func Decode(payload []byte) (Member, error) {
+	var m Member
+	if err := decodeMode.Unmarshal(payload, &m); err != nil {
+		return Member{}, eris.Wrap(err, "decode member record")
+	}
+	if m.Instance == "" || m.Address == "" || m.State < Alive || m.State > Left || len(m.Targets) > maxTargets {
+		return Member{}, eris.Errorf("invalid record of member %q", m.Instance)
+	}
+	return m, nil
+}
+
+// MergeRecords is the merge rule of topic member. The higher (incarnation,
+// sequence, state) wins. Records that differ only in the time of a judgement
+// are ordered by the earlier time, so that a second judge changes nothing.
+func MergeRecords(current, incoming []byte) ([]byte, error) {
+	in, err := Decode(incoming)
+	if err != nil {
+		return nil, err
+	}
+	if current == nil {
+		return incoming, nil
+	}
+	cur, err := Decode(current)
+	if err != nil {
+		return nil, err
+	}
+	order := cmp.Or(compareRecords(&cur, &in), in.Changed.Compare(cur.Changed), bytes.Compare(current, incoming))
+	if order >= 0 {
+		return current, nil
+	}
+	return incoming, nil
+}
+
+func compareRecords(a, b *Member) int {
+	return cmp.Or(
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Sequence, b.Sequence),
+		cmp.Compare(a.State, b.State),
+	)
+}
+
+// RecordExpiry is the expiry rule of topic member.
+func RecordExpiry(payload []byte) (time.Time, bool) {
+	m, err := Decode(payload)
+	if err != nil || m.State < Dead {
+		return time.Time{}, false
+	}
+	return time.UnixMilli(m.Changed.Millis).Add(deadRetention), true
+}
+
+// present reports whether a member is part of views.
+func (s State) present() bool { return s == Alive || s == Suspect }
+
+// judged returns the record with a new state.
+func judged(m Member, state State, at timeline.Timestamp) Member {
+	m.State, m.Changed = state, at
+	return m
+}
+
+// superseded returns the record of a member whose address newer has taken. It
+// depends on the two records only, so that all nodes derive the same bytes.
+func superseded(old, newer Member) Member {
+	at := timeline.Timestamp{Millis: max(old.Changed.Millis, int64(min(newer.Incarnation, 1<<62)))}
+	return judged(old, Left, at)
+}
--- /dev/null
+++ b/pkg/membership/service.go
@@ -0,0 +1,212 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/azurespring/azurespring/internal/mailbox"
+	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/reducer"
+	"github.com/azurespring/azurespring/pkg/transport"
+)
+
+// The kinds of messages of this package.
+const (
+	kindPing = transport.KindMembership
+	kindJoin = transport.KindMembership + 1
+)
+
+// pingTimeout is less than pingInterval, so that a member is not asked twice at
+// a time.
+const pingTimeout = 900 * time.Millisecond
+
+// Messenger is the part of the transport that membership uses.
+type Messenger interface {
+	transport.Requester
+	HandleMessage(kind transport.Kind, h transport.MessageHandler)
+}
+
+// Gossip is the part of gossip.Service that membership uses.
+type Gossip interface {
+	gossip.Publisher
+	RegisterTopic(name gossip.Topic, merge gossip.Merge, s gossip.Subscriber, options ...gossip.TopicOption)
+	Items(topic gossip.Topic) []gossip.Item
+	Merge(from string, items []gossip.Item)
+	SetNeighbours(list []gossip.Neighbour)
+	SyncWith(address string)
+	Flush(ctx context.Context) error
+}
+
+// Options configures a Service.
+type Options struct {
+	// Self holds Instance, addresses, Region, FailureDomain and Protocol.
+	Self Member
+	// Seeds are contacted again while their nodes are not part of the view.
+	Seeds     []string
+	Messenger Messenger
+	Gossip    Gossip
+	// Seed makes random choices reproducible.
+	Seed uint64
+	// AloneAfter is how long Join tries before the node starts alone. The default
+	// is 3 s for a node that is one of the seeds and 12 s for others, with up to
+	// half as much again at random.
+	AloneAfter time.Duration
+	// Logger defaults to one that discards.
+	Logger *logrus.Logger
+	// Now defaults to time.Now.
+	Now func() time.Time
+	// Recorder, if set, receives each event before it is applied.
+	Recorder reducer.Recorder[Event]
+}
+
+// Service runs the Reducer. It is safe for concurrent use.
+type Service struct {
+	options Options
+	loop    *reducer.Loop[Event, Effect]
+	queue   mailbox.Mailbox[Event]
+	records mailbox.Mailbox[Member]
+	view    atomic.Pointer[View]
+	tasks   sync.WaitGroup
+	left    chan struct{}
+
+	mu    sync.Mutex // guards state
+	state *Reducer
+
+	listenersMu sync.Mutex
+	listeners   []func(*View)
+
+	joinMu  sync.Mutex
+	joinID  uint64
+	answers map[uint64]chan Admission
+}
+
+// New returns a service whose node has not joined yet. It registers the topic
+// member with gossip, and so must be called before gossip runs.
+func New(o Options) *Service {
+	if o.Logger == nil {
+		o.Logger = logrus.New()
+		o.Logger.SetLevel(logrus.PanicLevel)
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	s := &Service{
+		options: o, answers: make(map[uint64]chan Admission), left: make(chan struct{}),
+		state: NewReducer(Settings{Self: o.Self, Boot: o.Now(), Seeds: o.Seeds, Seed: o.Seed}),
+	}
+	self := s.state.Self()
+	s.view.Store(&View{Self: self, Members: []Member{self}})
+	s.loop = reducer.NewLoop[Event, Effect](lockedReducer{s}, reducer.ExecutorFunc[Effect](s.execute),
+		reducer.Options[Event]{
+			Now: o.Now, Tick: func() Event { return Tick{} }, TickInterval: TickInterval, Recorder: o.Recorder,
+		})
+	o.Gossip.RegisterTopic(gossip.Members, MergeRecords, s.recordChanged, gossip.WithExpiry(RecordExpiry))
+	o.Messenger.HandleMessage(kindPing, s.handlePing)
+	o.Messenger.HandleMessage(kindJoin, s.handleJoin)
+	return s
+}
+
+// View returns the current view. It is never nil.
+func (s *Service) View() *View { return s.view.Load() }
+
+// OnChange calls f with each new view, from the event loop. f must not block.
+func (s *Service) OnChange(f func(*View)) {
+	s.listenersMu.Lock()
+	defer s.listenersMu.Unlock()
+	s.listeners = append(s.listeners, f)
+}
+
+// AnnounceTarget announces a target of this node or renews its announcement.
+func (s *Service) AnnounceTarget(t Target) { s.queue.Put(TargetAnnounced{Target: t}) }
+
+// RemoveTarget withdraws a target at once.
+func (s *Service) RemoveTarget(id string) { s.queue.Put(TargetRemoved{ID: id}) }
+
+// Leave tells all nodes that this one takes no more work, and returns when its
+// neighbours know. The services must still run.
+func (s *Service) Leave(ctx context.Context) error {
+	s.queue.Put(LeaveRequested{})
+	select {
+	case <-s.left:
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "leave")
+	}
+	return s.options.Gossip.Flush(ctx)
+}
+
+// Run handles events until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.tasks.Go(func() { s.queue.Run(ctx, s.loop.Submit) })
+	s.tasks.Go(func() {
+		s.records.RunBatches(ctx, func(ctx context.Context, members []Member) bool {
+			return s.loop.Submit(ctx, RecordsChanged{Members: members})
+		})
+	})
+	s.loop.Run(ctx)
+	s.tasks.Wait()
+}
+
+// lockedReducer steps the state under the mutex, so that handlers may read it.
+type lockedReducer struct{ service *Service }
+
+func (l lockedReducer) Step(now time.Time, event Event) []Effect {
+	l.service.mu.Lock()
+	defer l.service.mu.Unlock()
+	return l.service.state.Step(now, event)
+}
+
+func (s *Service) recordChanged(item gossip.Item) {
+	m, err := Decode(item.Payload)
+	if err != nil || m.Instance != item.Key {
+		s.options.Logger.WithField("key", item.Key).Warn("member record does not belong to its key")
+		return
+	}
+	s.records.Put(m)
+}
+
+func (s *Service) execute(ctx context.Context, effect Effect) {
+	switch e := effect.(type) {
+	case Publish:
+		s.publish(e.Member)
+	case Ping:
+		s.tasks.Go(func() { s.ping(ctx, e.Member) })
+	case Sync:
+		s.options.Gossip.SyncWith(e.Address)
+	case NeighboursChanged:
+		s.options.Gossip.SetNeighbours(e.Neighbours)
+	case ViewChanged:
+		s.publishView(e.View)
+	case JoinAnswered:
+		s.answerJoin(e)
+	case LeftPublished:
+		select {
+		case <-s.left:
+		default:
+			close(s.left)
+		}
+	}
+}
+
+func (s *Service) publish(m Member) {
+	item, err := Encode(m)
+	if err != nil {
+		s.options.Logger.WithError(err).Error("member record cannot be published")
+		return
+	}
+	s.options.Gossip.Publish(item)
+}
+
+func (s *Service) publishView(view *View) {
+	s.view.Store(view)
+	s.listenersMu.Lock()
+	listeners := s.listeners
+	s.listenersMu.Unlock()
+	for _, listener := range listeners {
+		listener(view)
+	}
+}
--- /dev/null
+++ b/pkg/membership/service_test.go
@@ -0,0 +1,107 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/azurespring/azurespring/internal/testcerts"
+	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/transport"
+)
+
+// testTimeout only bounds a test that hangs.
+const testTimeout = 2 * time.Minute
+
+type node struct {
+	transport *transport.Transport
+	gossip    *gossip.Service
+	members   *membership.Service
+	stop      func()
+}
+
+func startNode(t *testing.T, authority *testcerts.Authority, instance string, seeds ...string) *node {
+	t.Helper()
+	files, err := authority.Write(t.TempDir(), instance)
+	assert.NilError(t, err)
+	source, err := transport.NewTLSSource(files.Certificate, files.Key, files.CA)
+	assert.NilError(t, err)
+	tr, err := transport.Listen(transport.Options{Address: "127.0.0.1:0", TLS: source})
+	assert.NilError(t, err)
+	g := gossip.New(gossip.Options{Address: tr.Address(), Messenger: tr})
+	m := membership.New(membership.Options{
+		Self: membership.Member{
+			Instance: instance, Address: tr.Address(), Region: "r1", FailureDomain: "a", Protocol: transport.ProtocolV1,
+		},
+		Seeds: seeds, Messenger: tr, Gossip: g, AloneAfter: time.Second,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { g.Run(ctx) })
+	tasks.Go(func() { m.Run(ctx) })
+	n := &node{transport: tr, gossip: g, members: m, stop: sync.OnceFunc(func() {
+		cancel()
+		tasks.Wait()
+		closing, done := context.WithTimeout(context.Background(), testTimeout)
+		defer done()
+		_ = tr.Close(closing)
+	})}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func sees(n *node, want ...string) poll.Check {
+	return func(poll.LogT) poll.Result {
+		var got []string
+		for _, m := range n.members.View().Members {
+			got = append(got, m.Instance)
+		}
+		if slices.Equal(got, want) {
+			return poll.Success()
+		}
+		return poll.Continue("view holds %v, not %v", got, want)
+	}
+}
+
+// Guards against nodes that do not find each other over real connections, and
+// against targets and departures that the others do not learn of.
+func TestJoinAnnounceLeave(t *testing.T) {
+	authority, err := testcerts.NewAuthority()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	first := startNode(t, authority, "n0")
+	assert.NilError(t, first.members.Join(ctx, nil))
+	nodes := []*node{first}
+	names := []string{"n0"}
+	for i := 1; i < 5; i++ {
+		instance := fmt.Sprintf("n%d", i)
+		n := startNode(t, authority, instance, first.transport.Address())
+		assert.NilError(t, n.members.Join(ctx, []string{first.transport.Address()}))
+		nodes, names = append(nodes, n), append(names, instance)
+	}
+	for _, n := range nodes {
+		poll.WaitOn(t, sees(n, names...), poll.WithTimeout(testTimeout))
+	}
+	nodes[4].members.AnnounceTarget(membership.Target{ID: "x", Service: "s", State: membership.Ready, Slots: 6})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if endpoints := first.members.View().Endpoints(); len(endpoints) == 1 && endpoints[0].ID == "x" {
+			return poll.Success()
+		}
+		return poll.Continue("no endpoint")
+	}, poll.WithTimeout(testTimeout))
+	assert.NilError(t, nodes[2].members.Leave(ctx))
+	nodes[2].stop()
+	names = slices.Delete(names, 2, 3)
+	nodes = slices.Delete(nodes, 2, 3)
+	for _, n := range nodes {
+		poll.WaitOn(t, sees(n, names...), poll.WithTimeout(testTimeout))
+	}
+}
