Read the two lists from versioned YAML documents

Cause: operators edit the lists as files, while the shared package held only the compiled form. Change: Parse reads CustomerList and EntitlementList documents with strict fields and reports all faults at once with file, line and field. CheckMoves checks finishing times against a given time. Diff names changed entries. Assemble returns finishing times in UTC, so that parts decode to equal values. Conclusion: lists either parse whole, split and compile, or are refused whole.

--- /dev/null
+++ b/pkg/config/dynamic/diff.go
@@ -0,0 +1,111 @@
+package dynamic
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Action says what a change does to an entry.
+type Action string
+
+// The actions of changes.
+const (
+	Added   Action = "added"
+	Removed Action = "removed"
+	Changed Action = "changed"
+)
+
+// Change names one entry in which two configurations differ.
+type Change struct {
+	// Entry is the kind and name, for example "service/stock".
+	Entry  string `json:"entry"`
+	Action Action `json:"action"`
+	// Fields are the fields that differ in a changed entry, by their names in the lists.
+	Fields []string `json:"fields,omitempty"`
+}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	text := fmt.Sprintf("%s %s", c.Entry, c.Action)
+	if len(c.Fields) > 0 {
+		text += " (" + strings.Join(c.Fields, ", ") + ")"
+	}
+	return text
+}
+
+// Diff returns the entries that differ from old to new, ordered by entry.
+func Diff(old, new Config) []Change {
+	changes := slices.Concat(
+		diffEntries("customer", old.Customers, new.Customers, func(c Customer) string { return c.Name }),
+		diffEntries("department", old.Departments, new.Departments, func(d Department) string { return d.Name }),
+		diffEntries("plan", old.Plans, new.Plans, func(p Plan) string { return p.Name }),
+		diffEntries("service", old.Services, new.Services, func(s Service) string { return s.Name }),
+	)
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Entry, b.Entry) })
+	return changes
+}
+
+func diffEntries[T any](kind string, old, new []T, name func(T) string) []Change {
+	before := make(map[string]T, len(old))
+	for _, entry := range old {
+		before[name(entry)] = entry
+	}
+	var changes []Change
+	for _, entry := range new {
+		previous, ok := before[name(entry)]
+		delete(before, name(entry))
+		if !ok {
+			changes = append(changes, Change{Entry: kind + "/" + name(entry), Action: Added})
+		} else if fields := diffFields(previous, entry); len(fields) > 0 {
+			changes = append(changes, Change{Entry: kind + "/" + name(entry), Action: Changed, Fields: fields})
+		}
+	}
+	for gone := range before {
+		changes = append(changes, Change{Entry: kind + "/" + gone, Action: Removed})
+	}
+	return changes
+}
+
+// diffFields returns the JSON names of the fields whose encodings in parts
+// differ.
+func diffFields(old, new any) []string {
+	before, after := reflect.ValueOf(old), reflect.ValueOf(new)
+	var fields []string
+	for i := range before.NumField() {
+		a, errA := encoding.Marshal(before.Field(i).Interface())
+		b, errB := encoding.Marshal(after.Field(i).Interface())
+		if errA != nil || errB != nil || !slices.Equal(a, b) {
+			name, _, _ := strings.Cut(before.Type().Field(i).Tag.Get("json"), ",")
+			fields = append(fields, name)
+		}
+	}
+	return fields
+}
+
+// ConflictError means that another change was accepted after the version that
+// a change was based on.
+type ConflictError struct {
+	Base, InForce uint64
+	// Changes are the entries that differ from Base to InForce, nil if Base is
+	// no longer known.
+	Changes []Change
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the change was based on version %d, but version %d is in force; %d entries differ",
+		e.Base, e.InForce, len(e.Changes))
+}
+
+// Errors of applying a configuration.
+var (
+	// ErrOutcomeUnknown means that the change may have been accepted. Sending it
+	// again with the same change id is safe and tells.
+	ErrOutcomeUnknown = errors.New("the outcome of the change is unknown")
+	// ErrUnavailable means that the change was not accepted, because the platform
+	// could not be reached before anything was written.
+	ErrUnavailable = errors.New("the platform is not available")
+)
--- /dev/null
+++ b/pkg/config/dynamic/fault.go
@@ -0,0 +1,60 @@
+package dynamic
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Fault is one reason why lists are refused.
+type Fault struct {
+	// File is empty and Line is 0 if the fault belongs to no single place.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+	// Field is the path to the faulty value, for example
+	// "services[stock].routes[check].deadline".
+	Field  string `json:"field,omitempty"`
+	Detail string `json:"detail"`
+}
+
+// String returns the fault as "file:line: field: detail".
+func (f Fault) String() string {
+	var text strings.Builder
+	if f.File != "" {
+		text.WriteString(f.File)
+		if f.Line > 0 {
+			fmt.Fprintf(&text, ":%d", f.Line)
+		}
+		text.WriteString(": ")
+	}
+	if f.Field != "" {
+		text.WriteString(f.Field + ": ")
+	}
+	text.WriteString(f.Detail)
+	return text.String()
+}
+
+// Faults is the error that Parse and CheckMoves return: all faults of the
+// lists, ordered by file and line.
+type Faults []Fault
+
+// Error returns one line per fault.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// errorOrNil returns f in order, or nil if it is empty.
+func (f Faults) errorOrNil() error {
+	if len(f) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(f, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
+	return f
+}
--- /dev/null
+++ b/pkg/config/dynamic/lists.go
@@ -0,0 +1,214 @@
+package dynamic
+
+import (
+	"regexp"
+	"time"
+)
+
+// APIVersion is the version of the lists' format that this program reads.
+const APIVersion = "azurespring/v1"
+
+// Kinds of lists.
+const (
+	CustomerListKind    = "CustomerList"
+	EntitlementListKind = "EntitlementList"
+)
+
+// Limits of the lists. The numbers of services, plans and departments keep the
+// manifest, about 200 bytes per part, below platform.MaxValueBytes.
+const (
+	MaxFileBytes       = 32 << 20
+	MaxCustomers       = 100_000
+	MaxKeys            = 16
+	MaxPlans           = 1000
+	MaxServices        = 2000
+	MaxDepartments     = 1000
+	MaxRoutes          = 256
+	maxPathPrefixBytes = 1024
+	maxRatePerSecond   = 1_000_000
+	maxConcurrency     = 100_000
+	maxShare           = 1000
+)
+
+// Limits of times.
+const (
+	minDeadline = time.Millisecond
+	maxDeadline = 10 * time.Minute
+	minPeriod   = time.Minute
+	maxPeriod   = 366 * 24 * time.Hour
+	// MaxMoveAhead is how far ahead a move's finishing time may lie.
+	MaxMoveAhead = 366 * 24 * time.Hour
+)
+
+// File is the content of one file of lists.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// Lists is a valid configuration that remembers where its values stand.
+type Lists struct {
+	Config Config
+	places map[string]place
+}
+
+// Parse reads both lists from any number of files and YAML documents. If
+// anything is wrong it returns no configuration and all faults as Faults.
+func Parse(files ...File) (Config, error) {
+	lists, err := ParseLists(files...)
+	if err != nil {
+		return Config{}, err
+	}
+	return lists.Config, nil
+}
+
+// ParseLists is Parse for callers that also check the moves.
+func ParseLists(files ...File) (*Lists, error) {
+	p := parser{collector: newCollector(), kinds: make(map[string]bool)}
+	for _, file := range files {
+		for _, document := range p.documents(file) {
+			p.document(document)
+		}
+	}
+	if len(p.faults) == 0 {
+		for _, kind := range []string{CustomerListKind, EntitlementListKind} {
+			if !p.kinds[kind] {
+				p.fault(place{}, "no document of kind %s is given; both lists are applied together", kind)
+			}
+		}
+	}
+	p.checkReferences()
+	p.checkCounts()
+	if err := p.faults.errorOrNil(); err != nil {
+		return nil, err
+	}
+	p.config.sort()
+	if _, err := Split(p.config); err != nil {
+		return nil, Faults{{Detail: err.Error()}}
+	}
+	return &Lists{Config: p.config, places: p.places}, nil
+}
+
+type parser struct {
+	*collector
+	config Config
+	kinds  map[string]bool
+}
+
+var (
+	namePattern    = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._+-]{0,63}$`)
+	digestPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	statusPattern  = regexp.MustCompile(`^[1-5](xx|[0-9]{2})$`)
+)
+
+// Rules that messages quote.
+const (
+	nameRule    = "1 to 63 lower-case letters, digits and inner hyphens"
+	versionRule = "1 to 64 letters, digits and ._+- that begin with a letter or digit"
+	digestRule  = "a SHA-256 digest of 64 lower-case hexadecimal digits"
+	statusRule  = `an HTTP status such as "404" or a class such as "2xx"`
+)
+
+func (p *parser) document(document value) {
+	o := document.object()
+	if o == nil {
+		return
+	}
+	if version, ok := o.require("apiVersion"); ok {
+		if text, ok := version.text(); ok && text != APIVersion {
+			version.fail("%s is not supported, this program reads %q", quoted(text), APIVersion)
+			return
+		}
+	}
+	kind, ok := o.require("kind")
+	if !ok {
+		return
+	}
+	switch text, _ := kind.text(); text {
+	case CustomerListKind:
+		p.kinds[text] = true
+		p.config.Customers = append(p.config.Customers, each(o, "customers", MaxCustomers, p.customer)...)
+	case EntitlementListKind:
+		p.kinds[text] = true
+		p.config.Plans = append(p.config.Plans, each(o, "plans", MaxPlans, p.plan)...)
+		p.config.Services = append(p.config.Services, each(o, "services", MaxServices, p.service)...)
+		p.config.Departments = append(p.config.Departments, each(o, "departments", MaxDepartments, p.department)...)
+	default:
+		kind.fail("%s must be %s or %s", quoted(text), CustomerListKind, EntitlementListKind)
+		return
+	}
+	o.close()
+}
+
+// each reads all elements of a required list of mappings.
+func each[T any](o *object, name string, limit int, read func(*object) T) []T {
+	list, ok := o.require(name)
+	if !ok {
+		return nil
+	}
+	var values []T
+	for _, item := range list.items(limit) {
+		if element := item.object(); element != nil {
+			values = append(values, read(element))
+			element.close()
+		}
+	}
+	return values
+}
+
+// checkCounts applies the limits to the sum of all documents.
+func (p *parser) checkCounts() {
+	for _, count := range []struct {
+		what     string
+		got, max int
+	}{
+		{"customers", len(p.config.Customers), MaxCustomers},
+		{"plans", len(p.config.Plans), MaxPlans},
+		{"services", len(p.config.Services), MaxServices},
+		{"departments", len(p.config.Departments), MaxDepartments},
+	} {
+		if count.got > count.max {
+			p.fault(place{field: count.what}, "the lists hold %d, the limit is %d", count.got, count.max)
+		}
+	}
+}
+
+// CheckMoves checks the finishing times of moves that inForce does not have as
+// they are: they must be after now and at most MaxMoveAhead after it. A move
+// that is in force unchanged may have finished.
+func (l *Lists) CheckMoves(inForce Config, now time.Time) error {
+	var faults Faults
+	for _, fault := range CheckMoves(l.Config, inForce, now) {
+		if at, ok := l.places[fault.Field]; ok {
+			fault.File, fault.Line = at.file, at.line
+		}
+		faults = append(faults, fault)
+	}
+	return faults.errorOrNil()
+}
+
+// CheckMoves is Lists.CheckMoves for a configuration without positions.
+func CheckMoves(config, inForce Config, now time.Time) Faults {
+	current := make(map[string]*Move, len(inForce.Services))
+	for _, service := range inForce.Services {
+		current[service.Name] = service.Move
+	}
+	var faults Faults
+	for _, service := range config.Services {
+		move, old := service.Move, current[service.Name]
+		if move == nil || old != nil && old.To == move.To && old.FinishBy.Equal(move.FinishBy) {
+			continue
+		}
+		field := "services[" + service.Name + "].move.finishBy"
+		switch {
+		case !move.FinishBy.After(now):
+			faults = append(faults, Fault{Field: field, Detail: move.FinishBy.Format(time.RFC3339) +
+				" has passed; give a time to come, or remove the move and set version if it is done"})
+		case move.FinishBy.After(now.Add(MaxMoveAhead)):
+			faults = append(faults, Fault{Field: field, Detail: move.FinishBy.Format(time.RFC3339) +
+				" is more than a year ahead"})
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/pkg/config/dynamic/lists_test.go
@@ -0,0 +1,225 @@
+package dynamic_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+)
+
+const customers = `apiVersion: azurespring/v1
+kind: CustomerList
+customers:
+  - name: acme
+    plan: basic
+    keyDigests: [2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae]
+`
+
+const entitlements = `apiVersion: azurespring/v1
+kind: EntitlementList
+plans:
+  - name: basic
+    limits: {ratePerSecond: 2.5, share: 3}
+    services: [{service: stock, routes: [check]}]
+departments:
+  - name: warehouse
+    success: {statuses: [2xx, "404"], latency: 150ms}
+    promisedShare: 0.999
+    period: 24h
+services:
+  - name: stock
+    version: 1.10
+    move: {to: "1.11", finishBy: "2026-06-01T18:00:00+02:00"}
+    routes:
+      - {name: check, methods: [GET], pathPrefix: /v1/stock, deadline: 1s, department: warehouse}
+`
+
+var now = time.Date(2026, 5, 31, 12, 0, 0, 0, time.UTC)
+
+func files(customers, entitlements string) []dynamic.File {
+	return []dynamic.File{
+		{Name: "c.yaml", Data: []byte(customers)},
+		{Name: "e.yaml", Data: []byte(entitlements)},
+	}
+}
+
+// Guards against values that change their meaning on the way in: a version
+// read as a number, a rate without a burst, a time in another zone.
+func TestParseKeepsValues(t *testing.T) {
+	config, err := dynamic.Parse(files(customers, entitlements)...)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, config.Plans[0].Limits, dynamic.Limits{RatePerSecond: 2.5, Burst: 3, Share: 3})
+	stock := config.Services[0]
+	assert.Equal(t, stock.Version, "1.10")
+	assert.Equal(t, stock.Move.FinishBy, time.Date(2026, 6, 1, 16, 0, 0, 0, time.UTC))
+	assert.Equal(t, stock.Routes[0].Deadline, time.Second)
+}
+
+// Guards against each kind of bad list being accepted, or refused without its place.
+func TestParseRefuses(t *testing.T) {
+	for _, test := range []struct {
+		name, old, new string
+		want           string
+	}{
+		{"unknown field", "period: 24h", "period: 24h\n    colour: red", `e.yaml:12: departments[warehouse].colour: unknown field`},
+		{"field twice", "period: 24h", "period: 24h\n    period: 25h", `e.yaml:12: departments[warehouse].period: field is given twice`},
+		{"missing field", "    period: 24h\n", "", `departments[warehouse].period: is required`},
+		{"wrong apiVersion", "apiVersion: azurespring/v1\nkind: E", "apiVersion: azurespring/v2\nkind: E", `"azurespring/v2" is not supported`},
+		{"wrong kind", "EntitlementList", "Secrets", `kind: "Secrets" must be CustomerList or EntitlementList`},
+		{"unknown plan", "plan: basic", "plan: gold", `c.yaml:5: customers[acme].plan: plan "gold" is not defined`},
+		{"unknown service", "{service: stock,", "{service: stocks,", `service "stocks" is not defined`},
+		{"unknown route", "routes: [check]", "routes: [chek]", `route "chek" of service "stock" is not defined`},
+		{"unknown department", "department: warehouse", "department: sales", `department "sales" is not defined`},
+		{"route list empty", "routes: [check]", "routes: []", `leave it out to allow all routes`},
+		{"entitlement twice", "[{service: stock, ", "[{service: stock}, {service: stock, ", `entitlement of plan "basic" to service "stock" is defined twice`},
+		{"key twice", "86266e7ae]", "86266e7ae, 2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae]", `is defined twice, first in c.yaml:6`},
+		{"key not a digest", "2c26b46b", "secret", `must be a SHA-256 digest`},
+		{"empty key", "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae", dynamic.DigestOf(nil), `digest of an empty key`},
+		{"no key", "keyDigests: [2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae]", "keyDigests: []", `at least one digest`},
+		{"move to itself", `to: "1.11"`, `to: "1.10"`, `e.yaml:15: services[stock].move.to: must differ from version "1.10"`},
+		{"finishBy without to", `to: "1.11", `, ``, `services[stock].move.to: is required`},
+		{"time without zone", "18:00:00+02:00", "18:00:00", `must be a time with a zone`},
+		{"paused and canceled", `to: "1.11",`, `to: "1.11", paused: true, canceled: true,`, `both paused and canceled`},
+		{"not a boolean", `to: "1.11",`, `to: "1.11", paused: yes,`, `"yes" must be true or false`},
+		{"same method and prefix", "department: warehouse}", "department: warehouse}\n      - {name: other, methods: [GET], pathPrefix: /v1/stock, deadline: 1s, department: warehouse}", `GET /v1/stock is already taken by route "check"`},
+		{"unclean prefix", "/v1/stock", "/v1/../stock", `must be a path that begins with`},
+		{"unknown method", "[GET]", "[get]", `"get" must be one of`},
+		{"no deadline unit", "deadline: 1s", "deadline: 1", `"1" must be a duration with a unit`},
+		{"deadline too long", "deadline: 1s", "deadline: 11m", `must be from 1ms to 10m0s`},
+		{"share above 1", "0.999", "99.9", `"99.9" must be a number above 0 and up to 1`},
+		{"share not a number", "0.999", ".nan", `must be a number above 0`},
+		{"rate of 0", "ratePerSecond: 2.5", "ratePerSecond: 0", `leave it out for no limit`},
+		{"burst without rate", "ratePerSecond: 2.5", "burst: 2", `has no effect without ratePerSecond`},
+		{"bad status", "[2xx,", "[6xx,", `"6xx" must be an HTTP status`},
+		{"name with capitals", "name: warehouse", "name: Warehouse", `must be 1 to 63 lower-case letters`},
+		{"alias", "{service: stock, routes: [check]}", "&a {service: stock}, *a", `must be a mapping of fields`},
+		{"not YAML", "plans:", "plans: ]", `e.yaml:3: not valid YAML`},
+		{"list forgotten", "kind: CustomerList", "kind: EntitlementList", `unknown field`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(customers+entitlements, test.old))
+			config, err := dynamic.Parse(files(
+				strings.Replace(customers, test.old, test.new, 1), strings.Replace(entitlements, test.old, test.new, 1))...)
+			assert.ErrorContains(t, err, test.want)
+			assert.DeepEqual(t, config, dynamic.Config{})
+		})
+	}
+}
+
+// Guards against one list replacing the other by its absence.
+func TestParseNeedsBothLists(t *testing.T) {
+	_, err := dynamic.Parse(files("", entitlements)...)
+	assert.ErrorContains(t, err, "no document of kind CustomerList")
+}
+
+// Guards against operators who repair one fault per attempt.
+func TestParseReportsAllFaultsInOrder(t *testing.T) {
+	_, err := dynamic.Parse(files(
+		strings.Replace(customers, "plan: basic", "plan: gold", 1),
+		strings.NewReplacer("24h", "1s", "GET", "get", "0.999", "2").Replace(entitlements))...)
+	var faults dynamic.Faults
+	assert.Assert(t, errors.As(err, &faults))
+	fields := make([]string, 0, len(faults))
+	for _, fault := range faults {
+		fields = append(fields, fault.Field)
+	}
+	assert.DeepEqual(t, fields, []string{
+		"customers[acme].plan", "departments[warehouse].promisedShare", "departments[warehouse].period",
+		"services[stock].routes[check].methods[0]",
+	})
+}
+
+// Guards against moves that could not finish in time, and against refusing an
+// unrelated change because a move that is in force has finished.
+func TestCheckMoves(t *testing.T) {
+	lists, err := dynamic.ParseLists(files(customers, entitlements)...)
+	assert.NilError(t, err)
+	for _, test := range []struct {
+		name    string
+		now     time.Time
+		inForce dynamic.Config
+		want    string
+	}{
+		{"in time", now, dynamic.Config{}, ""},
+		{"passed", now.AddDate(0, 0, 2), dynamic.Config{}, "e.yaml:15: services[stock].move.finishBy: 2026-06-01T16:00:00Z has passed"},
+		{"passed, but in force", now.AddDate(0, 0, 2), lists.Config, ""},
+		{"too far ahead", now.AddDate(-2, 0, 0), dynamic.Config{}, "more than a year ahead"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			err := lists.CheckMoves(test.inForce, test.now)
+			if test.want == "" {
+				assert.NilError(t, err)
+			} else {
+				assert.ErrorContains(t, err, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a conflict that does not tell the operator what differs.
+func TestDiffNamesEntriesAndFields(t *testing.T) {
+	old, err := dynamic.Parse(files(customers, entitlements)...)
+	assert.NilError(t, err)
+	changed, err := dynamic.Parse(files(strings.Replace(customers, "acme", "acme-2", 1),
+		strings.NewReplacer("24h", "25h", "1.11", "1.12").Replace(entitlements))...)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, dynamic.Diff(old, changed), []dynamic.Change{
+		{Entry: "customer/acme", Action: dynamic.Removed},
+		{Entry: "customer/acme-2", Action: dynamic.Added},
+		{Entry: "department/warehouse", Action: dynamic.Changed, Fields: []string{"period"}},
+		{Entry: "service/stock", Action: dynamic.Changed, Fields: []string{"move"}},
+	})
+	assert.Assert(t, cmp.Len(dynamic.Diff(old, old), 0))
+}
+
+// Guards against examples and documentation that the parser refuses.
+func TestExamplesAndDocumentationParse(t *testing.T) {
+	for _, user := range []string{"tatrasoft", "council"} {
+		var lists []dynamic.File
+		for _, name := range []string{"customers.yaml", "entitlements.yaml"} {
+			path := filepath.Join("../../../examples", user, name)
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			lists = append(lists, dynamic.File{Name: path, Data: data})
+		}
+		config, err := dynamic.Parse(lists...)
+		assert.NilError(t, err)
+		assert.Equal(t, len(config.Services), 4)
+	}
+	page, err := os.ReadFile("../../../docs/operators/lists.md")
+	assert.NilError(t, err)
+	var documents []string
+	for _, block := range strings.Split(string(page), "```yaml\n")[1:] {
+		document, _, _ := strings.Cut(block, "```")
+		documents = append(documents, document)
+	}
+	_, err = dynamic.Parse(dynamic.File{Name: "lists.md", Data: []byte(strings.Join(documents, "---\n"))})
+	assert.NilError(t, err)
+}
+
+// FuzzParse guards against lists that crash the parser, and against accepted
+// lists that later fail to compile or change when they are distributed.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(customers + "---\n" + entitlements))
+	f.Add([]byte("a: &a [*a]\n? {}\n: !!binary x\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		config, err := dynamic.Parse(dynamic.File{Name: "f", Data: data})
+		if err != nil {
+			return
+		}
+		parts, err := dynamic.Split(config)
+		assert.NilError(t, err)
+		assembled, err := dynamic.Assemble(parts)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, assembled, config)
+		_, err = dynamic.Compile(dynamic.NewManifest(1, parts), assembled)
+		assert.NilError(t, err)
+	})
+}
--- a/pkg/config/dynamic/parts.go
+++ b/pkg/config/dynamic/parts.go
@@ -152,7 +152,13 @@
 func (c *Config) addPart(part Part) error {
 	switch {
 	case strings.HasPrefix(part.Name, servicePrefix):
-		return decodeInto(part.Data, &c.Services)
+		if err := decodeInto(part.Data, &c.Services); err != nil {
+			return err
+		}
+		if move := c.Services[len(c.Services)-1].Move; move != nil {
+			move.FinishBy = move.FinishBy.UTC()
+		}
+		return nil
 	case strings.HasPrefix(part.Name, planPrefix):
 		return decodeInto(part.Data, &c.Plans)
 	case strings.HasPrefix(part.Name, departmentPrefix):
