Merge and filter the time lines of several processes

Cause: azurespringctl shows one causal order over logs and nodes, and get shows the lists as files that can be applied again.

--- a/pkg/config/dynamic/config.go
+++ b/pkg/config/dynamic/config.go
@@ -6,89 +6,89 @@
 
 // Config is the content of both lists, as parsed and validated.
 type Config struct {
-	Customers   []Customer   `cbor:"1,keyasint" json:"customers"`
-	Plans       []Plan       `cbor:"2,keyasint" json:"plans"`
-	Services    []Service    `cbor:"3,keyasint" json:"services"`
-	Departments []Department `cbor:"4,keyasint" json:"departments"`
+	Customers   []Customer   `cbor:"1,keyasint" json:"customers" yaml:"customers"`
+	Plans       []Plan       `cbor:"2,keyasint" json:"plans" yaml:"plans"`
+	Services    []Service    `cbor:"3,keyasint" json:"services" yaml:"services"`
+	Departments []Department `cbor:"4,keyasint" json:"departments" yaml:"departments"`
 }
 
 // Customer holds one plan and proves its identity by any of its keys.
 type Customer struct {
-	Name string `cbor:"1,keyasint" json:"name"`
-	Plan string `cbor:"2,keyasint" json:"plan"`
+	Name string `cbor:"1,keyasint" json:"name" yaml:"name"`
+	Plan string `cbor:"2,keyasint" json:"plan" yaml:"plan"`
 	// KeyDigests are the SHA-256 digests of the customer's keys in lower-case hex.
-	KeyDigests []string `cbor:"3,keyasint" json:"keyDigests"`
+	KeyDigests []string `cbor:"3,keyasint" json:"keyDigests" yaml:"keyDigests"`
 }
 
 // Plan says what its customers may use.
 type Plan struct {
-	Name     string        `cbor:"1,keyasint" json:"name"`
-	Limits   Limits        `cbor:"2,keyasint" json:"limits"`
-	Services []Entitlement `cbor:"3,keyasint" json:"services"`
+	Name     string        `cbor:"1,keyasint" json:"name" yaml:"name"`
+	Limits   Limits        `cbor:"2,keyasint" json:"limits" yaml:"limits"`
+	Services []Entitlement `cbor:"3,keyasint" json:"services" yaml:"services"`
 }
 
 // Limits bound each customer of a plan. Zero means no limit, but for Share.
 type Limits struct {
 	// RatePerSecond and Burst bound calls at each entry node.
-	RatePerSecond float64 `cbor:"1,keyasint" json:"ratePerSecond,omitempty"`
-	Burst         int     `cbor:"2,keyasint" json:"burst,omitempty"`
+	RatePerSecond float64 `cbor:"1,keyasint" json:"ratePerSecond,omitempty" yaml:"ratePerSecond,omitempty"`
+	Burst         int     `cbor:"2,keyasint" json:"burst,omitempty" yaml:"burst,omitempty"`
 	// Concurrency bounds calls in flight at each entry node.
-	Concurrency int `cbor:"3,keyasint" json:"concurrency,omitempty"`
+	Concurrency int `cbor:"3,keyasint" json:"concurrency,omitempty" yaml:"concurrency,omitempty"`
 	// Share is the customer's weight where customers contend for a target's slots; at least 1.
-	Share int `cbor:"4,keyasint" json:"share,omitempty"`
+	Share int `cbor:"4,keyasint" json:"share,omitempty" yaml:"share,omitempty"`
 }
 
 // Entitlement allows the use of a service. Empty Routes allow all its routes.
 type Entitlement struct {
-	Service string   `cbor:"1,keyasint" json:"service"`
-	Routes  []string `cbor:"2,keyasint" json:"routes,omitempty"`
+	Service string   `cbor:"1,keyasint" json:"service" yaml:"service"`
+	Routes  []string `cbor:"2,keyasint" json:"routes,omitempty" yaml:"routes,omitempty"`
 }
 
 // Service is a group of targets that answer the same routes.
 type Service struct {
-	Name   string  `cbor:"1,keyasint" json:"name"`
-	Routes []Route `cbor:"2,keyasint" json:"routes"`
+	Name   string  `cbor:"1,keyasint" json:"name" yaml:"name"`
+	Routes []Route `cbor:"2,keyasint" json:"routes" yaml:"routes"`
 	// Version is the target version that takes all traffic when no move is under way.
-	Version string `cbor:"3,keyasint" json:"version"`
+	Version string `cbor:"3,keyasint" json:"version" yaml:"version"`
 	// Move is nil if no move is wanted.
-	Move *Move `cbor:"4,keyasint" json:"move,omitempty"`
+	Move *Move `cbor:"4,keyasint" json:"move,omitempty" yaml:"move,omitempty"`
 }
 
 // Route is one kind of call of a service.
 type Route struct {
-	Name       string   `cbor:"1,keyasint" json:"name"`
-	Methods    []string `cbor:"2,keyasint" json:"methods"`
-	PathPrefix string   `cbor:"3,keyasint" json:"pathPrefix"`
-	Idempotent bool     `cbor:"4,keyasint" json:"idempotent,omitempty"`
+	Name       string   `cbor:"1,keyasint" json:"name" yaml:"name"`
+	Methods    []string `cbor:"2,keyasint" json:"methods" yaml:"methods"`
+	PathPrefix string   `cbor:"3,keyasint" json:"pathPrefix" yaml:"pathPrefix"`
+	Idempotent bool     `cbor:"4,keyasint" json:"idempotent,omitempty" yaml:"idempotent,omitempty"`
 	// Deadline caps the time of a call.
-	Deadline   time.Duration `cbor:"5,keyasint" json:"deadline"`
-	Department string        `cbor:"6,keyasint" json:"department"`
+	Deadline   time.Duration `cbor:"5,keyasint" json:"deadline" yaml:"deadline"`
+	Department string        `cbor:"6,keyasint" json:"department" yaml:"department"`
 }
 
 // Move asks that a new target version takes over.
 type Move struct {
-	To       string    `cbor:"1,keyasint" json:"to"`
-	FinishBy time.Time `cbor:"2,keyasint" json:"finishBy"`
-	Paused   bool      `cbor:"3,keyasint" json:"paused,omitempty"`
-	Canceled bool      `cbor:"4,keyasint" json:"canceled,omitempty"`
+	To       string    `cbor:"1,keyasint" json:"to" yaml:"to"`
+	FinishBy time.Time `cbor:"2,keyasint" json:"finishBy" yaml:"finishBy"`
+	Paused   bool      `cbor:"3,keyasint" json:"paused,omitempty" yaml:"paused,omitempty"`
+	Canceled bool      `cbor:"4,keyasint" json:"canceled,omitempty" yaml:"canceled,omitempty"`
 }
 
 // Department defines success for the routes it owns and promises a share of it.
 type Department struct {
-	Name    string  `cbor:"1,keyasint" json:"name"`
-	Success Success `cbor:"2,keyasint" json:"success"`
+	Name    string  `cbor:"1,keyasint" json:"name" yaml:"name"`
+	Success Success `cbor:"2,keyasint" json:"success" yaml:"success"`
 	// PromisedShare is the share of good calls that is promised, in (0, 1].
-	PromisedShare float64 `cbor:"3,keyasint" json:"promisedShare"`
+	PromisedShare float64 `cbor:"3,keyasint" json:"promisedShare" yaml:"promisedShare"`
 	// Period is the span over which the promise is judged.
-	Period time.Duration `cbor:"4,keyasint" json:"period"`
+	Period time.Duration `cbor:"4,keyasint" json:"period" yaml:"period"`
 }
 
 // Success is a department's definition of a good call.
 type Success struct {
 	// Statuses are HTTP statuses ("404") or classes ("2xx") that are good.
-	Statuses []string `cbor:"1,keyasint" json:"statuses"`
+	Statuses []string `cbor:"1,keyasint" json:"statuses" yaml:"statuses"`
 	// Latency is the time within which a good call ends; 0 means any.
-	Latency time.Duration `cbor:"2,keyasint" json:"latency,omitempty"`
+	Latency time.Duration `cbor:"2,keyasint" json:"latency,omitempty" yaml:"latency,omitempty"`
 }
 
 // Part is an independently distributed piece of a configuration, such as one
--- a/pkg/config/dynamic/diff.go
+++ b/pkg/config/dynamic/diff.go
@@ -1,7 +1,6 @@
 package dynamic
 
 import (
-	"errors"
 	"fmt"
 	"reflect"
 	"slices"
@@ -85,27 +84,10 @@
 	return fields
 }
 
-// ConflictError means that another change was accepted after the version that
-// a change was based on.
-type ConflictError struct {
-	Base, InForce uint64
-	// Changes are the entries that differ from Base to InForce, nil if Base is
-	// no longer known.
-	Changes []Change
-}
-
-// Error implements error.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("the change was based on version %d, but version %d is in force; %d entries differ",
-		e.Base, e.InForce, len(e.Changes))
+// PartOf returns the name of the part that holds the entry of a change.
+func PartOf(entry string) string {
+	if name, ok := strings.CutPrefix(entry, "customer/"); ok {
+		return customersPart(bucketOf(name))
+	}
+	return entry
 }
-
-// Errors of applying a configuration.
-var (
-	// ErrOutcomeUnknown means that the change may have been accepted. Sending it
-	// again with the same change id is safe and tells.
-	ErrOutcomeUnknown = errors.New("the outcome of the change is unknown")
-	// ErrUnavailable means that the change was not accepted, because the platform
-	// could not be reached before anything was written.
-	ErrUnavailable = errors.New("the platform is not available")
-)
--- a/pkg/config/dynamic/lists.go
+++ b/pkg/config/dynamic/lists.go
@@ -3,6 +3,9 @@
 import (
 	"regexp"
 	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/yaml.v3"
 )
 
 // APIVersion is the version of the lists' format that this program reads.
@@ -212,3 +215,23 @@
 	}
 	return faults
 }
+
+// Format returns both lists as YAML documents that Parse reads as config.
+func Format(config Config) (customers, entitlements []byte, err error) {
+	customers, err = yaml.Marshal(struct {
+		APIVersion string     `yaml:"apiVersion"`
+		Kind       string     `yaml:"kind"`
+		Customers  []Customer `yaml:"customers"`
+	}{APIVersion, CustomerListKind, config.Customers})
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "format the customer list")
+	}
+	entitlements, err = yaml.Marshal(struct {
+		APIVersion  string       `yaml:"apiVersion"`
+		Kind        string       `yaml:"kind"`
+		Plans       []Plan       `yaml:"plans"`
+		Departments []Department `yaml:"departments"`
+		Services    []Service    `yaml:"services"`
+	}{APIVersion, EntitlementListKind, config.Plans, config.Departments, config.Services})
+	return customers, entitlements, eris.Wrap(err, "format the entitlement list")
+}
--- a/pkg/config/dynamic/lists_test.go
+++ b/pkg/config/dynamic/lists_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -177,6 +178,9 @@
 		{Entry: "service/stock", Action: dynamic.Changed, Fields: []string{"move"}},
 	})
 	assert.Assert(t, cmp.Len(dynamic.Diff(old, old), 0))
+	parts, err := dynamic.Split(old)
+	assert.NilError(t, err)
+	assert.Equal(t, parts[0].Name, dynamic.PartOf("customer/acme"))
 }
 
 // Guards against examples and documentation that the parser refuses.
@@ -208,6 +212,13 @@
 // lists that later fail to compile or change when they are distributed.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(customers + "---\n" + entitlements))
+	for _, user := range []string{"tatrasoft", "council"} {
+		first, err := os.ReadFile(filepath.Join("../../../examples", user, "customers.yaml"))
+		assert.NilError(f, err)
+		second, err := os.ReadFile(filepath.Join("../../../examples", user, "entitlements.yaml"))
+		assert.NilError(f, err)
+		f.Add(slices.Concat(first, []byte("---\n"), second))
+	}
 	f.Add([]byte("a: &a [*a]\n? {}\n: !!binary x\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		config, err := dynamic.Parse(dynamic.File{Name: "f", Data: data})
@@ -221,5 +232,10 @@
 		assert.DeepEqual(t, assembled, config)
 		_, err = dynamic.Compile(dynamic.NewManifest(1, parts), assembled)
 		assert.NilError(t, err)
+		first, second, err := dynamic.Format(config)
+		assert.NilError(t, err)
+		again, err := dynamic.Parse(dynamic.File{Name: "1", Data: first}, dynamic.File{Name: "2", Data: second})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, config)
 	})
 }
--- a/pkg/config/dynamic/parts.go
+++ b/pkg/config/dynamic/parts.go
@@ -56,7 +56,7 @@
 		add(departmentPrefix+department.Name, department)
 	}
 	for bucket, customers := range bucketCustomers(config.Customers) {
-		add(fmt.Sprintf("%s%d", customersPrefix, bucket), customers)
+		add(customersPart(bucket), customers)
 	}
 	for _, err := range errs {
 		if err != nil {
@@ -70,7 +70,7 @@
 func bucketCustomers(customers []Customer) map[uint64][]Customer {
 	buckets := make(map[uint64][]Customer)
 	for _, customer := range customers {
-		bucket := xxhash.Sum64String(customer.Name) % customerBuckets
+		bucket := bucketOf(customer.Name)
 		buckets[bucket] = append(buckets[bucket], customer)
 	}
 	for _, bucket := range buckets {
@@ -79,6 +79,10 @@
 	return buckets
 }
 
+func bucketOf(customer string) uint64 { return xxhash.Sum64String(customer) % customerBuckets }
+
+func customersPart(bucket uint64) string { return fmt.Sprintf("%s%d", customersPrefix, bucket) }
+
 func newPart(name string, value any) (Part, error) {
 	data, err := encoding.Marshal(value)
 	if err != nil {
--- /dev/null
+++ b/pkg/timeline/merge.go
@@ -0,0 +1,123 @@
+package timeline
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 1 << 20
+
+// Filter selects events. An empty field selects all.
+type Filter struct {
+	ConfigVersion uint64
+	// Move is "service" or "service/version".
+	Move      string
+	RequestID string
+	Instance  string
+	Kind      Kind
+	// After selects events later than the given one.
+	After Timestamp
+	// Limit keeps only the newest events; 0 keeps all.
+	Limit int
+}
+
+// Match reports whether f selects event, apart from Limit.
+func (f Filter) Match(event Event) bool {
+	return (f.ConfigVersion == 0 || f.ConfigVersion == event.ConfigVersion) &&
+		(f.Move == "" || matchesMove(f.Move, event.Move)) &&
+		(f.RequestID == "" || f.RequestID == event.RequestID) &&
+		(f.Instance == "" || f.Instance == event.Instance) &&
+		(f.Kind == "" || f.Kind == event.Kind) &&
+		event.Time.Compare(f.After) > 0
+}
+
+func matchesMove(wanted, move string) bool {
+	rest, ok := strings.CutPrefix(move, wanted)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// Select returns the events that f selects, in the order given.
+func (f Filter) Select(events []Event) []Event {
+	var selected []Event
+	for _, event := range events {
+		if f.Match(event) {
+			selected = append(selected, event)
+		}
+	}
+	return f.Newest(selected)
+}
+
+// Newest applies only Limit to ordered events.
+func (f Filter) Newest(events []Event) []Event {
+	if f.Limit > 0 && len(events) > f.Limit {
+		return events[len(events)-f.Limit:]
+	}
+	return events
+}
+
+// Compare orders events causally: an event that could have caused another has
+// the lower timestamp. Events of equal time are unrelated and are ordered by instance.
+func Compare(a, b Event) int {
+	return cmp.Or(a.Time.Compare(b.Time), strings.Compare(a.Instance, b.Instance))
+}
+
+// Merge returns the events of several processes in causal order. An event that
+// several sources hold, such as a log file and a node's memory, appears once.
+func Merge(sources ...[]Event) []Event {
+	merged := slices.Concat(sources...)
+	slices.SortStableFunc(merged, Compare)
+	// A clock gives no timestamp twice, so instance and time identify an event.
+	return slices.CompactFunc(merged, func(a, b Event) bool {
+		return Compare(a, b) == 0 && a.Kind == b.Kind
+	})
+}
+
+// ReadLog returns the events in a log of JSON lines. Lines that hold no event,
+// such as a line that was cut off when its process died, are counted as skipped.
+func ReadLog(r io.Reader) (events []Event, skipped int, err error) {
+	reader := bufio.NewReaderSize(r, maxLineBytes)
+	for {
+		line, err := reader.ReadSlice('\n')
+		for errors.Is(err, bufio.ErrBufferFull) {
+			line, err = nil, skipLine(reader)
+		}
+		if event, ok := parseLine(line); ok {
+			events = append(events, event)
+		} else if len(bytes.TrimSpace(line)) > 0 || line == nil {
+			skipped++
+		}
+		if errors.Is(err, io.EOF) {
+			return events, skipped, nil
+		}
+		if err != nil {
+			return events, skipped, eris.Wrap(err, "read log")
+		}
+	}
+}
+
+// skipLine reads the rest of a line that is too long.
+func skipLine(reader *bufio.Reader) error {
+	for {
+		_, err := reader.ReadSlice('\n')
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
+func parseLine(line []byte) (Event, bool) {
+	var event Event
+	if json.Unmarshal(line, &event) != nil {
+		return Event{}, false
+	}
+	return event, event.Kind != "" && event.Time != Timestamp{}
+}
