Carry calls from the entry node to a target beside any node

Cause: the design's request path had contracts but no code. Change: add routing (table, choice of version and target, limits, retry budget), admission (slots and deadline queue), quarantine (crash fingerprints), proxy (HTTP entry, call frames, target side, announce API) and the stand-in target. Figures: none measured yet; one test covers GET, HEAD and POST, local and over one hop, under the race detector. Conclusion: the path works end to end and can be wired; failure tests and measurements follow.

--- /dev/null
+++ b/internal/testtarget/announce.go
@@ -0,0 +1,132 @@
+package testtarget
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// renewal is the interval of announcements; docs/design.md section 6.
+const renewal = time.Second
+
+type announcement struct {
+	Service  string `json:"service"`
+	Version  string `json:"version"`
+	Address  string `json:"address"`
+	Slots    int    `json:"slots"`
+	WarmupMS int64  `json:"warmupMs"`
+	State    string `json:"state"`
+}
+
+// announce renews the announcement, at once after a change of behavior.
+func (t *Target) announce(ctx context.Context) {
+	ticker := time.NewTicker(renewal)
+	defer ticker.Stop()
+	for {
+		t.put(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Target) put(ctx context.Context) {
+	behavior := t.Behavior()
+	slots := t.options.Slots
+	if behavior.AnnouncedSlots > 0 {
+		slots = behavior.AnnouncedSlots
+	}
+	body, err := json.Marshal(announcement{
+		Service: t.options.Service, Version: t.options.Version, Address: t.Address(),
+		Slots: slots, WarmupMS: t.options.Warmup.Milliseconds(), State: behavior.State,
+	})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewal)
+	defer cancel()
+	url := t.options.Announce + "/v1/targets/" + t.options.ID
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	if response, err := t.client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// report is what /health, /load and /control say.
+type report struct {
+	Health   string         `json:"health"`
+	InFlight int            `json:"inFlight"`
+	Calls    int64          `json:"calls"`
+	Complete int64          `json:"completed"`
+	Canceled int64          `json:"canceled"`
+	Runs     map[string]int `json:"runs,omitempty"`
+	Behavior *Behavior      `json:"behavior,omitempty"`
+}
+
+// report must be called with the lock held or with a copy of the behavior.
+func (t *Target) report(behavior Behavior) report {
+	r := report{Health: "ok", InFlight: int(t.inFlight.Load()), Calls: t.calls.Load()}
+	if behavior.Health != "" {
+		r.Health = behavior.Health
+	}
+	if behavior.Load != 0 {
+		r.InFlight = behavior.Load
+	}
+	return r
+}
+
+func (t *Target) published() report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.behavior.LagReports {
+		return t.lagging
+	}
+	return t.report(t.behavior)
+}
+
+func (t *Target) health(w http.ResponseWriter, _ *http.Request) {
+	r := t.published()
+	if r.Health != "ok" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = w.Write([]byte(r.Health + "\n"))
+}
+
+func (t *Target) load(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.published()) }
+
+// control reads the behavior and the counts (GET), replaces the behavior (PUT)
+// or crashes the target (DELETE).
+func (t *Target) control(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodGet:
+		behavior := t.Behavior()
+		writeJSON(w, report{
+			Health: "ok", InFlight: t.InFlight(), Calls: t.calls.Load(), Complete: t.completed.Load(),
+			Canceled: t.canceled.Load(), Runs: t.AllRuns(), Behavior: &behavior,
+		})
+	case http.MethodPut:
+		var behavior Behavior
+		if err := json.NewDecoder(r.Body).Decode(&behavior); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		t.Set(behavior)
+	case http.MethodDelete:
+		t.Crash()
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/pkg/proxy/call.go
@@ -0,0 +1,207 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/quarantine"
+	"github.com/azurespring/azurespring/pkg/routing"
+	"github.com/azurespring/azurespring/pkg/verdict"
+)
+
+// call is one call at its entry node.
+type call struct {
+	entry    *Entry
+	w        http.ResponseWriter
+	r        *http.Request
+	started  time.Time
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	unlink   func() bool
+
+	id       string
+	sampled  bool
+	table    *routing.Table
+	snapshot *dynamic.Snapshot
+	customer *dynamic.Customer
+	service  *dynamic.Service
+	route    *dynamic.Route
+	// parent is the call that the caller is serving, nil for calls from outside.
+	parent     *inFlight
+	depth      int
+	weight     int
+	retries    int
+	idempotent bool
+	keyed      bool
+	admission  routing.Admission
+	body       *requestBody
+	head       callHead
+
+	// headSent is set once the status is on its way to the caller.
+	headSent bool
+	status   int
+	version  string
+	// load is what the last try reported of its target.
+	load *routing.Load
+	// recording collects a small answer to a keyed call; nil if none is wanted.
+	recording *recordedAnswer
+}
+
+func (c *call) release() {
+	if c.unlink != nil {
+		c.unlink()
+	}
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.admission.Release()
+	if c.parent != nil {
+		c.parent.returnRetry(c.retries)
+	}
+}
+
+// fillHead sets what is the same in all tries.
+func (c *call) fillHead() {
+	length := c.r.ContentLength
+	if whole, ok := c.body.whole(); ok {
+		length = int64(len(whole))
+	}
+	c.head = callHead{
+		RequestID: c.id, Customer: c.customer.Name, Plan: c.customer.Plan, Weight: c.weight,
+		Service: c.service.Name, Route: c.route.Name, Department: c.route.Department,
+		Method: c.r.Method, URI: c.r.URL.RequestURI(), Host: c.r.Host,
+		Header: flatten(c.r.Header, ownRequest), ContentLength: length,
+		Depth: c.depth, ConfigVersion: c.snapshot.Version(), Sampled: c.sampled,
+	}
+}
+
+// runTries sends the call to targets until one answers or no retry is allowed.
+func (c *call) runTries() *verdict.Error {
+	c.entry.budget.Earn()
+	var first [maxTries]*routing.Endpoint
+	tried := first[:0]
+	var last *verdict.Error
+	for {
+		if err := c.checkQuarantine(); err != nil {
+			return err
+		}
+		endpoint, err := c.table.Choose(c.service.Name, c.customer.Name, tried, c.entry.deps.Now())
+		if err != nil {
+			if last != nil {
+				return last
+			}
+			return err
+		}
+		last = c.try(endpoint)
+		if last == nil || !c.mayRetry(last, len(tried)+1) {
+			return last
+		}
+		tried = append(tried, endpoint)
+	}
+}
+
+// checkQuarantine refuses a request that crashed targets. It runs before each
+// try, because the last try may have been the crash that counts.
+func (c *call) checkQuarantine() *verdict.Error {
+	registry := c.entry.deps.Quarantine
+	if registry.Empty() {
+		return nil
+	}
+	hasher := quarantine.NewHasher(c.service.Name, c.route.Name, c.r.Method, c.head.URI)
+	kept, _ := c.body.whole()
+	_, _ = hasher.Write(kept)
+	return refuseQuarantined(registry.Check(hasher.Sum()))
+}
+
+func refuseQuarantined(left time.Duration) *verdict.Error {
+	if left <= 0 {
+		return nil
+	}
+	err := verdict.Refuse(verdict.Quarantined, "equal requests crashed targets")
+	err.RetryAfter = left
+	return err
+}
+
+// mayRetry reports whether a failed try may be followed by another, and takes
+// it from the budgets.
+func (c *call) mayRetry(err *verdict.Error, tries int) bool {
+	if tries >= maxTries || c.headSent || c.ctx.Err() != nil || !c.body.replayable() {
+		return false
+	}
+	if err.Verdict != verdict.NotRun && (!c.idempotent || c.keyed) {
+		return false
+	}
+	switch err.Code {
+	case verdict.Overloaded, verdict.DeadlineUnreachable, verdict.Draining, verdict.NoTarget, verdict.TargetShed,
+		verdict.TargetUnreachable, verdict.TargetFailed, verdict.TargetCrashed, verdict.AnswerCut:
+	default:
+		return false
+	}
+	if c.retries == 0 || !c.entry.budget.Spend() {
+		return false
+	}
+	c.retries--
+	return true
+}
+
+// try sends the call to one endpoint.
+func (c *call) try(endpoint *routing.Endpoint) *verdict.Error {
+	c.version, c.load, c.status = endpoint.Version, nil, 0
+	c.head.TargetID, c.head.Version, c.head.Retries = endpoint.ID, endpoint.Version, c.retries
+	c.head.Remaining = c.deadline.Sub(c.entry.deps.Now())
+	endpoint.Begin()
+	var err *verdict.Error
+	if endpoint.Local && c.entry.target != nil {
+		err = c.tryLocal()
+	} else {
+		err = c.tryRemote(endpoint)
+	}
+	endpoint.Done(c.entry.deps.Now(), c.outcome(err))
+	if err != nil || c.sampled {
+		c.record(eventTry, endpoint, err)
+	}
+	return err
+}
+
+// outcome says what a try told about its endpoint. A caller that gives up says
+// nothing; a missed deadline does, because the target was silent until then.
+func (c *call) outcome(err *verdict.Error) routing.Outcome {
+	outcome := routing.Outcome{Load: c.load}
+	switch {
+	case err == nil:
+		outcome.ServerError = c.status >= http.StatusInternalServerError
+	case c.load != nil && err.Verdict == verdict.NotRun && err.Code != verdict.TargetFailed:
+		outcome.Neutral = true
+	case err.Code == verdict.TargetFailed, err.Code == verdict.TargetCrashed, err.Code == verdict.AnswerCut,
+		err.Code == verdict.NoTarget, err.Code == verdict.Draining:
+		outcome.Unreachable = true
+	case err.Code == verdict.DeadlineExceeded:
+		outcome.ServerError = true
+	default:
+		outcome.Neutral = true
+	}
+	return outcome
+}
+
+// tryLocal hands the call to the target beside this node.
+func (c *call) tryLocal() *verdict.Error {
+	request := &targetRequest{head: &c.head, deadline: c.deadline, body: &bodyReader{body: c.body}}
+	request.whole, request.isWhole = c.body.whole()
+	request.trailers = c.body.trailers
+	load, err := c.entry.target.run(c.ctx, request, (*callerAnswer)(c))
+	c.load = &load
+	return err
+}
+
+// asVerdict returns the verdict error in err's chain, or nil.
+func asVerdict(err error) *verdict.Error {
+	var failure *verdict.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/proxy/harness_test.go
@@ -0,0 +1,348 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/azurespring/azurespring/internal/testtarget"
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/observation"
+	"github.com/azurespring/azurespring/pkg/quarantine"
+	"github.com/azurespring/azurespring/pkg/routing"
+	"github.com/azurespring/azurespring/pkg/transport"
+)
+
+// tcpStream is a transport.Stream over one TCP connection.
+type tcpStream struct {
+	*net.TCPConn
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newTCPStream(conn net.Conn) *tcpStream {
+	s := &tcpStream{TCPConn: conn.(*net.TCPConn)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+func (s *tcpStream) Read(p []byte) (int, error) {
+	n, err := s.TCPConn.Read(p)
+	if err != nil && err != io.EOF {
+		s.cancel()
+	}
+	return n, err
+}
+
+// Cancel resets the connection.
+func (s *tcpStream) Cancel() {
+	s.cancel()
+	_ = s.SetLinger(0)
+	_ = s.Close()
+}
+
+func (s *tcpStream) Context() context.Context { return s.ctx }
+
+// pipeOpener connects nodes by loopback TCP; each call has a connection of its
+// own, so that a reset is seen by the other side.
+type loopback struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	// cut is called with each new stream of an entry node.
+	wrap func(transport.Stream) transport.Stream
+}
+
+func (l *loopback) OpenCall(ctx context.Context, address string) (transport.Stream, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	var stream transport.Stream = newTCPStream(conn)
+	if l.wrap != nil {
+		stream = l.wrap(stream)
+	}
+	return stream, nil
+}
+
+// node is an entry and a target side with listeners.
+type node struct {
+	fleet    *fleet
+	name     string
+	side     *TargetSide
+	entry    *Entry
+	http     *httptest.Server
+	local    *httptest.Server
+	listener net.Listener
+	targets  map[string]membership.Target
+	observed []observation.Call
+	mu       sync.Mutex
+}
+
+func (n *node) Observe(call observation.Call) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.observed = append(n.observed, call)
+}
+
+func (n *node) calls(side observation.Side) []observation.Call {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(n.observed), func(c observation.Call) bool { return c.Side != side })
+}
+
+func (n *node) AnnounceTarget(target membership.Target, _ string) {
+	n.mu.Lock()
+	n.targets[target.ID] = target
+	n.mu.Unlock()
+	n.fleet.rebuild()
+}
+
+func (n *node) RemoveTarget(id string) {
+	n.mu.Lock()
+	delete(n.targets, id)
+	n.mu.Unlock()
+	n.fleet.rebuild()
+}
+
+func (n *node) endpoints() []membership.Endpoint {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var endpoints []membership.Endpoint
+	for _, target := range n.targets {
+		endpoints = append(endpoints, membership.Endpoint{
+			Target: target, Instance: n.name, Address: n.listener.Addr().String(), Region: "r", FailureDomain: "d",
+		})
+	}
+	return endpoints
+}
+
+// serve hands each connection to the target side. A goroutine notices the reset
+// of a stream whose reader waits for nothing.
+func (n *node) serve() {
+	for {
+		conn, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			stream := newTCPStream(conn)
+			defer stream.Close()
+			watched := watchedStream{tcpStream: stream, reads: make(chan []byte, 1)}
+			go watched.watch()
+			n.side.ServeCall(context.Background(), transport.Peer{}, &watched)
+		}()
+	}
+}
+
+// watchedStream reads ahead all the time, as QUIC does, so that its context
+// ends when the peer cancels.
+type watchedStream struct {
+	*tcpStream
+	reads chan []byte
+	rest  []byte
+}
+
+func (w *watchedStream) watch() {
+	defer close(w.reads)
+	for {
+		buffer := make([]byte, 32<<10)
+		n, err := w.tcpStream.Read(buffer)
+		if n > 0 {
+			select {
+			case w.reads <- buffer[:n]:
+			case <-w.ctx.Done():
+				return
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			w.cancel()
+			return
+		}
+	}
+}
+
+func (w *watchedStream) Read(p []byte) (int, error) {
+	for len(w.rest) == 0 {
+		rest, ok := <-w.reads
+		if !ok {
+			if w.ctx.Err() != nil {
+				return 0, net.ErrClosed
+			}
+			return 0, io.EOF
+		}
+		w.rest = rest
+	}
+	n := copy(p, w.rest)
+	w.rest = w.rest[n:]
+	return n, nil
+}
+
+// fleet is a set of nodes that share one configuration.
+type fleet struct {
+	t        testing.TB
+	link     *loopback
+	snapshot *dynamic.Snapshot
+	shares   move.Shares
+	claimer  IdempotencyClaimer
+	mu       sync.Mutex
+	nodes    []*node
+	builders []*routing.Builder
+	tables   []*routing.Table
+}
+
+const testKey = "secret"
+
+func testConfig() dynamic.Config {
+	routes := []dynamic.Route{
+		{Name: "look", Methods: []string{"GET", "HEAD"}, PathPrefix: "/look", Idempotent: true, Deadline: 5 * time.Second, Department: "d"},
+		{Name: "pay", Methods: []string{"POST", "GET"}, PathPrefix: "/pay", Deadline: 5 * time.Second, Department: "d"},
+		{Name: "secret", Methods: []string{"GET"}, PathPrefix: "/secret", Deadline: 5 * time.Second, Department: "d"},
+	}
+	return dynamic.Config{
+		Customers: []dynamic.Customer{
+			{Name: "c", Plan: "p", KeyDigests: []string{dynamic.DigestOf([]byte(testKey))}},
+			{Name: "limited", Plan: "small", KeyDigests: []string{dynamic.DigestOf([]byte("limited"))}},
+		},
+		Plans: []dynamic.Plan{
+			{Name: "p", Services: []dynamic.Entitlement{{Service: "stock", Routes: []string{"look", "pay"}}, {Service: "other"}}},
+			{Name: "small", Limits: dynamic.Limits{Concurrency: 1}, Services: []dynamic.Entitlement{{Service: "stock"}}},
+		},
+		Services:    []dynamic.Service{{Name: "stock", Routes: routes, Version: "v1"}, {Name: "other", Routes: routes, Version: "v1"}},
+		Departments: []dynamic.Department{{Name: "d"}},
+	}
+}
+
+func newFleet(t testing.TB, names ...string) *fleet {
+	f := &fleet{t: t, link: &loopback{}}
+	snapshot, err := dynamic.Compile(dynamic.Manifest{Version: 1}, testConfig())
+	assert.NilError(t, err)
+	f.snapshot = snapshot
+	for _, name := range names {
+		f.add(name)
+	}
+	f.rebuild()
+	return f
+}
+
+func (f *fleet) add(name string) *node {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	n := &node{fleet: f, name: name, listener: listener, targets: make(map[string]membership.Target)}
+	index := len(f.nodes)
+	deps := Deps{
+		Self: routing.Locality{Instance: name, Region: "r", FailureDomain: "d"},
+		Table: func() *routing.Table {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.tables[index]
+		},
+		Snapshot: func() *dynamic.Snapshot { return f.snapshot },
+		Calls:    f.link, Observer: n, Quarantine: quarantine.New(nil, nil, nil),
+		Claimer: f.claimer,
+	}
+	n.side = NewTargetSide(deps)
+	n.entry = NewEntry(deps, n.side)
+	n.http = httptest.NewServer(n.entry)
+	n.local = httptest.NewServer(n.side.AnnounceHandler(n))
+	f.nodes = append(f.nodes, n)
+	f.builders = append(f.builders, routing.NewBuilder(nil))
+	f.tables = append(f.tables, nil)
+	go n.serve()
+	f.t.Cleanup(func() {
+		n.http.Close()
+		n.local.Close()
+		n.side.Close()
+		_ = listener.Close()
+	})
+	return n
+}
+
+func (f *fleet) rebuild() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var endpoints []membership.Endpoint
+	for _, n := range f.nodes {
+		endpoints = append(endpoints, n.endpoints()...)
+	}
+	for i, n := range f.nodes {
+		self := routing.Locality{Instance: n.name, Region: "r", FailureDomain: "d"}
+		f.tables[i] = f.builders[i].Build(f.snapshot, endpoints, f.shares, self)
+	}
+}
+
+// target starts a target beside n and waits until all nodes can choose it.
+func (n *node) target(options testtarget.Options, behavior testtarget.Behavior) *testtarget.Target {
+	t := n.fleet.t
+	options.Announce, options.Calls = n.local.URL, n.http.URL
+	if options.ID == "" {
+		options.ID = "t-" + n.name
+	}
+	if options.Service == "" {
+		options.Service = "stock"
+	}
+	if options.Version == "" {
+		options.Version = "v1"
+	}
+	if options.Slots == 0 {
+		options.Slots = 8
+	}
+	target, err := testtarget.Start(options, behavior)
+	assert.NilError(t, err)
+	t.Cleanup(target.Close)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if _, ok := n.targets[options.ID]; ok {
+			return poll.Success()
+		}
+		return poll.Continue("target %s is not announced", options.ID)
+	}, poll.WithDelay(2*time.Millisecond))
+	return target
+}
+
+// reply is an answer with its body.
+type reply struct {
+	*http.Response
+	body string
+	err  error
+}
+
+// do sends a request to n with the test customer's key.
+func (n *node) do(method, path string, body io.Reader, headers ...string) reply {
+	request, err := http.NewRequest(method, n.http.URL+path, body)
+	assert.NilError(n.fleet.t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set(headerService, "stock")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return reply{Response: response, body: string(data), err: err}
+}
+
+func (r reply) String() string {
+	if r.Response == nil {
+		return fmt.Sprintf("error %v", r.err)
+	}
+	return fmt.Sprintf("%d %s %q %v", r.StatusCode, r.Header.Get(headerVerdict), r.body, r.err)
+}
--- /dev/null
+++ b/pkg/proxy/keyed.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"net/http"
+
+	"github.com/azurespring/azurespring/pkg/verdict"
+)
+
+// maxRecordedBytes is the largest answer that is recorded for a resend.
+const maxRecordedBytes = 4 << 10
+
+// maxKeyBytes bounds idempotency keys.
+const maxKeyBytes = 256
+
+// recordedAnswer is the answer to a keyed call as the claimer keeps it.
+type recordedAnswer struct {
+	Status  int      `cbor:"1,keyasint"`
+	Version string   `cbor:"2,keyasint"`
+	Header  []string `cbor:"3,keyasint"`
+	Body    []byte   `cbor:"4,keyasint"`
+	tooLong bool
+}
+
+func (a *recordedAnswer) start(head *answerHead) {
+	if a != nil {
+		a.Status, a.Header = head.Status, head.Header
+	}
+}
+
+func (a *recordedAnswer) write(p []byte) {
+	if a == nil || a.tooLong {
+		return
+	}
+	if a.tooLong = len(a.Body)+len(p) > maxRecordedBytes; !a.tooLong {
+		a.Body = append(a.Body, p...)
+	}
+}
+
+// encode returns nil if the answer is not worth recording.
+func (a *recordedAnswer) encode() []byte {
+	if a.tooLong || a.Status == 0 {
+		return nil
+	}
+	data, err := encoding.Marshal(a)
+	if err != nil || len(data) > 2*maxRecordedBytes {
+		return nil
+	}
+	return data
+}
+
+// runClaimed runs a call with an idempotency key if no call ran with it before.
+func (c *call) runClaimed(key string) *verdict.Error {
+	claimer := c.entry.deps.Claimer
+	if claimer == nil {
+		return verdict.Refuse(verdict.KeyStoreUnavailable, "this node has no store of idempotency keys")
+	}
+	if len(key) > maxKeyBytes {
+		return verdict.Refuse(verdict.BadRequest, "%s exceeds %d bytes", headerKey, maxKeyBytes)
+	}
+	c.keyed = true
+	scoped := c.customer.Name + "\x00" + c.service.Name + "\x00" + key
+	claim, err := claimer.Claim(c.ctx, scoped)
+	if err != nil {
+		return c.claimFailed(err)
+	}
+	if !claim.First {
+		return c.repeat(claim.Answer)
+	}
+	c.recording = &recordedAnswer{}
+	failure := c.runTries()
+	completion := Completion{NotRun: failure != nil && failure.Verdict == verdict.NotRun}
+	if failure == nil {
+		c.recording.Version = c.version
+		completion.Answer = c.recording.encode()
+	}
+	claimer.Complete(c.ctx, scoped, completion)
+	return failure
+}
+
+func (c *call) claimFailed(err error) *verdict.Error {
+	if c.ctx.Err() != nil {
+		return c.ended(verdict.NotRun)
+	}
+	if failure := asVerdict(err); failure != nil {
+		return failure
+	}
+	refusal := verdict.Refuse(verdict.KeyStoreUnavailable, "the idempotency key cannot be claimed now")
+	refusal.Cause = err
+	return refusal
+}
+
+// repeat answers a resend with the recorded answer, or says that the first call
+// may have run.
+func (c *call) repeat(data []byte) *verdict.Error {
+	var recorded recordedAnswer
+	if len(data) == 0 || decoding.Unmarshal(data, &recorded) != nil || recorded.Status < http.StatusOK {
+		return verdict.Fail(verdict.KeyInUse, nil, "a call with this key may have run")
+	}
+	c.version = recorded.Version
+	out := (*callerAnswer)(c)
+	head := answerHead{Status: recorded.Status, Header: recorded.Header, ContentLength: int64(len(recorded.Body))}
+	err := out.start(&head)
+	if err == nil && len(recorded.Body) > 0 {
+		err = out.write(recorded.Body, false)
+	}
+	if err != nil {
+		return verdict.Fail(verdict.AnswerCut, err, "the recorded answer was not delivered")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/quarantine/quarantine.go
@@ -0,0 +1,180 @@
+// Package quarantine finds requests that crash the targets which run them and
+// keeps them from running again for a time.
+package quarantine
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/pkg/gossip"
+)
+
+// Duration is how long a fingerprint stays quarantined after its last crash.
+// Crashes that are further apart than this are not counted together.
+const Duration = 10 * time.Minute
+
+// minCrashes is the number of crashes of different processes that quarantine a
+// fingerprint. One is not enough because every call in flight is a suspect.
+const minCrashes = 2
+
+// maxCrashes bounds the crashes kept per fingerprint.
+const maxCrashes = 4
+
+// MaxBodyBytes is the length of the body's start that a fingerprint covers.
+const MaxBodyBytes = 64 << 10
+
+// Fingerprint identifies equal requests.
+type Fingerprint [sha256.Size]byte
+
+// String returns the fingerprint in hex; it is the key of gossip items.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ParseFingerprint is the inverse of String.
+func ParseFingerprint(s string) (Fingerprint, error) {
+	var f Fingerprint
+	if len(s) != hex.EncodedLen(len(f)) {
+		return f, eris.Errorf("fingerprint has %d characters", len(s))
+	}
+	if _, err := hex.Decode(f[:], []byte(s)); err != nil {
+		return f, eris.Wrap(err, "decode fingerprint")
+	}
+	return f, nil
+}
+
+// Hasher computes a fingerprint while the body passes.
+type Hasher struct {
+	hash hash.Hash
+	left int
+}
+
+// NewHasher starts the fingerprint of a request.
+func NewHasher(service, route, method, uri string) *Hasher {
+	h := &Hasher{hash: sha256.New(), left: MaxBodyBytes}
+	for _, part := range [...]string{service, route, method, uri} {
+		_, _ = io.WriteString(h.hash, part)
+		_, _ = h.hash.Write([]byte{0})
+	}
+	return h
+}
+
+// Write takes in the next part of the body. It never fails.
+func (h *Hasher) Write(p []byte) (int, error) {
+	n := min(len(p), h.left)
+	_, _ = h.hash.Write(p[:n])
+	h.left -= n
+	return len(p), nil
+}
+
+// Sum returns the fingerprint of what was taken in so far.
+func (h *Hasher) Sum() Fingerprint {
+	var f Fingerprint
+	h.hash.Sum(f[:0])
+	return f
+}
+
+// Crash is one crash of a target process.
+type Crash struct {
+	// Process identifies the process that ended.
+	Process string `cbor:"1,keyasint"`
+	// At is in microseconds since the Unix epoch.
+	At int64 `cbor:"2,keyasint"`
+}
+
+// Record is the replicated state of one fingerprint.
+type Record struct {
+	// Crashes are the newest ones, newest first, each process once.
+	Crashes []Crash `cbor:"1,keyasint"`
+	// Cleared is the start of the newest call that ended well. Crashes up to it
+	// are no evidence: a request that runs through does not crash its target. In
+	// microseconds since the Unix epoch.
+	Cleared int64 `cbor:"2,keyasint"`
+}
+
+// Until returns the end of the quarantine, or the zero time if there is none.
+func (r Record) Until() time.Time {
+	if len(r.Crashes) < minCrashes {
+		return time.Time{}
+	}
+	newest, oldest := r.Crashes[0].At, r.Crashes[minCrashes-1].At
+	if newest-oldest > Duration.Microseconds() {
+		return time.Time{}
+	}
+	return time.UnixMicro(newest).Add(Duration)
+}
+
+// merge is commutative, associative and idempotent: a union cut to the newest.
+func (r Record) merge(other Record) Record {
+	merged := Record{Cleared: max(r.Cleared, other.Cleared)}
+	all := slices.Concat(r.Crashes, other.Crashes)
+	slices.SortFunc(all, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(b.At, a.At), cmp.Compare(a.Process, b.Process))
+	})
+	seen := make(map[string]bool, len(all))
+	for _, crash := range all {
+		if seen[crash.Process] || crash.At <= merged.Cleared || len(merged.Crashes) == maxCrashes {
+			continue
+		}
+		seen[crash.Process] = true
+		merged.Crashes = append(merged.Crashes, crash)
+	}
+	return merged
+}
+
+func (r Record) equal(other Record) bool {
+	return r.Cleared == other.Cleared && slices.Equal(r.Crashes, other.Crashes)
+}
+
+func (r Record) expired(now time.Time) bool {
+	newest := r.Cleared
+	if len(r.Crashes) > 0 {
+		newest = max(newest, r.Crashes[0].At)
+	}
+	return now.UnixMicro()-newest > Duration.Microseconds()
+}
+
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+func decode(payload []byte) (Record, error) {
+	var r Record
+	if len(payload) == 0 {
+		return r, nil
+	}
+	if err := cbor.Unmarshal(payload, &r); err != nil {
+		return r, eris.Wrap(err, "decode quarantine record")
+	}
+	return r, nil
+}
+
+func encode(r Record) ([]byte, error) {
+	payload, err := encoding.Marshal(r)
+	return payload, eris.Wrap(err, "encode quarantine record")
+}
+
+// Merge is the gossip.Merge of topic gossip.Quarantine.
+func Merge(current, incoming []byte) ([]byte, error) {
+	a, err := decode(current)
+	if err != nil {
+		return nil, err
+	}
+	b, err := decode(incoming)
+	if err != nil {
+		return nil, err
+	}
+	return encode(a.merge(b))
+}
+
+var _ gossip.Merge = Merge
--- /dev/null
+++ b/pkg/quarantine/state.go
@@ -0,0 +1,204 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/reducer"
+)
+
+// Event is one input of State: Crashed, Completed, Received or Tick.
+type Event interface{ event() }
+
+// Crashed reports the end of a target process with calls in flight.
+type Crashed struct {
+	Process      string
+	Fingerprints []Fingerprint
+}
+
+// Completed reports that a suspected request ran through.
+type Completed struct {
+	Fingerprint Fingerprint
+	Started     time.Time
+}
+
+// Received is the merged record that gossip delivered.
+type Received struct {
+	Fingerprint Fingerprint
+	Record      Record
+}
+
+// Tick drops expired records.
+type Tick struct{}
+
+func (Crashed) event()   {}
+func (Completed) event() {}
+func (Received) event()  {}
+func (Tick) event()      {}
+
+// Publish is the effect that spreads a changed record.
+type Publish struct {
+	Fingerprint Fingerprint
+	Record      Record
+}
+
+// State is the deterministic state machine of the quarantine.
+type State struct{ records map[Fingerprint]Record }
+
+// NewState returns an empty state.
+func NewState() *State { return &State{records: make(map[Fingerprint]Record)} }
+
+var _ reducer.Reducer[Event, Publish] = (*State)(nil)
+
+// Step implements reducer.Reducer.
+func (s *State) Step(now time.Time, event Event) []Publish {
+	switch e := event.(type) {
+	case Crashed:
+		crash := Record{Crashes: []Crash{{Process: e.Process, At: now.UnixMicro()}}}
+		var effects []Publish
+		for _, fingerprint := range e.Fingerprints {
+			effects = append(effects, s.add(fingerprint, crash)...)
+		}
+		return effects
+	case Completed:
+		if record, ok := s.records[e.Fingerprint]; ok && len(record.Crashes) > 0 {
+			return s.add(e.Fingerprint, Record{Cleared: e.Started.UnixMicro()})
+		}
+	case Received:
+		s.add(e.Fingerprint, e.Record)
+	case Tick:
+		for fingerprint, record := range s.records {
+			if record.expired(now) {
+				delete(s.records, fingerprint)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *State) add(fingerprint Fingerprint, incoming Record) []Publish {
+	current := s.records[fingerprint]
+	merged := current.merge(incoming)
+	if merged.equal(current) {
+		return nil
+	}
+	s.records[fingerprint] = merged
+	return []Publish{{Fingerprint: fingerprint, Record: merged}}
+}
+
+// Registry is the quarantine as the request path uses it. It is safe for
+// concurrent use.
+type Registry struct {
+	now       func() time.Time
+	publisher gossip.Publisher
+
+	mu       sync.Mutex
+	state    *State
+	recorder reducer.Recorder[Event]
+	// records is a copy for readers on the request path; nil while there is none.
+	records atomic.Pointer[map[Fingerprint]Record]
+}
+
+// New returns an empty registry. A nil now is time.Now; publisher may be nil.
+func New(now func() time.Time, publisher gossip.Publisher, recorder reducer.Recorder[Event]) *Registry {
+	if now == nil {
+		now = time.Now
+	}
+	return &Registry{now: now, publisher: publisher, recorder: recorder, state: NewState()}
+}
+
+// Empty reports whether nothing is suspected, so that calls need no fingerprint.
+func (r *Registry) Empty() bool { return r == nil || r.records.Load() == nil }
+
+// Check returns how long the fingerprint stays quarantined, or 0.
+func (r *Registry) Check(f Fingerprint) time.Duration {
+	records := r.records.Load()
+	if records == nil {
+		return 0
+	}
+	record, ok := (*records)[f]
+	if !ok {
+		return 0
+	}
+	return max(0, record.Until().Sub(r.now()))
+}
+
+// Crashed counts one crash against each of the fingerprints.
+func (r *Registry) Crashed(process string, fingerprints []Fingerprint) {
+	if r != nil && len(fingerprints) > 0 {
+		slices.SortFunc(fingerprints, func(a, b Fingerprint) int { return cmp.Compare(a.String(), b.String()) })
+		r.step(Crashed{Process: process, Fingerprints: slices.Compact(fingerprints)})
+	}
+}
+
+// Completed clears a suspected fingerprint whose call began at started.
+func (r *Registry) Completed(f Fingerprint, started time.Time) {
+	records := r.records.Load()
+	if records == nil {
+		return
+	}
+	if record, ok := (*records)[f]; ok && len(record.Crashes) > 0 && started.UnixMicro() > record.Crashes[0].At {
+		r.step(Completed{Fingerprint: f, Started: started})
+	}
+}
+
+// OnItem is the gossip.Subscriber of topic gossip.Quarantine.
+func (r *Registry) OnItem(item gossip.Item) {
+	fingerprint, err := ParseFingerprint(item.Key)
+	if err != nil {
+		return
+	}
+	if record, err := decode(item.Payload); err == nil {
+		r.step(Received{Fingerprint: fingerprint, Record: record})
+	}
+}
+
+// Run drops expired records until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	ticker := time.NewTicker(Duration / 20)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.step(Tick{})
+		}
+	}
+}
+
+func (r *Registry) step(event Event) {
+	r.mu.Lock()
+	now := r.now()
+	if r.recorder != nil {
+		r.recorder.Record(reducer.Entry[Event]{At: now, Event: event})
+	}
+	effects := r.state.Step(now, event)
+	r.copyRecords()
+	r.mu.Unlock()
+	if r.publisher == nil {
+		return
+	}
+	for _, effect := range effects {
+		if payload, err := encode(effect.Record); err == nil {
+			r.publisher.Publish(gossip.Item{Topic: gossip.Quarantine, Key: effect.Fingerprint.String(), Payload: payload})
+		}
+	}
+}
+
+func (r *Registry) copyRecords() {
+	if len(r.state.records) == 0 {
+		r.records.Store(nil)
+		return
+	}
+	records := make(map[Fingerprint]Record, len(r.state.records))
+	for fingerprint, record := range r.state.records {
+		records[fingerprint] = record
+	}
+	r.records.Store(&records)
+}
--- /dev/null
+++ b/pkg/routing/choose.go
@@ -0,0 +1,136 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/verdict"
+)
+
+// minRamp is the share of its slots that a target which has just become ready
+// counts with.
+const minRamp = 0.1
+
+// noTargetRetryAfter is the time in which lost targets are usually replaced or
+// others announced.
+const noTargetRetryAfter = time.Second
+
+// Choose returns the endpoint for a call of a customer to a service. It leaves
+// out the endpoints in tried. The error is a refusal.
+func (t *Table) Choose(name, customer string, tried []*Endpoint, now time.Time) (*Endpoint, *verdict.Error) {
+	s := t.services[name]
+	if s == nil {
+		return nil, verdict.Refuse(verdict.UnknownService, "no service is called %q", name)
+	}
+	p := s.poolFor(name, customer)
+	if p != nil {
+		if e := p.choose(tried, now.UnixNano()); e != nil {
+			return e, nil
+		}
+	}
+	err := verdict.Refuse(verdict.NoTarget, "service %q has no ready target", name)
+	err.RetryAfter = noTargetRetryAfter
+	return nil, err
+}
+
+// poolFor chooses the version. Calls outside the new version's share never
+// reach it, even if the old version has no targets left, because a bad version
+// may receive only its share.
+func (s *service) poolFor(name, customer string) *pool {
+	if s.split == nil {
+		return s.versions[s.version]
+	}
+	if Bucket(customer, name) < s.split.Share {
+		if p := s.versions[s.split.To]; p != nil {
+			return p
+		}
+	}
+	return s.versions[s.split.From]
+}
+
+// Bucket returns the position of a customer in the shares of a service, from 0
+// to move.ShareUnit-1. It is the same on all nodes.
+func Bucket(customer, service string) int {
+	var buffer [128]byte
+	key := append(append(append(buffer[:0], customer...), 0), service...)
+	return int(xxhash.Sum64(key) % move.ShareUnit)
+}
+
+// choose takes the nearest tier whose better candidate has a free slot. If none
+// has one, the least loaded of the candidates gets the call. Ejected endpoints
+// are used only if there are no others: a wrong guess must not refuse calls.
+func (p *pool) choose(tried []*Endpoint, now int64) *Endpoint {
+	for _, useEjected := range []bool{false, true} {
+		var best *Endpoint
+		var bestScore float64
+		for _, endpoints := range p.tiers {
+			e, score := pick(endpoints, tried, now, useEjected)
+			if e == nil {
+				continue
+			}
+			if score < 1 {
+				return e
+			}
+			if best == nil || score < bestScore {
+				best, bestScore = e, score
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// pick compares two random eligible endpoints and returns the less loaded one
+// with its load per slot.
+func pick(endpoints, tried []*Endpoint, now int64, useEjected bool) (*Endpoint, float64) {
+	var eligible [maxCandidates]*Endpoint
+	n := 0
+	for _, e := range endpoints {
+		if (useEjected || !e.ejected(now)) && !slices.Contains(tried, e) {
+			eligible[n] = e
+			n++
+		}
+	}
+	switch n {
+	case 0:
+		return nil, 0
+	case 1:
+		return eligible[0], eligible[0].score(now)
+	}
+	i := rand.IntN(n)
+	j := rand.IntN(n - 1)
+	if j >= i {
+		j++
+	}
+	first, second := eligible[i], eligible[j]
+	a, b := first.score(now), second.score(now)
+	if b < a {
+		return second, b
+	}
+	return first, a
+}
+
+// score is the load per slot; 1 and above means that the call would queue.
+func (e *Endpoint) score(now int64) float64 {
+	return e.load(now) / e.capacity(now)
+}
+
+// capacity grows from minRamp of the slots to all of them over the warm-up.
+// ReadySince is another node's clock; a skew only stretches or cuts the ramp.
+func (e *Endpoint) capacity(now int64) float64 {
+	slots := float64(e.Slots)
+	if e.Warmup <= 0 {
+		return slots
+	}
+	age := now - e.ReadySince.UnixNano()
+	if age >= int64(e.Warmup) {
+		return slots
+	}
+	return max(1, slots*max(minRamp, float64(age)/float64(e.Warmup)))
+}
--- /dev/null
+++ b/pkg/routing/stats.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of the ejection of a failing target. It doubles with each failure in
+// a row, and is short because a target that recovered must get calls again.
+const (
+	minEjection = 500 * time.Millisecond
+	maxEjection = 8 * time.Second
+)
+
+// maxStatusFailures is the number of 5xx answers in a row that eject a target.
+// A single one says more about the request than about the target.
+const maxStatusFailures = 5
+
+// loadLifetime is the time over which a reported load loses its weight.
+const loadLifetime = time.Second
+
+// Load is the load of a target as its node's admission counts it.
+type Load struct {
+	InFlight int `cbor:"1,keyasint"`
+	Queued   int `cbor:"2,keyasint"`
+	Slots    int `cbor:"3,keyasint"`
+}
+
+// Outcome is what one try told about its endpoint.
+type Outcome struct {
+	// Load is nil if no load was reported.
+	Load *Load
+	// Unreachable is set if the node or the target could not be reached, crashed or
+	// cut its answer.
+	Unreachable bool
+	// ServerError is set if the target answered with a 5xx status.
+	ServerError bool
+	// Neutral is set if the try ended before it could show anything.
+	Neutral bool
+}
+
+// Stats are the own observations of one endpoint. They outlive routing tables.
+type Stats struct {
+	outstanding  atomic.Int64
+	others       atomic.Int64
+	reportedAt   atomic.Int64
+	ejectedUntil atomic.Int64
+	failures     atomic.Int64
+	statuses     atomic.Int64
+	lastSeen     time.Time
+}
+
+// Begin counts a try as outstanding.
+func (s *Stats) Begin() { s.outstanding.Add(1) }
+
+// Done ends a try that Begin counted.
+func (s *Stats) Done(now time.Time, outcome Outcome) {
+	own := s.outstanding.Add(-1)
+	if outcome.Load != nil {
+		reported := int64(outcome.Load.InFlight + outcome.Load.Queued)
+		s.others.Store(max(0, reported-own))
+		s.reportedAt.Store(now.UnixNano())
+	}
+	switch {
+	case outcome.Neutral:
+	case outcome.Unreachable:
+		s.eject(now, s.failures.Add(1))
+	case outcome.ServerError:
+		if count := s.statuses.Add(1); count >= maxStatusFailures {
+			s.eject(now, count-maxStatusFailures+1)
+		}
+	default:
+		s.clearFailures()
+	}
+}
+
+// clearFailures avoids a write to a shared cache line in the common case.
+func (s *Stats) clearFailures() {
+	if s.failures.Load() != 0 {
+		s.failures.Store(0)
+	}
+	if s.statuses.Load() != 0 {
+		s.statuses.Store(0)
+	}
+}
+
+func (s *Stats) eject(now time.Time, failures int64) {
+	span := min(maxEjection, minEjection<<min(failures-1, 8))
+	s.ejectedUntil.Store(now.Add(span).UnixNano())
+}
+
+func (s *Stats) ejected(now int64) bool { return s.ejectedUntil.Load() > now }
+
+// load returns the own outstanding calls plus those of other entry nodes; the
+// latter fade out with the age of the report.
+func (s *Stats) load(now int64) float64 {
+	load := float64(s.outstanding.Load())
+	if others := s.others.Load(); others > 0 {
+		if age := now - s.reportedAt.Load(); age < int64(loadLifetime) {
+			load += float64(others) * (1 - float64(max(age, 0))/float64(loadLifetime))
+		}
+	}
+	return load
+}
