Add a first version of moves

Cause: the request path needs shares of traffic per target version, and other packages integrate against the move service. Change: pkg/move counts calls at target nodes in periods of 1 s, reports them to the decider, steps 1%, 5%, 20%, 50%, 100% on evidence, takes bad versions back by sequential tests, merges states by a total order, keeps MoveStatus in the platform and publishes shares. Figures: go test -race -count=3 ./pkg/move passes; a good version is done and a failing one is taken back in a cluster of 4 in-memory nodes. No other measurement yet.

--- /dev/null
+++ b/pkg/move/decide.go
@@ -0,0 +1,107 @@
+package move
+
+import (
+	"fmt"
+	"time"
+)
+
+// decide takes the version back, changes its share, or holds the step.
+func (d *Decider) decide(now time.Time) []Effect {
+	s, f := d.state, d.cur.judge()
+	last := s.Step == len(Steps)-1
+	if f.bad {
+		return d.condemn(now, f, last)
+	}
+	if share := d.share(s.Step); share != s.Share {
+		s.Share, s.Reason = share, fmt.Sprintf("ready slots: %d new, %d old", d.capacity.NewSlots, d.capacity.OldSlots)
+		d.mark(mark{period: d.cur.through, last: last})
+		return d.publish(now, s, EventStep)
+	}
+	if d.wanted.Paused {
+		return d.hold(now, "paused by an operator")
+	}
+	s.FinishBy = d.wanted.FinishBy
+	if now.Before(s.Entered.Add(dwell(s, s.Step, s.Entered))) || now.Before(d.fresh.Add(minDwell)) {
+		return d.keep(now)
+	}
+	if reason := d.lacking(now, s, f); reason != "" {
+		return d.overdue(now, s, f, reason)
+	}
+	if last {
+		s.Phase, s.Held, s.Reason = Done, false, "soak time is over: "+describe(d.cur.pool.evidence)
+		return d.publish(now, s, EventDone)
+	}
+	return d.move(now, s, s.Step+1, EventStep, describe(d.cur.pool.evidence))
+}
+
+// condemn takes the version back. On the last step no calls run on the old
+// version, so that a common outage looks like badness: the first time, the
+// share goes back one step to compare both.
+func (d *Decider) condemn(now time.Time, f finding, last bool) []Effect {
+	s := d.state
+	if !last || s.Rechecks > 0 {
+		return d.takeBack(now, f.reason)
+	}
+	s.Rechecks++
+	effects := d.move(now, s, s.Step-1, EventStep, "compare again: "+f.reason)
+	d.marks[len(d.marks)-1].restart = true
+	return effects
+}
+
+// lacking returns what evidence the step lacks, or "".
+func (d *Decider) lacking(now time.Time, s State, f finding) string {
+	pool := d.cur.pool.evidence
+	step := pool.New.minus(d.entry)
+	if f.weight > suspicion {
+		return "suspect: " + f.reason
+	}
+	if ratio := refusedShare(step); step.Refused >= minShed && ratio > refusedShare(pool.Old)+shedMargin {
+		return "the new version refuses more calls than the old"
+	}
+	if s.Share < Steps[s.Step] {
+		return "the new version has too few ready slots"
+	}
+	if !now.Before(lastCall(s, s.Step)) && pool.New.Calls() >= minCalls {
+		return ""
+	}
+	if pool.New.Calls()+pool.Old.Calls() == d.seen {
+		return "no calls"
+	}
+	length := dwell(s, s.Step, s.Entered)
+	elapsed := max(now.Sub(d.fresh), time.Second)
+	rate := float64(pool.New.Calls()+pool.Old.Calls()-d.seen) / elapsed.Seconds()
+	need := needed(s.Step, rate, length)
+	if step.Calls() < need {
+		return "too few calls on the new version"
+	}
+	if s.Step >= len(Steps)-2 && pool.New.Calls() < minCalls {
+		return "too few calls on the new version"
+	}
+	if need == fullEvidence[s.Step] && upperBound(step) > badRate(pool.Old)+margins[s.Step] {
+		return "failure rate of the new version is not yet certain"
+	}
+	return ""
+}
+
+func refusedShare(c Counts) float64 {
+	if c.Refused == 0 {
+		return 0
+	}
+	return float64(c.Refused) / float64(c.Refused+c.Calls())
+}
+
+// overdue holds the step, and takes the version back at the finishing time if
+// it has not proved good. Lacking slots only hold.
+func (d *Decider) overdue(now time.Time, s State, f finding, reason string) []Effect {
+	calls := d.cur.pool.evidence.New.Calls()
+	if now.Before(finish(s)) {
+		return d.hold(now, reason)
+	}
+	if calls < minCalls {
+		return d.takeBack(now, fmt.Sprintf("only %d calls on the new version by the finishing time", calls))
+	}
+	if f.weight > strongSuspicion {
+		return d.takeBack(now, "not proved good by the finishing time: "+f.reason)
+	}
+	return d.hold(now, reason)
+}
--- /dev/null
+++ b/pkg/move/merge.go
@@ -0,0 +1,79 @@
+package move
+
+import (
+	"bytes"
+	"cmp"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// encoding writes equal states as equal bytes, so that copies on different
+// nodes have equal digests.
+var encoding = func() cbor.EncMode {
+	options := cbor.CanonicalEncOptions()
+	options.Time = cbor.TimeRFC3339Nano
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Encode returns the payload of a state.
+func Encode(s State) ([]byte, error) {
+	payload, err := encoding.Marshal(s)
+	return payload, eris.Wrap(err, "encode move state")
+}
+
+// Decode returns the state in payload, or an error if it is malformed.
+func Decode(payload []byte) (State, error) {
+	var s State
+	if err := cbor.Unmarshal(payload, &s); err != nil {
+		return State{}, eris.Wrap(err, "decode move state")
+	}
+	if s.Service == "" || s.To == "" || s.Phase < Running || s.Phase > TakenBack ||
+		s.Share < 0 || s.Share > ShareUnit {
+		return State{}, eris.Errorf("move state of service %q to %q is not valid", s.Service, s.To)
+	}
+	return s, nil
+}
+
+// Compare orders two states of the same move: TakenBack is above everything,
+// then the higher fence, takeover and sequence win. Different states of equal
+// rank are compared by their further content, so that all nodes choose alike.
+func Compare(a, b State) int {
+	return cmp.Or(
+		cmp.Compare(finality(a), finality(b)),
+		cmp.Compare(a.Fence, b.Fence),
+		cmp.Compare(a.Takeover, b.Takeover),
+		cmp.Compare(a.Sequence, b.Sequence),
+	)
+}
+
+func finality(s State) int {
+	if s.Phase == TakenBack {
+		return 1
+	}
+	return 0
+}
+
+// Merge is the gossip.Merge of topic gossip.Moves. It picks the greater of two
+// payloads in a total order.
+func Merge(current, incoming []byte) ([]byte, error) {
+	in, err := Decode(incoming)
+	if err != nil {
+		return nil, err
+	}
+	if len(current) == 0 {
+		return incoming, nil
+	}
+	now, err := Decode(current)
+	if err != nil {
+		return nil, err
+	}
+	if cmp.Or(Compare(now, in), bytes.Compare(current, incoming)) >= 0 {
+		return current, nil
+	}
+	return incoming, nil
+}
--- /dev/null
+++ b/pkg/move/schedule.go
@@ -0,0 +1,111 @@
+package move
+
+import (
+	"math"
+	"time"
+)
+
+// Steps are the shares of a move in units of 1/ShareUnit.
+var Steps = []int{100, 500, 2000, 5000, ShareUnit}
+
+// weights divide the time to finish by among the steps. The last step is the
+// soak time, in which the new version takes all traffic and is still watched.
+var weights = []float64{1, 1, 1, 1, 2}
+
+// fullEvidence is the number of calls on the new version that each step needs
+// where traffic allows, and margins bound the excess of its failure rate, as
+// an upper confidence bound, over the old version's.
+var (
+	fullEvidence = []uint64{30, 60, 100, 200, 200}
+	margins      = []float64{0.15, 0.10, 0.05, 0.03, 0.03}
+)
+
+const (
+	// planned is the part of the time to finish by that steps use; the rest
+	// makes up for held steps.
+	planned = 0.9
+	// minDwell is the shortest step. It spans several evidence periods and the
+	// spreading of a step to all nodes.
+	minDwell = 5 * time.Second
+	// minSoak is the shortest last step, and the shortest recheck.
+	minSoak = 10 * time.Second
+	// minSpan is the time that a move gets whose finishing time is too near or past.
+	minSpan = time.Minute
+	// minCalls is the number of calls on the new version below which a move is
+	// not finished.
+	minCalls = 30
+	// confidence is the normal quantile of the one-sided 95% bounds.
+	confidence = 1.645
+	// suspicion is the part of a threshold above which a test holds a step.
+	suspicion = 0.2
+	// strongSuspicion is the part that takes a version back at the finishing time.
+	strongSuspicion = 0.5
+	// shedMargin is the excess share of refused calls that holds a step, once
+	// minShed calls were refused.
+	shedMargin = 0.05
+	minShed    = 10
+)
+
+// finish is the time by which the move ends.
+func finish(s State) time.Time {
+	if earliest := s.Started.Add(minSpan); s.FinishBy.Before(earliest) {
+		return earliest
+	}
+	return s.FinishBy
+}
+
+// dwell is the planned length of step at its begin, worked out backwards from
+// the finishing time.
+func dwell(s State, step int, begin time.Time) time.Duration {
+	var rest float64
+	for _, w := range weights[step:] {
+		rest += w
+	}
+	left := time.Duration(float64(finish(s).Sub(begin)) * planned * weights[step] / rest)
+	return max(left, shortest(s, step))
+}
+
+func shortest(s State, step int) time.Duration {
+	if step == len(Steps)-1 || s.Rechecks > 0 {
+		return minSoak
+	}
+	return minDwell
+}
+
+// lastCall is the time at which the step must end for the rest to fit in.
+func lastCall(s State, step int) time.Time {
+	rest := time.Duration(0)
+	for later := step + 1; later < len(Steps); later++ {
+		rest += shortest(s, later)
+	}
+	return finish(s).Add(-rest)
+}
+
+// needed is the number of calls on the new version that a step needs. Where
+// traffic is low it is half of what the step can give in its time, so that a
+// step which cannot give two calls is passed on the old version's traffic
+// alone. The next step then exposes some ten calls at most.
+func needed(step int, rate float64, length time.Duration) uint64 {
+	expected := rate * float64(Steps[step]) / ShareUnit * length.Seconds()
+	return min(fullEvidence[step], uint64(expected/2))
+}
+
+// upperBound is the one-sided Wilson bound of a failure rate.
+func upperBound(c Counts) float64 {
+	n := float64(c.Calls())
+	if n == 0 {
+		return 1
+	}
+	p, z := badRate(c), confidence
+	center := p + z*z/(2*n)
+	spread := z * math.Sqrt(p*(1-p)/n+z*z/(4*n*n))
+	return (center + spread) / (1 + z*z/n)
+}
+
+// limit is the share that the new version's slots can take.
+func limit(c Capacity) int {
+	if c.NewSlots >= c.OldSlots {
+		return ShareUnit
+	}
+	return ShareUnit * c.NewSlots / c.OldSlots
+}
--- /dev/null
+++ b/pkg/move/sequential.go
@@ -0,0 +1,290 @@
+package move
+
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
+// Error rates of the sequential tests. Alpha is the probability that a good
+// version is judged bad in a whole move, over all routes and tests; beta that
+// one test ends without a finding on a version that is bad by the alternative.
+const (
+	Alpha = 0.001
+	Beta  = 0.01
+)
+
+// Parameters of the alternatives and of the blocks in which calls are compared.
+const (
+	// failureRatio is the ratio of failure rates, new to old, that counts as bad.
+	failureRatio = 4.0
+	// minBlockOld is the number of the old version's calls that closes a block, so
+	// that a period with a few calls is not compared with nothing.
+	minBlockOld = 5
+	// maxBlockPeriods closes a block in which the old version has too few calls.
+	maxBlockPeriods = 30
+	// blockCap bounds the weight of one block as a part of the threshold, so that
+	// a burst within one block does not decide.
+	blockCap = 0.6
+	// minOldRate is the lowest failure rate assumed of the old version.
+	minOldRate = 0.002
+	// crashExcess is the number of crashes above the old version's that judges a
+	// version bad. Two may come from one request that crashes each target that
+	// runs it, before it is quarantined.
+	crashExcess = 3
+	// crashPeriods is the span in which crashes are counted together.
+	crashPeriods = 600
+	// testsPerRoute are the ratio test and the rate test.
+	testsPerRoute = 2
+)
+
+// lowerBound ends a test without a finding.
+var lowerBound = math.Log(Beta / (1 - Alpha))
+
+// threshold is the log likelihood ratio at which the k-th test of one of n
+// kinds finds badness. The k-th test spends alpha/(n k (k+1)), which sums to
+// alpha over all k and kinds.
+func threshold(n, k int) float64 {
+	return math.Log((1-Beta)/Alpha) + math.Log(float64(max(n, 1))) + math.Log(float64(k+1)*float64(k+2))
+}
+
+// block is the calls that are compared with each other.
+type block struct {
+	old, new Counts
+	// pooledOld is the old version's calls on all routes in the same periods.
+	pooledOld Counts
+	periods   int
+}
+
+func (b block) full() bool {
+	return b.periods >= maxBlockPeriods || (b.old.Calls() >= minBlockOld && b.new.Calls() > 0)
+}
+
+// tracker runs the tests of one route, or of the pool of all routes.
+type tracker struct {
+	evidence RouteEvidence
+	pending  block
+}
+
+func (t *tracker) add(p pair, pooledOld Counts, kinds int, last bool) {
+	t.evidence.Old = t.evidence.Old.plus(p.old)
+	t.evidence.New = t.evidence.New.plus(p.new)
+	t.pending.old = t.pending.old.plus(p.old)
+	t.pending.new = t.pending.new.plus(p.new)
+	t.pending.pooledOld = t.pending.pooledOld.plus(pooledOld)
+	t.pending.periods++
+	if t.pending.full() {
+		t.settle(kinds, last)
+	}
+}
+
+// settle closes the pending block. A test that reaches the lower bound ends
+// and the next begins, so that long goodness does not outweigh late badness.
+func (t *tracker) settle(kinds int, last bool) {
+	e := &t.evidence
+	e.Ratio, e.Rate = t.values(kinds, last)
+	if e.Ratio <= lowerBound {
+		e.Ratio, e.RatioTests = 0, e.RatioTests+1
+	}
+	if e.Rate <= lowerBound {
+		e.Rate, e.RateTests = 0, e.RateTests+1
+	}
+	t.pending = block{}
+}
+
+// restart begins new tests, as at a change of the share or of a definition.
+func (t *tracker) restart() {
+	t.evidence.Ratio, t.evidence.Rate = 0, 0
+	t.pending = block{}
+}
+
+// values are the log likelihood ratios including the pending block.
+func (t *tracker) values(kinds int, last bool) (ratio, rate float64) {
+	e := t.evidence
+	ratio = e.Ratio + min(ratioLLR(t.pending), blockCap*threshold(kinds, e.RatioTests))
+	rate = e.Rate + min(t.rateLLR(last), blockCap*threshold(kinds, e.RateTests))
+	return ratio, rate
+}
+
+// ratioLLR is the conditional binomial test: of all failures in the block, how
+// many fell on the new version, given both exposures. Equal rates make the
+// share of failures equal the share of calls, whatever the common rate is.
+func ratioLLR(b block) float64 {
+	newCalls, oldCalls := float64(b.new.Calls()), float64(b.old.Calls())
+	if newCalls == 0 || oldCalls == 0 {
+		return 0
+	}
+	exposed := newCalls / (newCalls + oldCalls)
+	bad := failureRatio * exposed / (failureRatio*exposed + 1 - exposed)
+	return float64(b.new.bad0())*math.Log(bad/exposed) +
+		float64(b.old.bad0())*math.Log((1-bad)/(1-exposed))
+}
+
+// rateLLR tests the new version's failure rate against the highest rate that
+// the old version is known to have: over the whole move, or in the block on
+// this route or on all routes, so that a common outage explains failures. It
+// finds gross badness in a few calls, and drifts where no call runs on old.
+func (t *tracker) rateLLR(last bool) float64 {
+	e, b := t.evidence, t.pending
+	bad, good := float64(b.new.bad0()), float64(b.new.Good)
+	if bad+good == 0 {
+		return 0
+	}
+	usual := max(minOldRate, float64(e.Old.bad0()+1)/float64(e.Old.Calls()+2),
+		badRate(b.old), badRate(b.pooledOld))
+	if usual > 0.9 {
+		return 0
+	}
+	worse := (1 + usual) / 2
+	if last {
+		worse = min(worse, failureRatio*usual)
+	}
+	return bad*math.Log(worse/usual) + good*math.Log((1-worse)/(1-usual))
+}
+
+func badRate(c Counts) float64 {
+	if c.Calls() == 0 {
+		return 0
+	}
+	return float64(c.bad0()) / float64(c.Calls())
+}
+
+// crash is the number of targets that crashed in a period.
+type crash struct {
+	period       int64
+	ofOld, ofNew int
+}
+
+// assessment is what the periods up to through say about a move.
+type assessment struct {
+	through int64
+	pool    tracker
+	routes  map[string]*tracker
+	crashes []crash
+	// last is set while the new version takes all calls.
+	last bool
+}
+
+// mark changes the tests after a period.
+type mark struct {
+	period int64
+	// restart begins new tests; otherwise the pending blocks are closed, so that
+	// no block spans two shares.
+	restart bool
+	last    bool
+}
+
+func newAssessment(s State) *assessment {
+	a := &assessment{through: s.Through, routes: map[string]*tracker{}, last: s.Step == len(Steps)-1}
+	for _, evidence := range s.Routes {
+		if evidence.Route == "" {
+			a.pool.evidence = evidence
+			continue
+		}
+		a.routes[evidence.Route] = &tracker{evidence: evidence}
+	}
+	return a
+}
+
+func (a *assessment) clone() *assessment {
+	b := *a
+	b.crashes = slices.Clone(a.crashes)
+	b.routes = make(map[string]*tracker, len(a.routes))
+	for route, t := range a.routes {
+		copied := *t
+		b.routes[route] = &copied
+	}
+	return &b
+}
+
+// kinds is the number of tests that run side by side.
+func (a *assessment) kinds() int { return testsPerRoute * (len(a.routes) + 1) }
+
+// fold adds period through+1.
+func (a *assessment) fold(l *ledger, from, to string, marks []mark) {
+	for _, m := range marks {
+		if m.period == a.through {
+			a.apply(m)
+		}
+	}
+	a.through++
+	pairs := l.pairs(a.through, from, to)
+	var pooled pair
+	for _, p := range pairs {
+		pooled.old, pooled.new = pooled.old.plus(p.old), pooled.new.plus(p.new)
+		if a.routes[p.route] == nil {
+			a.routes[p.route] = &tracker{evidence: RouteEvidence{Route: p.route, Department: p.department}}
+		}
+	}
+	by := map[string]pair{}
+	for _, p := range pairs {
+		by[p.route] = p
+	}
+	for route, t := range a.routes {
+		t.add(by[route], pooled.old, a.kinds(), a.last)
+	}
+	a.pool.add(pooled, pooled.old, a.kinds(), a.last)
+	if ofOld, ofNew := l.crashes(a.through, from, to); ofOld+ofNew > 0 {
+		a.crashes = append(a.crashes, crash{a.through, ofOld, ofNew})
+	}
+	a.crashes = slices.DeleteFunc(a.crashes, func(c crash) bool { return c.period <= a.through-crashPeriods })
+}
+
+func (a *assessment) apply(m mark) {
+	for _, t := range a.all() {
+		if m.restart {
+			t.restart()
+		} else {
+			t.settle(a.kinds(), a.last)
+		}
+	}
+	a.last = m.last
+}
+
+// all returns the trackers in a fixed order, the pool first.
+func (a *assessment) all() []*tracker {
+	trackers := []*tracker{&a.pool}
+	for _, route := range slices.Sorted(maps.Keys(a.routes)) {
+		trackers = append(trackers, a.routes[route])
+	}
+	return trackers
+}
+
+// evidence returns the sums for State.Routes, the pool first.
+func (a *assessment) evidence() []RouteEvidence {
+	var result []RouteEvidence
+	for _, t := range a.all() {
+		result = append(result, t.evidence)
+	}
+	return result
+}
+
+// finding is the result of all tests.
+type finding struct {
+	bad bool
+	// weight is the highest log likelihood ratio as a part of its threshold.
+	weight float64
+	reason string
+}
+
+// judge evaluates all tests.
+func (a *assessment) judge() finding {
+	var worst finding
+	for _, t := range a.all() {
+		ratio, rate := t.values(a.kinds(), a.last)
+		for _, test := range []struct {
+			value, bound float64
+		}{
+			{ratio, threshold(a.kinds(), t.evidence.RatioTests)},
+			{rate, threshold(a.kinds(), t.evidence.RateTests)},
+		} {
+			if weight := test.value / test.bound; weight > worst.weight {
+				worst = finding{bad: weight >= 1, weight: weight, reason: describe(t.evidence)}
+			}
+		}
+	}
+	if reason := a.crashFinding(); reason != "" {
+		worst = finding{bad: true, weight: max(worst.weight, 1), reason: reason}
+	}
+	return worst
+}
--- /dev/null
+++ b/pkg/move/service.go
@@ -0,0 +1,223 @@
+package move
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/observation"
+	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/reducer"
+	"github.com/azurespring/azurespring/pkg/timeline"
+	"github.com/azurespring/azurespring/pkg/transport"
+)
+
+// Lease is one lease in the platform. Implementations are safe for concurrent use.
+type Lease interface {
+	// Acquire takes or renews the lease once. granted is false if another holder
+	// has it; an error means that the platform gave no answer.
+	Acquire(ctx context.Context) (fence uint64, granted bool, err error)
+	// Held returns the fencing number while the lease is held and has not lapsed.
+	Held() (fence uint64, held bool)
+	// Release gives the lease up, so that the next decider need not wait.
+	Release(ctx context.Context)
+}
+
+// LeaseFactory returns the lease of a name such as "move-stock".
+type LeaseFactory func(name string) Lease
+
+// Options configures a Service. Leases and Store may be nil: moves then go on
+// without fencing numbers and leave no MoveStatus.
+type Options struct {
+	Instance  string
+	Snapshot  func() *dynamic.Snapshot
+	View      func() *membership.View
+	Requester transport.Requester
+	Publisher gossip.Publisher
+	Store     platform.Store
+	Leases    LeaseFactory
+	Timeline  timeline.Recorder
+	Now       func() time.Time
+	// Recorder receives the events of the reducer; nil records nothing.
+	Recorder reducer.Recorder[Event]
+}
+
+// Service runs moves at one node: it counts calls, reports them to deciders,
+// decides the moves that are its own, and tells the request path the shares.
+type Service struct {
+	options     Options
+	reporter    *reporter
+	loop        *reducer.Loop[Event, Effect]
+	keeper      *keeper
+	incarnation uint64
+
+	mu        sync.Mutex
+	states    map[string]State // by Key
+	listeners []func(Shares)
+	shares    atomic.Pointer[Shares]
+
+	roles *roles
+	sent  map[string]ack // by service
+}
+
+// New returns a service that is not yet running.
+func New(options Options) *Service {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Timeline == nil {
+		options.Timeline = timeline.Discard{}
+	}
+	s := &Service{
+		options: options, reporter: newReporter(), states: map[string]State{}, sent: map[string]ack{},
+		incarnation: uint64(options.Now().UnixNano()), roles: newRoles(options),
+	}
+	s.keeper = newKeeper(options.Store, options.Now)
+	s.shares.Store(&Shares{})
+	s.loop = reducer.NewLoop(NewGroup(options.Instance), reducer.ExecutorFunc[Effect](s.execute),
+		reducer.Options[Event]{Now: options.Now, Recorder: options.Recorder})
+	return s
+}
+
+// Observe implements observation.Observer.
+func (s *Service) Observe(call observation.Call) { s.reporter.observe(call) }
+
+// Shares returns the current division of traffic. It never blocks.
+func (s *Service) Shares() Shares { return *s.shares.Load() }
+
+// OnSharesChange calls f with each new division of traffic. It must be called
+// before Run.
+func (s *Service) OnSharesChange(f func(Shares)) { s.listeners = append(s.listeners, f) }
+
+// Merge is the gossip.Merge of topic gossip.Moves.
+func (s *Service) Merge(current, incoming []byte) ([]byte, error) { return Merge(current, incoming) }
+
+// OnItem is the gossip.Subscriber of topic gossip.Moves.
+func (s *Service) OnItem(item gossip.Item) {
+	state, err := Decode(item.Payload)
+	if err != nil {
+		return
+	}
+	if s.adopt(state) {
+		s.loop.Submit(context.Background(), Event{Service: state.Service, Merged: &state})
+	}
+}
+
+// adopt keeps state if it is newer and reports whether it was.
+func (s *Service) adopt(state State) bool {
+	s.mu.Lock()
+	known, ok := s.states[state.Key()]
+	if ok && Compare(known, state) >= 0 {
+		s.mu.Unlock()
+		return false
+	}
+	s.states[state.Key()] = state
+	s.mu.Unlock()
+	s.updateShares()
+	return true
+}
+
+// States returns all known states with their evidence, ordered by key.
+func (s *Service) States() []State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	states := make([]State, 0, len(s.states))
+	for _, key := range slices.Sorted(maps.Keys(s.states)) {
+		states = append(states, s.states[key])
+	}
+	return states
+}
+
+// updateShares compiles the shares from the configuration and the states.
+func (s *Service) updateShares() {
+	snapshot := s.options.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	s.mu.Lock()
+	shares := Shares{}
+	for _, service := range snapshot.Config().Services {
+		if service.Move == nil || service.Move.To == service.Version {
+			continue
+		}
+		split := Split{From: service.Version, To: service.Move.To}
+		state, ok := s.states[Key(service.Name, service.Move.To)]
+		if ok && state.Phase != TakenBack && !service.Move.Canceled {
+			split.Share = state.Share
+		}
+		shares[service.Name] = split
+	}
+	changed := !maps.Equal(shares, *s.shares.Load())
+	if changed {
+		s.shares.Store(&shares)
+	}
+	s.mu.Unlock()
+	if changed {
+		for _, listener := range s.listeners {
+			listener(shares)
+		}
+	}
+}
+
+// execute implements reducer.Executor.
+func (s *Service) execute(_ context.Context, effect Effect) {
+	if state := effect.Publish; state != nil {
+		s.adopt(*state)
+		if payload, err := Encode(*state); err == nil {
+			s.options.Publisher.Publish(gossip.Item{Topic: gossip.Moves, Key: state.Key(), Payload: payload})
+		}
+		s.keeper.put(*state)
+	}
+	if effect.Timeline != nil {
+		s.options.Timeline.Record(*effect.Timeline)
+	}
+}
+
+// HandleMessage is the transport.MessageHandler of transport.KindMove.
+func (s *Service) HandleMessage(ctx context.Context, from transport.Peer, payload []byte) ([]byte, error) {
+	var report Report
+	if err := cbor.Unmarshal(payload, &report); err != nil {
+		return nil, eris.Wrap(err, "decode move report")
+	}
+	if report.Reporter != from.Instance {
+		return nil, eris.Errorf("report of %q came from %q", report.Reporter, from.Instance)
+	}
+	return cbor.Marshal(s.receive(ctx, report))
+}
+
+// receive hands a report to the reducer if this node decides the service's move.
+func (s *Service) receive(ctx context.Context, report Report) ack {
+	a := ack{Decider: s.options.Instance, Epoch: s.incarnation}
+	if s.roles.decides(report.Service) && s.loop.Submit(ctx, Event{Service: report.Service, Report: &report}) {
+		a.Through = report.Through
+	}
+	return a
+}
+
+// Run works until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { s.loop.Run(ctx) })
+	group.Go(func() { s.roles.run(ctx) })
+	group.Go(func() { s.keeper.run(ctx) })
+	ticker := time.NewTicker(Period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			group.Wait()
+			return ctx.Err()
+		case <-ticker.C:
+			s.pulse(ctx, s.options.Now())
+		}
+	}
+}
--- a/pkg/move/state.go
+++ b/pkg/move/state.go
@@ -33,8 +33,46 @@
 	Sequence uint64 `cbor:"9,keyasint" json:"sequence"`
 	// Reason says why the move is done, held or taken back.
 	Reason string `cbor:"10,keyasint" json:"reason"`
+	// Decider is the instance that wrote the state.
+	Decider string `cbor:"11,keyasint" json:"decider"`
+	// Held is set while the step lasts longer than planned; Reason says why.
+	Held bool `cbor:"12,keyasint" json:"held"`
+	// Entered is the time at which Share was set.
+	Entered time.Time `cbor:"13,keyasint" json:"entered"`
+	// Through is the last evidence period that Routes includes.
+	Through int64 `cbor:"14,keyasint" json:"through"`
+	// Routes is the evidence per route since the move began.
+	Routes []RouteEvidence `cbor:"15,keyasint" json:"routes"`
+	// Rechecks counts returns from the last step to the one before, made to
+	// compare both versions again after a drift.
+	Rechecks int `cbor:"16,keyasint" json:"rechecks"`
+	// Step is the index in Steps. Share is lower than the step's where the new
+	// version has too few slots.
+	Step int `cbor:"17,keyasint" json:"step"`
+	// Started is the time of the first step.
+	Started time.Time `cbor:"18,keyasint" json:"started"`
 }
 
+// RouteEvidence sums up what is known of one route in a move.
+type RouteEvidence struct {
+	Route      string `cbor:"1,keyasint" json:"route"`
+	Department string `cbor:"2,keyasint" json:"department"`
+	Old        Counts `cbor:"3,keyasint" json:"old"`
+	New        Counts `cbor:"4,keyasint" json:"new"`
+	// Ratio and Rate are the log likelihood ratios of the two sequential tests,
+	// Tests the numbers of tests that ended without a finding.
+	Ratio      float64 `cbor:"5,keyasint" json:"ratio"`
+	Rate       float64 `cbor:"6,keyasint" json:"rate"`
+	RatioTests int     `cbor:"7,keyasint" json:"ratioTests"`
+	RateTests  int     `cbor:"8,keyasint" json:"rateTests"`
+}
+
+// Key is the key of the state in topic gossip.Moves.
+func (s State) Key() string { return Key(s.Service, s.To) }
+
+// Key is the key of a service's move to a version in topic gossip.Moves.
+func Key(service, to string) string { return service + "/" + to }
+
 // Shares is what the request path needs to know of all moves.
 type Shares map[string]Split
 
