Serve the administration API of a node

Cause: operators need to apply lists and to see members, targets, moves, reports and the time line at any node. Change: pkg/admin answers on net/http through huma with small collaborators; errors are problem+json with a code and advice; conflicts name the changed entries, groups of customers are resolved to customers; an optional bearer token is read from its file with each request; /healthz, /readyz and /metrics need none. Conclusion: an apply goes on when its client leaves, so a lost connection does not leave the outcome open.

--- /dev/null
+++ b/pkg/admin/admin_test.go
@@ -0,0 +1,235 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/admin"
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+// fake stands in for all collaborators.
+type fake struct {
+	applyErr error
+	applied  []string
+	current  *dynamic.Snapshot
+	notReady error
+}
+
+func (f *fake) Apply(_ context.Context, config dynamic.Config, changeID string, base uint64) (uint64, bool, error) {
+	if f.applyErr != nil {
+		return 0, false, f.applyErr
+	}
+	f.applied = append(f.applied, changeID)
+	return base + 1, false, nil
+}
+
+func (f *fake) Current() *dynamic.Snapshot { return f.current }
+func (f *fake) Status() admin.NodeStatus   { return admin.NodeStatus{Instance: "a"} }
+func (f *fake) Ready() error               { return f.notReady }
+func (f *fake) View() *membership.View     { return &membership.View{Members: members} }
+func (f *fake) States() []move.State {
+	return []move.State{{Service: "stock", Phase: move.TakenBack, Share: 500}}
+}
+func (f *fake) Events() []timeline.Event { return events }
+func (f *fake) Report(context.Context, string, time.Time) ([]admin.Period, error) {
+	return nil, errors.New("platform is down")
+}
+
+var (
+	members = []membership.Member{{
+		Instance: "a", State: membership.Suspect,
+		Targets: []membership.Target{{ID: "t", Service: "stock", State: membership.Draining}},
+	}}
+	events = []timeline.Event{
+		{Time: timeline.Timestamp{Millis: 2}, Instance: "a", Kind: "second", ConfigVersion: 7},
+		{Time: timeline.Timestamp{Millis: 1}, Instance: "a", Kind: "first", ConfigVersion: 7},
+		{Time: timeline.Timestamp{Millis: 3}, Instance: "a", Kind: "third", ConfigVersion: 8},
+	}
+)
+
+func lists(t *testing.T) []admin.ListFile {
+	var files []admin.ListFile
+	for _, name := range []string{"customers.yaml", "entitlements.yaml"} {
+		data, err := os.ReadFile(filepath.Join("../../examples/tatrasoft", name))
+		assert.NilError(t, err)
+		files = append(files, admin.ListFile{Name: name, Content: string(data)})
+	}
+	return files
+}
+
+func snapshot(t *testing.T) *dynamic.Snapshot {
+	files := lists(t)
+	config, err := dynamic.Parse(
+		dynamic.File{Data: []byte(strings.Replace(files[0].Content, "cennik-portal", "other", 1))},
+		dynamic.File{Data: []byte(files[1].Content)})
+	assert.NilError(t, err)
+	parts, err := dynamic.Split(config)
+	assert.NilError(t, err)
+	snapshot, err := dynamic.Compile(dynamic.NewManifest(5, parts), config)
+	assert.NilError(t, err)
+	return snapshot
+}
+
+func newServer(f *fake, tokenFile string) *admin.Server {
+	_, metrics, closer := admin.NewMetrics(logrus.New())
+	defer closer.Close()
+	return admin.New(admin.Options{
+		Configurations: f, Members: f, Moves: f, Reports: f, Events: f, Node: f,
+		Metrics: metrics, TokenFile: tokenFile, Version: "v1",
+	})
+}
+
+// call sends a request with a JSON body, if any, and decodes the answer into out.
+func call(t *testing.T, handler http.Handler, method, path, token string, in, out any) *http.Response {
+	var content io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		assert.NilError(t, err)
+		content = bytes.NewReader(data)
+	}
+	request := httptest.NewRequest(method, path, content)
+	request.Header.Set("Authorization", "Bearer "+token)
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	if out != nil {
+		assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), out), recorder.Body.String())
+	}
+	return recorder.Result()
+}
+
+func apply(t *testing.T, f *fake, files []admin.ListFile, out any) *http.Response {
+	request := admin.ApplyRequest{ChangeID: "change-1", BaseVersion: 5, Files: files}
+	return call(t, newServer(f, ""), "POST", "/v1/configuration", "", request, out)
+}
+
+// Guards against a change that is not handed on whole, and against an answer
+// that does not say what changed.
+func TestApply(t *testing.T) {
+	f := &fake{current: snapshot(t)}
+	var result admin.ApplyResult
+	response := apply(t, f, lists(t), &result)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.DeepEqual(t, f.applied, []string{"change-1"})
+	assert.DeepEqual(t, result, admin.ApplyResult{Version: 6, Changes: []dynamic.Change{
+		{Entry: "customer/cennik-portal", Action: dynamic.Added}, {Entry: "customer/other", Action: dynamic.Removed},
+	}})
+}
+
+// Guards against problems that leave the operator without the next step, and
+// against an unknown outcome that looks like a refusal.
+func TestApplyProblems(t *testing.T) {
+	bad := lists(t)
+	bad[1].Content = strings.Replace(bad[1].Content, "period: 24h", "period: 24", 1)
+	conflict := &admin.ConflictError{BaseVersion: 5, CurrentVersion: 6, Entries: []string{
+		"service/stock", dynamic.PartOf("customer/cennik-portal"),
+	}}
+	for _, test := range []struct {
+		name   string
+		err    error
+		files  []admin.ListFile
+		status int
+		code   string
+		detail string
+	}{
+		{"conflict", conflict, lists(t), 409, admin.CodeConflict, "service/stock"},
+		{"conflict names customers", conflict, lists(t), 409, admin.CodeConflict, "customer/cennik-portal"},
+		{"unknown outcome", &admin.OutcomeUnknownError{ChangeID: "change-1", Cause: io.EOF}, lists(t), 503, admin.CodeOutcomeUnknown, "same change id"},
+		{"platform down", errors.New("no route"), lists(t), 503, admin.CodeUnavailable, "Nothing was changed"},
+		{"faulty lists", nil, bad, 422, admin.CodeInvalidLists, `"file":"entitlements.yaml","line":33`},
+		{"no lists", nil, []admin.ListFile{}, 422, admin.CodeBadRequest, "body.files"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var problem admin.Problem
+			f := &fake{applyErr: test.err, current: snapshot(t)}
+			response := apply(t, f, test.files, &problem)
+			assert.Equal(t, response.StatusCode, test.status)
+			assert.Equal(t, response.Header.Get("Content-Type"), "application/problem+json")
+			assert.Equal(t, problem.Code, test.code)
+			text, err := json.Marshal(problem)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.Contains(string(text), test.detail), string(text))
+			assert.Equal(t, len(f.applied), 0)
+		})
+	}
+}
+
+// Guards against lists that cannot be edited and applied again.
+func TestConfigurationCanBeAppliedAgain(t *testing.T) {
+	f := &fake{current: snapshot(t)}
+	var got admin.Configuration
+	call(t, newServer(f, ""), "GET", "/v1/configuration", "", nil, &got)
+	assert.Equal(t, got.Version, uint64(5))
+	var result admin.ValidateResult
+	call(t, newServer(f, ""), "POST", "/v1/configuration/validate", "", admin.ValidateRequest{Files: []admin.ListFile{
+		{Name: "c", Content: got.Customers}, {Name: "e", Content: got.Entitlements},
+	}}, &result)
+	assert.DeepEqual(t, result, admin.ValidateResult{CurrentVersion: 5, Changes: []dynamic.Change{}})
+}
+
+// Guards against views that lose or misname what their collaborator holds.
+func TestViews(t *testing.T) {
+	server := newServer(&fake{current: snapshot(t), notReady: errors.New("joining")}, "")
+	for _, test := range []struct {
+		path   string
+		status int
+		want   string
+	}{
+		{"/v1/members", 200, `"state":"suspect"`},
+		{"/v1/targets", 200, `"state":"draining"`},
+		{"/v1/targets?service=hires", 200, `[]`},
+		{"/v1/moves", 200, `"phase":"taken-back","share":0.05`},
+		{"/v1/status", 200, `"notReady":"joining","configVersion":5`},
+		{"/v1/timeline?configVersion=7&limit=1", 200, `"event":"second"`},
+		{"/v1/timeline?limit=0", 422, `"field":"query.limit"`},
+		{"/v1/reports/nobody", 404, `"code":"not-found"`},
+		{"/v1/reports/sales", 503, `platform is down`},
+		{"/healthz", 200, "ok"},
+		{"/readyz", 503, "joining"},
+		{"/metrics", 200, "go_goroutines"},
+		{"/openapi.json", 200, `"apply-configuration"`},
+	} {
+		t.Run(test.path, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			server.ServeHTTP(recorder, httptest.NewRequest("GET", test.path, nil))
+			assert.Equal(t, recorder.Code, test.status)
+			assert.Assert(t, strings.Contains(recorder.Body.String(), test.want), recorder.Body.String())
+		})
+	}
+}
+
+// Guards against access without the token, and against health checks that need it.
+func TestToken(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "token")
+	assert.NilError(t, os.WriteFile(file, []byte("secret\n"), 0o600))
+	server := newServer(&fake{}, file)
+	for _, test := range []struct {
+		path, token string
+		status      int
+	}{
+		{"/v1/status", "secret", 200},
+		{"/v1/status", "wrong", 401},
+		{"/v1/members", "", 401},
+		{"/healthz", "", 200},
+	} {
+		assert.Equal(t, call(t, server, "GET", test.path, test.token, nil, nil).StatusCode, test.status, test.path)
+	}
+	assert.NilError(t, os.Remove(file))
+	assert.Equal(t, call(t, server, "GET", "/v1/status", "", nil, nil).StatusCode, 500)
+}
--- /dev/null
+++ b/pkg/admin/configuration.go
@@ -0,0 +1,154 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+)
+
+// maxListsBytes bounds the body of a request with lists, with room for the
+// escapes of JSON.
+const maxListsBytes = 2*dynamic.MaxFileBytes + 1<<20
+
+// applyTimeout bounds an apply. It goes on when its client leaves, so that a
+// lost connection does not leave the outcome open.
+const applyTimeout = time.Minute
+
+// ListFile is one file of lists.
+type ListFile struct {
+	Name    string `json:"name" maxLength:"4096" doc:"Name that faults refer to"`
+	Content string `json:"content" doc:"YAML documents of kind CustomerList or EntitlementList"`
+}
+
+// ApplyRequest asks to apply both lists.
+type ApplyRequest struct {
+	ChangeID    string     `json:"changeId" minLength:"8" maxLength:"128" pattern:"^[A-Za-z0-9._-]+$" doc:"Identifies the change over retries"`
+	BaseVersion uint64     `json:"baseVersion" doc:"Version that the change is based on; 0 if none is in force"`
+	Files       []ListFile `json:"files" minItems:"1" maxItems:"1000"`
+}
+
+// ApplyResult says what became of a change.
+type ApplyResult struct {
+	Version        uint64 `json:"version" doc:"Version that the change became"`
+	AlreadyApplied bool   `json:"alreadyApplied" doc:"An earlier request with the same change id took effect"`
+	// Changes are the differences from the version that was in force here.
+	Changes []dynamic.Change `json:"changes"`
+}
+
+// ValidateRequest asks to check both lists.
+type ValidateRequest struct {
+	Files []ListFile `json:"files" minItems:"1" maxItems:"1000"`
+}
+
+// ValidateResult says what valid lists would change.
+type ValidateResult struct {
+	CurrentVersion uint64           `json:"currentVersion" doc:"Version in force; 0 if none"`
+	Changes        []dynamic.Change `json:"changes"`
+}
+
+// Configuration is the configuration in force.
+type Configuration struct {
+	Version      uint64 `json:"version" doc:"0 if none is in force"`
+	Digest       string `json:"digest,omitempty"`
+	Customers    string `json:"customers,omitempty" doc:"Customer list as YAML"`
+	Entitlements string `json:"entitlements,omitempty" doc:"Entitlement list as YAML"`
+}
+
+type body[T any] struct{ Body T }
+
+func (s *Server) registerConfiguration() {
+	apply := s.operation("apply-configuration", http.MethodPost, "/v1/configuration", "Apply both lists")
+	apply.MaxBodyBytes = maxListsBytes
+	apply.BodyReadTimeout = applyTimeout
+	huma.Register(s.api, apply, s.apply)
+	validate := s.operation("validate-configuration", http.MethodPost, "/v1/configuration/validate", "Check both lists")
+	validate.MaxBodyBytes = maxListsBytes
+	validate.BodyReadTimeout = applyTimeout
+	huma.Register(s.api, validate, s.validate)
+	huma.Register(s.api, s.operation("get-configuration", http.MethodGet, "/v1/configuration", "Configuration in force"), s.configuration)
+}
+
+func (s *Server) apply(ctx context.Context, in *body[ApplyRequest]) (*body[ApplyResult], error) {
+	config, changes, err := s.check(in.Body.Files)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
+	defer cancel()
+	version, already, err := s.options.Configurations.Apply(ctx, config, in.Body.ChangeID, in.Body.BaseVersion)
+	if err != nil {
+		return nil, applyProblem(err, config, s.options.Configurations.Current())
+	}
+	return &body[ApplyResult]{ApplyResult{Version: version, AlreadyApplied: already, Changes: changes}}, nil
+}
+
+func (s *Server) validate(_ context.Context, in *body[ValidateRequest]) (*body[ValidateResult], error) {
+	_, changes, err := s.check(in.Body.Files)
+	if err != nil {
+		return nil, err
+	}
+	result := ValidateResult{Changes: changes}
+	if current := s.options.Configurations.Current(); current != nil {
+		result.CurrentVersion = current.Version()
+	}
+	return &body[ValidateResult]{result}, nil
+}
+
+// check parses files, checks the moves against the version in force and
+// returns the differences from it.
+func (s *Server) check(files []ListFile) (dynamic.Config, []dynamic.Change, error) {
+	if s.options.Configurations == nil {
+		return dynamic.Config{}, nil, missing("configurations")
+	}
+	var inForce dynamic.Config
+	if current := s.options.Configurations.Current(); current != nil {
+		inForce = current.Config()
+	}
+	parsed := make([]dynamic.File, 0, len(files))
+	for _, file := range files {
+		parsed = append(parsed, dynamic.File{Name: file.Name, Data: []byte(file.Content)})
+	}
+	lists, err := dynamic.ParseLists(parsed...)
+	if err == nil {
+		err = lists.CheckMoves(inForce, s.options.Now())
+	}
+	var faults dynamic.Faults
+	if errors.As(err, &faults) {
+		return dynamic.Config{}, nil, invalidLists(faults)
+	}
+	if err != nil {
+		return dynamic.Config{}, nil, err
+	}
+	changes := dynamic.Diff(inForce, lists.Config)
+	if changes == nil {
+		changes = []dynamic.Change{}
+	}
+	return lists.Config, changes, nil
+}
+
+func (s *Server) configuration(context.Context, *struct{}) (*body[Configuration], error) {
+	if s.options.Configurations == nil {
+		return nil, missing("configurations")
+	}
+	current := s.options.Configurations.Current()
+	if current == nil {
+		return &body[Configuration]{}, nil
+	}
+	customers, entitlements, err := dynamic.Format(current.Config())
+	if err != nil {
+		return nil, err
+	}
+	return &body[Configuration]{Configuration{
+		Version: current.Version(), Digest: current.Manifest().Digest,
+		Customers: string(customers), Entitlements: string(entitlements),
+	}}, nil
+}
+
+func missing(what string) error {
+	return problem(http.StatusNotImplemented, CodeInternal, "this node holds no "+what, "Ask another node.")
+}
--- /dev/null
+++ b/pkg/admin/views.go
@@ -0,0 +1,244 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/lo"
+
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/timeline"
+	"github.com/azurespring/azurespring/pkg/transport"
+)
+
+// NodeStatus is what a node knows of itself.
+type NodeStatus struct {
+	Instance      string    `json:"instance"`
+	Region        string    `json:"region"`
+	FailureDomain string    `json:"failureDomain"`
+	Started       time.Time `json:"started"`
+	// PlatformCalls counts calls of the platform by kind of call.
+	PlatformCalls map[string]uint64 `json:"platformCalls"`
+	Traffic       Traffic           `json:"traffic"`
+}
+
+// Traffic counts bytes between nodes on the wire, and control messages.
+type Traffic struct {
+	ControlBytesSent         uint64 `json:"controlBytesSent"`
+	ControlBytesReceived     uint64 `json:"controlBytesReceived"`
+	CrossRegionBytesSent     uint64 `json:"crossRegionBytesSent" doc:"Part of the control bytes that went to other regions"`
+	CrossRegionBytesReceived uint64 `json:"crossRegionBytesReceived"`
+	CallBytesSent            uint64 `json:"callBytesSent"`
+	CallBytesReceived        uint64 `json:"callBytesReceived"`
+	MessagesSent             uint64 `json:"messagesSent"`
+	MessagesReceived         uint64 `json:"messagesReceived"`
+	Connections              int    `json:"connections"`
+}
+
+// TrafficOf converts the counters of a transport.
+func TrafficOf(s transport.Stats) Traffic {
+	return Traffic{
+		ControlBytesSent: s.Control.Sent, ControlBytesReceived: s.Control.Received,
+		CrossRegionBytesSent: s.CrossRegion.Sent, CrossRegionBytesReceived: s.CrossRegion.Received,
+		CallBytesSent: s.Calls.Sent, CallBytesReceived: s.Calls.Received,
+		MessagesSent: s.MessagesSent, MessagesReceived: s.MessagesReceived, Connections: s.Connections,
+	}
+}
+
+// Status is the answer of /v1/status.
+type Status struct {
+	NodeStatus
+	Program       string `json:"program" doc:"Version of the program"`
+	Ready         bool   `json:"ready"`
+	NotReady      string `json:"notReady,omitempty" doc:"Reason why the node is not ready"`
+	ConfigVersion uint64 `json:"configVersion" doc:"Version in force; 0 if none"`
+	ConfigDigest  string `json:"configDigest,omitempty"`
+}
+
+// Member is one node as its peers know it.
+type Member struct {
+	Instance      string `json:"instance"`
+	State         string `json:"state" enum:"alive,suspect,dead,left"`
+	Address       string `json:"address"`
+	AdminAddress  string `json:"adminAddress"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	Protocol      int    `json:"protocol"`
+	Targets       int    `json:"targets"`
+}
+
+// Target is one back end as its node announced it.
+type Target struct {
+	ID            string    `json:"id"`
+	Service       string    `json:"service"`
+	Version       string    `json:"version"`
+	State         string    `json:"state" enum:"starting,ready,draining"`
+	Slots         int       `json:"slots"`
+	WarmupMillis  int64     `json:"warmupMs"`
+	ReadySince    time.Time `json:"readySince"`
+	Instance      string    `json:"instance"`
+	Region        string    `json:"region"`
+	FailureDomain string    `json:"failureDomain"`
+}
+
+// Move is the state of one move with its evidence.
+type Move struct {
+	Phase string  `json:"phase" enum:"running,done,taken-back"`
+	Share float64 `json:"share" doc:"Share of traffic on the new version, 0 to 1"`
+	// State is the state as the deciders exchange it; State.Share counts 1/10,000.
+	State move.State `json:"state"`
+}
+
+// Period is what became of a department's promise in one period.
+type Period struct {
+	Start time.Time `json:"start"`
+	End   time.Time `json:"end"`
+	// Good, Bad and Refused count calls; refused calls did not run.
+	Good    uint64 `json:"good"`
+	Bad     uint64 `json:"bad"`
+	Refused uint64 `json:"refused"`
+	// Share is the share of good calls, 1 if there were none.
+	Share    float64 `json:"share"`
+	Promised float64 `json:"promised"`
+	Held     bool    `json:"held"`
+	// Complete is false while the period lasts or if reporters are missing.
+	Complete bool `json:"complete"`
+}
+
+// Report holds the periods of one department.
+type Report struct {
+	Department string   `json:"department"`
+	Periods    []Period `json:"periods"`
+}
+
+var (
+	memberStates = map[membership.State]string{
+		membership.Alive: "alive", membership.Suspect: "suspect", membership.Dead: "dead", membership.Left: "left",
+	}
+	targetStates = map[membership.TargetState]string{
+		membership.Starting: "starting", membership.Ready: "ready", membership.Draining: "draining",
+	}
+	phases = map[move.Phase]string{move.Running: "running", move.Done: "done", move.TakenBack: "taken-back"}
+)
+
+func (s *Server) registerViews() {
+	get := func(id, path, summary string) huma.Operation {
+		return s.operation(id, http.MethodGet, path, summary)
+	}
+	huma.Register(s.api, get("get-status", "/v1/status", "Status of this node"), s.status)
+	huma.Register(s.api, get("list-members", "/v1/members", "Nodes known to this node"), s.members)
+	huma.Register(s.api, get("list-targets", "/v1/targets", "Targets known to this node"), s.targets)
+	huma.Register(s.api, get("list-moves", "/v1/moves", "Moves with their evidence"), s.moves)
+	huma.Register(s.api, get("get-report", "/v1/reports/{department}", "Whether a department's promise held"), s.report)
+	huma.Register(s.api, get("get-timeline", "/v1/timeline", "Events of this node"), s.timeline)
+}
+
+func (s *Server) status(context.Context, *struct{}) (*body[Status], error) {
+	status := Status{Program: s.options.Version, Ready: true}
+	if s.options.Node != nil {
+		status.NodeStatus = s.options.Node.Status()
+		if err := s.options.Node.Ready(); err != nil {
+			status.Ready, status.NotReady = false, err.Error()
+		}
+	}
+	if s.options.Configurations != nil {
+		if current := s.options.Configurations.Current(); current != nil {
+			status.ConfigVersion, status.ConfigDigest = current.Version(), current.Manifest().Digest
+		}
+	}
+	return &body[Status]{status}, nil
+}
+
+func (s *Server) members(context.Context, *struct{}) (*body[[]Member], error) {
+	if s.options.Members == nil {
+		return nil, missing("members")
+	}
+	return &body[[]Member]{lo.Map(s.options.Members.View().Members, func(m membership.Member, _ int) Member {
+		return Member{
+			Instance: m.Instance, State: memberStates[m.State], Address: m.Address, AdminAddress: m.AdminAddress,
+			Region: m.Region, FailureDomain: m.FailureDomain, Protocol: m.Protocol, Targets: len(m.Targets),
+		}
+	})}, nil
+}
+
+type targetFilter struct {
+	Service string `query:"service" doc:"Only targets of this service"`
+}
+
+func (s *Server) targets(_ context.Context, in *targetFilter) (*body[[]Target], error) {
+	if s.options.Members == nil {
+		return nil, missing("members")
+	}
+	targets := []Target{}
+	for _, e := range s.options.Members.View().Endpoints() {
+		if in.Service != "" && e.Service != in.Service {
+			continue
+		}
+		targets = append(targets, Target{
+			ID: e.ID, Service: e.Service, Version: e.Version, State: targetStates[e.State], Slots: e.Slots,
+			WarmupMillis: e.Warmup.Milliseconds(), ReadySince: e.ReadySince,
+			Instance: e.Instance, Region: e.Region, FailureDomain: e.FailureDomain,
+		})
+	}
+	return &body[[]Target]{targets}, nil
+}
+
+func (s *Server) moves(context.Context, *struct{}) (*body[[]Move], error) {
+	if s.options.Moves == nil {
+		return nil, missing("moves")
+	}
+	return &body[[]Move]{lo.Map(s.options.Moves.States(), func(state move.State, _ int) Move {
+		return Move{Phase: phases[state.Phase], Share: float64(state.Share) / move.ShareUnit, State: state}
+	})}, nil
+}
+
+type reportRequest struct {
+	Department string    `path:"department"`
+	Since      time.Time `query:"since" doc:"Only periods that begin at or after this time; default: all that are kept"`
+}
+
+func (s *Server) report(ctx context.Context, in *reportRequest) (*body[Report], error) {
+	if s.options.Reports == nil || s.options.Configurations == nil {
+		return nil, missing("reports")
+	}
+	if current := s.options.Configurations.Current(); current == nil || current.Department(in.Department) == nil {
+		return nil, problem(http.StatusNotFound, CodeNotFound, "there is no department "+in.Department,
+			"See the departments of the entitlement list in force.")
+	}
+	periods, err := s.options.Reports.Report(ctx, in.Department, in.Since)
+	if err != nil {
+		return nil, problem(http.StatusServiceUnavailable, CodeUnavailable, "the report cannot be read: "+err.Error(),
+			"Reports are kept in the platform; try again when it answers.")
+	}
+	if periods == nil {
+		periods = []Period{}
+	}
+	return &body[Report]{Report{Department: in.Department, Periods: periods}}, nil
+}
+
+type timelineRequest struct {
+	ConfigVersion uint64 `query:"configVersion"`
+	Move          string `query:"move" doc:"service or service/version"`
+	RequestID     string `query:"requestId"`
+	Instance      string `query:"instance"`
+	Kind          string `query:"kind"`
+	Limit         int    `query:"limit" minimum:"1" maximum:"10000" default:"1000" doc:"Only the newest events"`
+}
+
+func (s *Server) timeline(_ context.Context, in *timelineRequest) (*body[[]timeline.Event], error) {
+	if s.options.Events == nil {
+		return nil, missing("events")
+	}
+	filter := timeline.Filter{
+		ConfigVersion: in.ConfigVersion, Move: in.Move, RequestID: in.RequestID,
+		Instance: in.Instance, Kind: timeline.Kind(in.Kind), Limit: in.Limit,
+	}
+	events := filter.Select(timeline.Merge(s.options.Events.Events()))
+	if events == nil {
+		events = []timeline.Event{}
+	}
+	return &body[[]timeline.Event]{events}, nil
+}
