Compare versions again after a drift and guard moves at target nodes

Change: a finding on the last step first returns to 50% and compares both versions; old calls count from the new version's first failure of a block on; good calls wear off the ratio test; a guard at target nodes floods taken-back on strong local badness; test/bench/moves simulates moves in virtual time beside a baseline.

--- a/pkg/move/decide.go
+++ b/pkg/move/decide.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+const reasonPaused = "paused by an operator"
+
 // decide takes the version back, changes its share, or holds the step.
 func (d *Decider) decide(now time.Time) []Effect {
 	s, f := d.state, d.cur.judge()
@@ -12,13 +14,17 @@
 	if f.bad {
 		return d.condemn(now, f, last)
 	}
-	if share := d.share(s.Step); share != s.Share {
+	if share := d.share(s.Step); share < s.Share || share > s.Share && now.Sub(d.published) >= minDwell {
 		s.Share, s.Reason = share, fmt.Sprintf("ready slots: %d new, %d old", d.capacity.NewSlots, d.capacity.OldSlots)
 		d.mark(mark{period: d.cur.through, last: last})
 		return d.publish(now, s, EventStep)
 	}
 	if d.wanted.Paused {
-		return d.hold(now, "paused by an operator")
+		return d.hold(now, reasonPaused)
+	}
+	if s.Held && s.Reason == reasonPaused {
+		s.Held, s.Reason = false, "resumed by an operator"
+		return d.publish(now, s, EventStep)
 	}
 	s.FinishBy = d.wanted.FinishBy
 	if now.Before(s.Entered.Add(dwell(s, s.Step, s.Entered))) || now.Before(d.fresh.Add(minDwell)) {
@@ -31,21 +37,34 @@
 		s.Phase, s.Held, s.Reason = Done, false, "soak time is over: "+describe(d.cur.pool.evidence)
 		return d.publish(now, s, EventDone)
 	}
+	if d.explained() {
+		s.Rechecks = 0
+	}
 	return d.move(now, s, s.Step+1, EventStep, describe(d.cur.pool.evidence))
 }
 
 // condemn takes the version back. On the last step no calls run on the old
-// version, so that a common outage looks like badness: the first time, the
-// share goes back one step to compare both.
+// version, so that a common outage looks like badness: the share goes back one
+// step to compare both. A version that is bad again soon after is taken back,
+// because it may be bad only while it takes all traffic.
 func (d *Decider) condemn(now time.Time, f finding, last bool) []Effect {
 	s := d.state
-	if !last || s.Rechecks > 0 {
+	calls := d.cur.pool.evidence.New.minus(d.entry).Calls()
+	recurred := s.Rechecks > 0 && (now.Sub(s.Entered) < recurrenceTime || calls < recurrenceCalls)
+	if !last || recurred || s.Rechecks >= maxRechecks {
 		return d.takeBack(now, f.reason)
 	}
 	s.Rechecks++
-	effects := d.move(now, s, s.Step-1, EventStep, "compare again: "+f.reason)
-	d.marks[len(d.marks)-1].restart = true
-	return effects
+	return d.move(now, s, s.Step-1, EventStep, "compare again: "+f.reason)
+}
+
+// explained reports whether the recheck that ends showed a common outage: the
+// old version failed as well, and more than before.
+func (d *Decider) explained() bool {
+	pool := d.cur.pool.evidence
+	old, fresh := pool.Old.minus(d.entryOld), pool.New.minus(d.entry)
+	return old.Bad() >= minOutageFailures && badRate(old) >= badRate(fresh)/2 &&
+		badRate(old) >= 2*badRate(d.entryOld)
 }
 
 // lacking returns what evidence the step lacks, or "".
@@ -100,6 +119,9 @@
 	if calls < minCalls {
 		return d.takeBack(now, fmt.Sprintf("only %d calls on the new version by the finishing time", calls))
 	}
+	if f.weight > strongSuspicion && s.Step == len(Steps)-1 {
+		return d.condemn(now, f, true)
+	}
 	if f.weight > strongSuspicion {
 		return d.takeBack(now, "not proved good by the finishing time: "+f.reason)
 	}
--- a/pkg/move/decider.go
+++ b/pkg/move/decider.go
@@ -41,8 +41,8 @@
 	ledger    *ledger
 	base, cur *assessment
 	marks     []mark
-	// entry is the pooled evidence at the begin of the step.
-	entry Counts
+	// entry and entryOld are the pooled evidence at the begin of the step.
+	entry, entryOld Counts
 	// seen is the old and new version's pooled calls at the begin of the step.
 	seen  uint64
 	fresh time.Time
@@ -118,10 +118,10 @@
 // reset drops local evidence but for what the state carries.
 func (d *Decider) reset(now time.Time) {
 	s := d.state
-	if s.From != "" && s.From != d.wanted.From {
-		s.Routes = nil
-	}
 	s.Through = max(s.Through, periodOf(now)-ringPeriods)
+	if s.Service != "" && (s.From != d.wanted.From || s.Definition != d.wanted.Definition) {
+		s.Routes, s.Through = nil, periodOf(now)
+	}
 	d.ledger = newLedger(s.Through)
 	d.base, d.marks = newAssessment(s), nil
 	d.cur = d.base.clone()
@@ -131,7 +131,7 @@
 // enter begins the evidence of a step.
 func (d *Decider) enter(now time.Time) {
 	e := d.cur.pool.evidence
-	d.entry, d.seen, d.fresh = e.New, e.New.Calls()+e.Old.Calls(), now
+	d.entry, d.entryOld, d.seen, d.fresh = e.New, e.Old, e.New.Calls()+e.Old.Calls(), now
 }
 
 func (d *Decider) merge(now time.Time, s State) {
@@ -200,7 +200,12 @@
 	d.marks = slices.DeleteFunc(d.marks, func(m mark) bool { return m.period < d.base.through })
 }
 
-func (d *Decider) mark(m mark) { d.marks = append(d.marks, m) }
+// mark changes the tests from the next period on. It is noted as well, because
+// the base comes to the same period later.
+func (d *Decider) mark(m mark) {
+	d.marks = append(d.marks, m)
+	d.cur.apply(m)
+}
 
 func (d *Decider) tick(now time.Time) []Effect {
 	if !d.ticked.IsZero() && now.Sub(d.ticked) > maxGap {
@@ -238,6 +243,9 @@
 // old version changed.
 func (d *Decider) restartMove(now time.Time) []Effect {
 	s := d.state
+	if s.From != "" {
+		d.reset(now)
+	}
 	s.From, s.FinishBy, s.Phase, s.Rechecks = d.wanted.From, d.wanted.FinishBy, Running, 0
 	return d.move(now, s, 0, EventStarted, "targets of version "+s.To+" are ready")
 }
@@ -245,7 +253,8 @@
 // move enters a step and publishes it.
 func (d *Decider) move(now time.Time, s State, step int, kind timeline.Kind, reason string) []Effect {
 	s.Step, s.Share, s.Entered, s.Held, s.Reason = step, d.share(step), now, false, reason
-	d.mark(mark{period: d.cur.through, last: step == len(Steps)-1})
+	last := step == len(Steps)-1
+	d.mark(mark{period: d.cur.through, restart: step < d.state.Step, last: last})
 	d.enter(now)
 	return d.publish(now, s, kind)
 }
@@ -259,7 +268,7 @@
 	} else if s.Decider != d.self && s.Decider != "" {
 		s.Takeover++
 	}
-	s.Decider = d.self
+	s.Decider, s.Definition = d.self, d.wanted.Definition
 	s.Sequence++
 	s.Through, s.Routes = d.cur.through, d.cur.evidence()
 	d.state, d.states[s.To], d.published = s, s, now
--- a/pkg/move/pulse.go
+++ b/pkg/move/pulse.go
@@ -90,6 +90,7 @@
 	s.reporter.warm(view.Self, now)
 	s.reporter.close(now)
 	s.updateShares()
+	s.submitMerged(ctx)
 	var reports sync.WaitGroup
 	wanted := map[string]bool{}
 	for _, service := range moving(snapshot) {
@@ -97,6 +98,7 @@
 			continue
 		}
 		wanted[service.Name] = true
+		s.guard(service, now)
 		c, addresses := capacity(view, service)
 		decider := choose(service.Name, c.Reporters)
 		s.submitInputs(ctx, snapshot, service, c, decider)
@@ -118,6 +120,7 @@
 	s.loop.Submit(ctx, Event{Service: service.Name, Capacity: &c})
 	role, began := s.roles.set(service.Name, decider == s.options.Instance)
 	s.loop.Submit(ctx, Event{Service: service.Name, Role: &role})
+	s.roles.accept(service.Name)
 	if began {
 		s.keeper.load(service.Name, func(r Restored) {
 			s.loop.Submit(ctx, Event{Service: service.Name, Restored: &r})
@@ -131,9 +134,66 @@
 		s.loop.Submit(ctx, Event{Service: service, Wanted: &Wanted{}})
 		role, _ := s.roles.set(service, false)
 		s.loop.Submit(ctx, Event{Service: service, Role: &role})
+		s.roles.accept(service)
+		delete(s.guards, service)
 	}
 }
 
+// submitMerged hands on what gossip brought since the last period.
+func (s *Service) submitMerged(ctx context.Context) {
+	s.mu.Lock()
+	merged := s.merged
+	s.merged = nil
+	s.mu.Unlock()
+	for _, state := range merged {
+		s.loop.Submit(ctx, Event{Service: state.Service, Merged: &state})
+	}
+}
+
+// guard takes the service's move back if this node sees strong badness.
+func (s *Service) guard(service dynamic.Service, now time.Time) {
+	s.mu.Lock()
+	g := s.guards[service.Name]
+	if g == nil || g.to != service.Move.To {
+		g = &guarded{to: service.Move.To}
+		s.guards[service.Name] = g
+	}
+	if at := s.answered[service.Name]; !at.IsZero() {
+		g.Answered(at)
+	}
+	state, ok := s.states[Key(service.Name, g.to)]
+	s.mu.Unlock()
+	lines, through := s.reporter.since(service.Name, g.through)
+	var counts Counts
+	for _, line := range lines {
+		if line.Version == g.to {
+			counts = counts.plus(line.Counts)
+		}
+	}
+	counts.Crashes = min(counts.Crashes, 1)
+	g.through = through
+	g.Add(through, counts)
+	if !ok || state.Phase != Running {
+		return
+	}
+	reason := g.Judge(now, state)
+	if reason == "" {
+		return
+	}
+	state.Phase, state.Share, state.Held, state.Reason = TakenBack, 0, false, reason
+	state.Sequence++
+	state.Decider = s.options.Instance
+	s.execute(context.Background(), Effect{Publish: &state, Timeline: record(state, EventTakenBack)})
+	s.queue(state)
+}
+
+// guarded is the guard of one service's move at this node.
+type guarded struct {
+	Guard
+	to      string
+	through int64
+}
+
 // definition hashes what evidence of a service is judged by.
 func definition(snapshot *dynamic.Snapshot, service dynamic.Service) uint64 {
 	var digest xxhash.Digest
@@ -164,10 +224,13 @@
 		return
 	}
 	if answer.Epoch != last.Epoch && last.Epoch != 0 {
-		answer.Through = 0
+		answer.Through = 0 // the replaced process lacks what its predecessor acknowledged
 	}
 	s.mu.Lock()
 	s.sent[service] = answer
+	if answer.Through > 0 {
+		s.answered[service] = s.options.Now()
+	}
 	s.mu.Unlock()
 }
 
--- a/pkg/move/reporter.go
+++ b/pkg/move/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -53,7 +54,8 @@
 	// warming holds the versions whose target here still warms up; slowness says
 	// nothing about them yet.
 	warming atomic.Pointer[map[versionKey]bool]
-	cells   sync.Map // cellKey to *cell
+	// cells is replaced by a changed copy, so that counting takes no lock.
+	cells atomic.Pointer[map[cellKey]*cell]
 
 	mu      sync.Mutex
 	last    map[cellKey]Counts
@@ -65,6 +67,7 @@
 	r := &reporter{last: map[cellKey]Counts{}, lines: map[string][]Line{}}
 	r.classifiers.Store(compileClassifiers(nil))
 	r.warming.Store(&map[versionKey]bool{})
+	r.cells.Store(&map[cellKey]*cell{})
 	return r
 }
 
@@ -81,17 +84,42 @@
 		return
 	}
 	key := cellKey{call.Service, call.Route, call.Department, call.Version}
-	value, ok := r.cells.Load(key)
-	if !ok {
-		value, _ = r.cells.LoadOrStore(key, &cell{})
+	counters := (*r.cells.Load())[key]
+	if counters == nil {
+		counters = r.addCell(key)
 	}
-	value.(*cell).count(outcome, call.TargetCrashed)
+	counters.count(outcome, call.TargetCrashed)
+}
+
+func (r *reporter) addCell(key cellKey) *cell {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cells := maps.Clone(*r.cells.Load())
+	if known := cells[key]; known != nil {
+		return known
+	}
+	cells[key] = &cell{}
+	r.cells.Store(&cells)
+	return cells[key]
 }
 
 func (r *reporter) use(snapshot *dynamic.Snapshot) {
-	if r.classifiers.Load().snapshot != snapshot {
-		r.classifiers.Store(compileClassifiers(snapshot))
+	if r.classifiers.Load().snapshot == snapshot {
+		return
 	}
+	r.classifiers.Store(compileClassifiers(snapshot))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cells := maps.Clone(*r.cells.Load())
+	maps.DeleteFunc(cells, func(key cellKey, _ *cell) bool { return !inUse(snapshot, key) })
+	maps.DeleteFunc(r.last, func(key cellKey, _ Counts) bool { return cells[key] == nil })
+	r.cells.Store(&cells)
+}
+
+// inUse reports whether the configuration still names the version of key.
+func inUse(snapshot *dynamic.Snapshot, key cellKey) bool {
+	service := snapshot.Service(key.service)
+	return service != nil && (service.Version == key.version || service.Move != nil && service.Move.To == key.version)
 }
 
 // close ends the period before now: what was counted since the last close is
@@ -104,12 +132,11 @@
 		return
 	}
 	r.through = period
-	r.cells.Range(func(k, v any) bool {
-		key := k.(cellKey)
-		total := v.(*cell).load()
+	for key, counters := range *r.cells.Load() {
+		total := counters.load()
 		delta := total.minus(r.last[key])
 		if delta == (Counts{}) {
-			return true
+			continue
 		}
 		r.last[key] = total
 		if delta.Crashed > 0 {
@@ -118,8 +145,7 @@
 		r.lines[key.service] = append(r.lines[key.service], Line{
 			Period: period, Route: key.route, Department: key.department, Version: key.version, Counts: delta,
 		})
-		return true
-	})
+	}
 	for service, lines := range r.lines {
 		lines = slices.DeleteFunc(lines, func(l Line) bool { return l.Period <= period-ringPeriods })
 		slices.SortStableFunc(lines, func(a, b Line) int {
--- a/pkg/move/roles.go
+++ b/pkg/move/roles.go
@@ -18,7 +18,9 @@
 
 type role struct {
 	deciding bool
-	lease    Lease
+	// accepting is set once the reducer knows of the role, so that it drops no report.
+	accepting bool
+	lease     Lease
 }
 
 func newRoles(options Options) *roles {
@@ -28,7 +30,7 @@
 func (r *roles) decides(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.by[service] != nil && r.by[service].deciding
+	return r.by[service] != nil && r.by[service].accepting
 }
 
 // set takes or leaves the role; began is true when it is newly taken.
@@ -54,6 +56,13 @@
 	return result, began
 }
 
+// accept follows the role once the reducer has been told of it.
+func (r *roles) accept(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.by[service].accepting = r.by[service].deciding
+}
+
 // others returns the services that are not wanted.
 func (r *roles) others(wanted map[string]bool) []string {
 	r.mu.Lock()
--- a/pkg/move/schedule.go
+++ b/pkg/move/schedule.go
@@ -24,6 +24,8 @@
 	// planned is the part of the time to finish by that steps use; the rest
 	// makes up for held steps.
 	planned = 0.9
+	// plannedAfterRecheck leaves time for another recheck.
+	plannedAfterRecheck = 0.7
 	// minDwell is the shortest step. It spans several evidence periods and the
 	// spreading of a step to all nodes.
 	minDwell = 5 * time.Second
@@ -37,9 +39,18 @@
 	// confidence is the normal quantile of the one-sided 95% bounds.
 	confidence = 1.645
 	// suspicion is the part of a threshold above which a test holds a step.
-	suspicion = 0.2
+	suspicion = 0.3
 	// strongSuspicion is the part that takes a version back at the finishing time.
 	strongSuspicion = 0.5
+	// maxRechecks bounds the rechecks that no outage explains. A finding within
+	// recurrenceTime or recurrenceCalls after a recheck recurs for the same cause;
+	// outages are minutes apart.
+	maxRechecks     = 3
+	recurrenceTime  = time.Minute
+	recurrenceCalls = 300
+	// minOutageFailures is the number of failures of the old version in a recheck
+	// that shows a common outage.
+	minOutageFailures = 3
 	// shedMargin is the excess share of refused calls that holds a step, once
 	// minShed calls were refused.
 	shedMargin = 0.05
@@ -57,11 +68,18 @@
 // dwell is the planned length of step at its begin, worked out backwards from
 // the finishing time.
 func dwell(s State, step int, begin time.Time) time.Duration {
+	part := planned
+	if s.Rechecks > 0 {
+		if step < len(Steps)-1 {
+			return minSoak
+		}
+		part = plannedAfterRecheck
+	}
 	var rest float64
 	for _, w := range weights[step:] {
 		rest += w
 	}
-	left := time.Duration(float64(finish(s).Sub(begin)) * planned * weights[step] / rest)
+	left := time.Duration(float64(finish(s).Sub(begin)) * part * weights[step] / rest)
 	return max(left, shortest(s, step))
 }
 
@@ -102,10 +120,17 @@
 	return (center + spread) / (1 + z*z/n)
 }
 
+// limitUnit is the granularity of limits, so that single targets which come and
+// go do not change the share all the time.
+const limitUnit = ShareUnit / 100
+
 // limit is the share that the new version's slots can take.
 func limit(c Capacity) int {
-	if c.NewSlots >= c.OldSlots {
+	switch {
+	case c.NewSlots == 0:
+		return 0
+	case c.NewSlots >= c.OldSlots:
 		return ShareUnit
 	}
-	return ShareUnit * c.NewSlots / c.OldSlots
+	return ShareUnit * c.NewSlots / c.OldSlots / limitUnit * limitUnit
 }
--- a/pkg/move/sequential.go
+++ b/pkg/move/sequential.go
@@ -20,9 +20,17 @@
 	failureRatio = 4.0
 	// minBlockOld is the number of the old version's calls that closes a block, so
 	// that a period with a few calls is not compared with nothing.
-	minBlockOld = 5
+	minBlockOld = 10
+	// minBlockLast is the number of the new version's calls that closes a block
+	// while no calls run on the old version.
+	minBlockLast = 20
 	// maxBlockPeriods closes a block in which the old version has too few calls.
 	maxBlockPeriods = 30
+	// goodCallWeight is what a good call on the new version takes off the ratio
+	// test, which otherwise would keep the weight of a few chance failures until
+	// the old version fails as well. It makes the test overlook failure rates
+	// that are less than about 0.4% above the old version's.
+	goodCallWeight = 0.0015
 	// blockCap bounds the weight of one block as a part of the threshold, so that
 	// a burst within one block does not decide.
 	blockCap = 0.6
@@ -51,13 +59,19 @@
 // block is the calls that are compared with each other.
 type block struct {
 	old, new Counts
-	// pooledOld is the old version's calls on all routes in the same periods.
+	// pooledOld is the old version's calls on all routes from the period of the
+	// new version's first failure on, so that calls before a common outage do not
+	// hide it.
 	pooledOld Counts
 	periods   int
 }
 
-func (b block) full() bool {
-	return b.periods >= maxBlockPeriods || (b.old.Calls() >= minBlockOld && b.new.Calls() > 0)
+func (b block) full(last bool) bool {
+	if last && b.new.Calls() >= minBlockLast || b.periods >= maxBlockPeriods {
+		return true
+	}
+	return b.old.Calls() >= minBlockOld && b.new.Calls() > 0 &&
+		(b.new.bad0() == 0 || b.pooledOld.Calls() >= minBlockOld)
 }
 
 // tracker runs the tests of one route, or of the pool of all routes.
@@ -71,9 +85,11 @@
 	t.evidence.New = t.evidence.New.plus(p.new)
 	t.pending.old = t.pending.old.plus(p.old)
 	t.pending.new = t.pending.new.plus(p.new)
-	t.pending.pooledOld = t.pending.pooledOld.plus(pooledOld)
+	if t.pending.new.bad0() > 0 {
+		t.pending.pooledOld = t.pending.pooledOld.plus(pooledOld)
+	}
 	t.pending.periods++
-	if t.pending.full() {
+	if t.pending.full(last) {
 		t.settle(kinds, last)
 	}
 }
@@ -111,13 +127,14 @@
 // share of failures equal the share of calls, whatever the common rate is.
 func ratioLLR(b block) float64 {
 	newCalls, oldCalls := float64(b.new.Calls()), float64(b.old.Calls())
+	passed := goodCallWeight * float64(b.new.Good)
 	if newCalls == 0 || oldCalls == 0 {
-		return 0
+		return -passed
 	}
 	exposed := newCalls / (newCalls + oldCalls)
 	bad := failureRatio * exposed / (failureRatio*exposed + 1 - exposed)
 	return float64(b.new.bad0())*math.Log(bad/exposed) +
-		float64(b.old.bad0())*math.Log((1-bad)/(1-exposed))
+		float64(b.old.bad0())*math.Log((1-bad)/(1-exposed)) - passed
 }
 
 // rateLLR tests the new version's failure rate against the highest rate that
@@ -131,7 +148,7 @@
 		return 0
 	}
 	usual := max(minOldRate, float64(e.Old.bad0()+1)/float64(e.Old.Calls()+2),
-		badRate(b.old), badRate(b.pooledOld))
+		badRate(b.old), cautiousRate(b.pooledOld))
 	if usual > 0.9 {
 		return 0
 	}
@@ -142,6 +159,15 @@
 	return bad*math.Log(worse/usual) + good*math.Log((1-worse)/(1-usual))
 }
 
+// cautiousRate is the failure rate with half a failure added, so that a few
+// calls without failures do not count as certainty.
+func cautiousRate(c Counts) float64 {
+	if c.Calls() == 0 {
+		return 0
+	}
+	return (float64(c.bad0()) + 0.5) / float64(c.Calls()+1)
+}
+
 func badRate(c Counts) float64 {
 	if c.Calls() == 0 {
 		return 0
--- a/pkg/move/service.go
+++ b/pkg/move/service.go
@@ -67,6 +67,12 @@
 
 	roles *roles
 	sent  map[string]ack // by service
+	// answered is when a decider last took in a report, by service.
+	answered map[string]time.Time
+	// merged are states from gossip that the reducer does not know yet. Gossip may
+	// call from within Publish, where waiting for the loop would block it.
+	merged []State
+	guards map[string]*guarded // by service; only for pulse
 }
 
 // New returns a service that is not yet running.
@@ -79,6 +85,7 @@
 	}
 	s := &Service{
 		options: options, reporter: newReporter(), states: map[string]State{}, sent: map[string]ack{},
+		answered: map[string]time.Time{}, guards: map[string]*guarded{},
 		incarnation: uint64(options.Now().UnixNano()), roles: newRoles(options),
 	}
 	s.keeper = newKeeper(options.Store, options.Now)
@@ -108,10 +115,17 @@
 		return
 	}
 	if s.adopt(state) {
-		s.loop.Submit(context.Background(), Event{Service: state.Service, Merged: &state})
+		s.queue(state)
 	}
 }
 
+// queue keeps a state for the reducer until the next period.
+func (s *Service) queue(state State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.merged = append(s.merged, state)
+}
+
 // adopt keeps state if it is newer and reports whether it was.
 func (s *Service) adopt(state State) bool {
 	s.mu.Lock()
--- a/pkg/move/state.go
+++ b/pkg/move/state.go
@@ -51,6 +51,8 @@
 	Step int `cbor:"17,keyasint" json:"step"`
 	// Started is the time of the first step.
 	Started time.Time `cbor:"18,keyasint" json:"started"`
+	// Definition identifies the definitions of success behind Routes.
+	Definition uint64 `cbor:"19,keyasint" json:"definition"`
 }
 
 // RouteEvidence sums up what is known of one route in a move.
--- /dev/null
+++ b/test/bench/moves/main.go
@@ -0,0 +1,155 @@
+// Command moves measures in virtual time how moves of good and bad target
+// versions end, beside a plain baseline.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/azurespring/azurespring/pkg/move"
+)
+
+// figures sum up all seeds of one case under one policy.
+type figures struct {
+	Deployment string `json:"deployment"`
+	Case       string `json:"case"`
+	Bad        bool   `json:"bad"`
+	Policy     string `json:"policy"`
+	Moves      int    `json:"moves"`
+	DoneInTime int    `json:"doneInTime"`
+	Done       int    `json:"done"`
+	TakenBack  int    `json:"takenBack"`
+	// NewShare is the share of all calls that the new version got, and NewBad the
+	// mean number of its calls that were not good.
+	NewShare float64 `json:"newShare"`
+	NewCalls float64 `json:"newCalls"`
+	NewBad   float64 `json:"newBad"`
+	// AfterShown is the mean number of calls on the new version after its first
+	// bad call, and ToTakeBack the median and maximum time in seconds.
+	AfterShown    float64 `json:"afterShown"`
+	ToTakeBack    float64 `json:"medianSecondsToTakeBack"`
+	MaxToTakeBack float64 `json:"maxSecondsToTakeBack"`
+	// Wrong lists the moves that ended otherwise than they should.
+	Wrong []wrong `json:"wrong,omitempty"`
+}
+
+// wrong is one move that ended otherwise than it should.
+type wrong struct {
+	Seed  uint64  `json:"seed"`
+	Ended float64 `json:"endedAfterSeconds"`
+	State string  `json:"state"`
+}
+
+// summary is the whole outcome.
+type summary struct {
+	Seeds   int       `json:"seeds"`
+	First   uint64    `json:"firstSeed"`
+	Figures []figures `json:"figures"`
+}
+
+var policies = []struct {
+	name string
+	make func(d deployment) policy
+}{
+	{"sequential", newSequential},
+	{"threshold", newThreshold},
+}
+
+func main() {
+	seeds := flag.Int("seeds", 20, "moves per case")
+	first := flag.Uint64("seed", 1, "first seed")
+	out := flag.String("json", "", "file for the JSON report; empty writes none")
+	flag.Parse()
+	if err := measure(os.Stdout, *seeds, *first, *out); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func measure(w io.Writer, seeds int, first uint64, out string) error {
+	s := summary{Seeds: seeds, First: first}
+	for _, d := range deployments {
+		for _, c := range cases {
+			for _, p := range policies {
+				results := make([]result, seeds)
+				var group errgroup.Group
+				group.SetLimit(4)
+				for i := range seeds {
+					group.Go(func() error {
+						results[i] = run(d, c, p.make(d), first+uint64(i))
+						return nil
+					})
+				}
+				_ = group.Wait()
+				s.Figures = append(s.Figures, sum(d, c, p.name, first, results))
+			}
+		}
+	}
+	if out != "" {
+		data, err := json.MarshalIndent(s, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(out, append(data, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	return table(w, s)
+}
+
+func sum(d deployment, c testCase, policy string, first uint64, results []result) figures {
+	f := figures{Deployment: d.name, Case: c.name, Bad: c.bad, Policy: policy, Moves: len(results)}
+	var times []time.Duration
+	calls := 0.0
+	n := float64(len(results))
+	for i, r := range results {
+		if right := c.bad && r.phase == move.TakenBack || !c.bad && r.phase == move.Done && r.inTime; !right {
+			f.Wrong = append(f.Wrong, wrong{first + uint64(i), r.ended.Seconds(), r.last})
+		}
+		switch {
+		case r.phase == move.Done:
+			f.Done++
+			if r.inTime {
+				f.DoneInTime++
+			}
+		case r.phase == move.TakenBack:
+			f.TakenBack++
+			if r.shown {
+				times = append(times, r.toTakeBack)
+			}
+		}
+		calls += float64(r.calls)
+		f.NewCalls += float64(r.newCalls) / n
+		f.NewBad += float64(r.newBad) / n
+		f.AfterShown += float64(r.afterShown) / n
+	}
+	f.NewShare = f.NewCalls * n / calls
+	if len(times) > 0 {
+		slices.Sort(times)
+		f.ToTakeBack, f.MaxToTakeBack = times[len(times)/2].Seconds(), times[len(times)-1].Seconds()
+	}
+	return f
+}
+
+func table(w io.Writer, s summary) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%d moves per row, seeds from %d\n", s.Seeds, s.First)
+	fmt.Fprintln(t, "deployment\tcase\tpolicy\tdone in time\ttaken back\tright\tnew's share\tnew's calls\tnew's bad\tafter shown\tmedian s\tmax s")
+	for _, f := range s.Figures {
+		right := f.DoneInTime
+		if f.Bad {
+			right = f.TakenBack
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d/%d\t%.2f%%\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\n", f.Deployment, f.Case, f.Policy,
+			f.DoneInTime, f.TakenBack, right, f.Moves, f.NewShare*100, f.NewCalls, f.NewBad, f.AfterShown, f.ToTakeBack, f.MaxToTakeBack)
+	}
+	return t.Flush()
+}
