--- a/pkg/move/decide.go
+++ b/pkg/move/decide.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+const reasonPaused = "paused by an operator"
+
 // decide takes the version back, changes its share, or holds the step.
 func (d *Decider) decide(now time.Time) []Effect {
 	s, f := d.state, d.cur.judge()
@@ -12,13 +14,17 @@
 	if f.bad {
 		return d.condemn(now, f, last)
 	}
-	if share := d.share(s.Step); share != s.Share {
+	if share := d.share(s.Step); share < s.Share || share > s.Share && now.Sub(d.published) >= minDwell {
 		s.Share, s.Reason = share, fmt.Sprintf("ready slots: %d new, %d old", d.capacity.NewSlots, d.capacity.OldSlots)
 		d.mark(mark{period: d.cur.through, last: last})
 		return d.publish(now, s, EventStep)
 	}
 	if d.wanted.Paused {
-		return d.hold(now, "paused by an operator")
+		return d.hold(now, reasonPaused)
+	}
+	if s.Held && s.Reason == reasonPaused {
+		s.Held, s.Reason = false, "resumed by an operator"
+		return d.publish(now, s, EventStep)
 	}
 	s.FinishBy = d.wanted.FinishBy
 	if now.Before(s.Entered.Add(dwell(s, s.Step, s.Entered))) || now.Before(d.fresh.Add(minDwell)) {
--- a/pkg/move/decider.go
+++ b/pkg/move/decider.go
@@ -118,10 +118,10 @@
 // reset drops local evidence but for what the state carries.
 func (d *Decider) reset(now time.Time) {
 	s := d.state
-	if s.From != "" && s.From != d.wanted.From {
-		s.Routes = nil
-	}
 	s.Through = max(s.Through, periodOf(now)-ringPeriods)
+	if s.Service != "" && (s.From != d.wanted.From || s.Definition != d.wanted.Definition) {
+		s.Routes, s.Through = nil, periodOf(now)
+	}
 	d.ledger = newLedger(s.Through)
 	d.base, d.marks = newAssessment(s), nil
 	d.cur = d.base.clone()
@@ -243,6 +243,9 @@
 // old version changed.
 func (d *Decider) restartMove(now time.Time) []Effect {
 	s := d.state
+	if s.From != "" {
+		d.reset(now)
+	}
 	s.From, s.FinishBy, s.Phase, s.Rechecks = d.wanted.From, d.wanted.FinishBy, Running, 0
 	return d.move(now, s, 0, EventStarted, "targets of version "+s.To+" are ready")
 }
@@ -265,7 +268,7 @@
 	} else if s.Decider != d.self && s.Decider != "" {
 		s.Takeover++
 	}
-	s.Decider = d.self
+	s.Decider, s.Definition = d.self, d.wanted.Definition
 	s.Sequence++
 	s.Through, s.Routes = d.cur.through, d.cur.evidence()
 	d.state, d.states[s.To], d.published = s, s, now
--- a/pkg/move/schedule.go
+++ b/pkg/move/schedule.go
@@ -120,10 +120,17 @@
 	return (center + spread) / (1 + z*z/n)
 }
 
+// limitUnit is the granularity of limits, so that single targets which come and
+// go do not change the share all the time.
+const limitUnit = ShareUnit / 100
+
 // limit is the share that the new version's slots can take.
 func limit(c Capacity) int {
-	if c.NewSlots >= c.OldSlots {
+	switch {
+	case c.NewSlots == 0:
+		return 0
+	case c.NewSlots >= c.OldSlots:
 		return ShareUnit
 	}
-	return ShareUnit * c.NewSlots / c.OldSlots
+	return ShareUnit * c.NewSlots / c.OldSlots / limitUnit * limitUnit
 }
--- a/pkg/move/sequential.go
+++ b/pkg/move/sequential.go
@@ -59,13 +59,19 @@
 // block is the calls that are compared with each other.
 type block struct {
 	old, new Counts
-	// pooledOld is the old version's calls on all routes in the same periods.
+	// pooledOld is the old version's calls on all routes from the period of the
+	// new version's first failure on, so that calls before a common outage do not
+	// hide it.
 	pooledOld Counts
 	periods   int
 }
 
 func (b block) full(last bool) bool {
-	return last && b.new.Calls() >= minBlockLast || b.periods >= maxBlockPeriods || (b.old.Calls() >= minBlockOld && b.new.Calls() > 0)
+	if last && b.new.Calls() >= minBlockLast || b.periods >= maxBlockPeriods {
+		return true
+	}
+	return b.old.Calls() >= minBlockOld && b.new.Calls() > 0 &&
+		(b.new.bad0() == 0 || b.pooledOld.Calls() >= minBlockOld)
 }
 
 // tracker runs the tests of one route, or of the pool of all routes.
@@ -79,7 +85,9 @@
 	t.evidence.New = t.evidence.New.plus(p.new)
 	t.pending.old = t.pending.old.plus(p.old)
 	t.pending.new = t.pending.new.plus(p.new)
-	t.pending.pooledOld = t.pending.pooledOld.plus(pooledOld)
+	if t.pending.new.bad0() > 0 {
+		t.pending.pooledOld = t.pending.pooledOld.plus(pooledOld)
+	}
 	t.pending.periods++
 	if t.pending.full(last) {
 		t.settle(kinds, last)
