--- /dev/null
+++ b/pkg/membership/fleet_test.go
@@ -0,0 +1,135 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/internal/fleettest"
+	"github.com/azurespring/azurespring/pkg/membership"
+)
+
+// agree reports whether all live nodes see exactly the live nodes.
+func agree(f *fleettest.Fleet) bool {
+	live := f.Live()
+	var want []string
+	for _, n := range live {
+		want = append(want, n.Self().Instance)
+	}
+	slices.Sort(want)
+	return !slices.ContainsFunc(live, func(n *fleettest.Node) bool { return !slices.Equal(n.Instances(), want) })
+}
+
+func assertAgree(t *testing.T, f *fleettest.Fleet, limit time.Duration) time.Duration {
+	t.Helper()
+	took, ok := f.RunUntil(100*time.Millisecond, limit, func() bool { return agree(f) })
+	if !ok {
+		for _, n := range f.Live() {
+			t.Logf("%s sees %v", n.Self().Instance, n.Instances())
+		}
+		t.Fatalf("the nodes do not agree after %v", limit)
+	}
+	return took
+}
+
+// Each case guards against views that stay wrong after a fault, or are right
+// too late. Times are virtual.
+func TestFaults(t *testing.T) {
+	const size, regions = 24, 3
+	otherRegion := func(a, b membership.Member) bool { return a.Region != b.Region }
+	cases := []struct {
+		name   string
+		inject func(f *fleettest.Fleet)
+		limit  time.Duration
+	}{
+		{"one node dies", func(f *fleettest.Fleet) { f.Stop(f.Live()[5]) }, 8 * time.Second},
+		{"all nodes of a failure domain die", func(f *fleettest.Fleet) {
+			for _, n := range f.Live() {
+				if n.Self().FailureDomain == "d3" {
+					f.Stop(n)
+				}
+			}
+		}, 20 * time.Second},
+		{"a node dies while a fifth of all messages is lost", func(f *fleettest.Fleet) {
+			f.Loss = 0.2
+			f.Stop(f.Live()[7])
+			f.Run(30 * time.Second)
+			f.Loss = 0
+		}, 15 * time.Second},
+		{"a paused node returns before it is dead", func(f *fleettest.Fleet) {
+			f.Pause(f.Live()[4])
+			f.Run(4 * time.Second)
+			f.Resume(f.Live()[4])
+		}, 8 * time.Second},
+		{"a paused node returns after it was declared dead", func(f *fleettest.Fleet) {
+			f.Pause(f.Live()[4])
+			f.Run(60 * time.Second)
+			f.Resume(f.Live()[4])
+		}, 8 * time.Second},
+		{"an instance is replaced at the same address", func(f *fleettest.Fleet) {
+			old := f.Live()[6]
+			f.Stop(old)
+			f.Run(time.Second)
+			f.Join(f.Start("replacement", "6", old.Self().Region, old.Self().FailureDomain), f.Live()[0])
+		}, 3 * time.Second},
+		{"regions lose each other and change meanwhile", func(f *fleettest.Fleet) {
+			f.Cut = otherRegion
+			f.Run(5 * time.Second)
+			f.Stop(f.Live()[9])
+			f.Stop(f.Live()[10])
+			f.Run(5 * time.Minute)
+			f.Cut = nil
+		}, 15 * time.Second},
+		{"a region replaces all its nodes while it is cut off", func(f *fleettest.Fleet) {
+			f.Cut = otherRegion
+			var seed *fleettest.Node
+			for i, n := range f.Live() {
+				if n.Self().Region != "r1" {
+					continue
+				}
+				f.Stop(n)
+				next := f.Start(fmt.Sprintf("new%02d", i), fmt.Sprint(100+i), "r1", n.Self().FailureDomain)
+				if seed == nil {
+					seed = next
+				}
+				f.Join(next, seed)
+			}
+			f.Run(2 * time.Minute)
+			f.Cut = nil
+		}, 2 * time.Minute},
+		{"half of each region loses the other half", func(f *fleettest.Fleet) {
+			half := func(m membership.Member) bool { return m.Instance < "n0012" }
+			f.Cut = func(a, b membership.Member) bool { return half(a) != half(b) }
+			f.Run(2 * time.Minute)
+			f.Cut = nil
+		}, time.Minute},
+		{"all nodes restart as separate fleets", func(f *fleettest.Fleet) {
+			f.Seeds = []string{fleettest.Address("0"), fleettest.Address("1")}
+			old := f.Live()
+			for _, n := range old {
+				f.Stop(n)
+			}
+			f.Run(5 * time.Second)
+			for i, n := range old {
+				next := f.Start(n.Self().Instance+"b", fmt.Sprint(i), n.Self().Region, n.Self().FailureDomain)
+				f.Join(next, next)
+			}
+		}, time.Minute},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := fleettest.New(1)
+			f.Seeds = []string{fleettest.Address("0"), fleettest.Address("1")}
+			f.Grow(size, regions)
+			assertAgree(t, f, 30*time.Second)
+			f.Run(10 * time.Second)
+			c.inject(f)
+			t.Logf("agreed after %v", assertAgree(t, f, c.limit))
+			f.Run(20 * time.Second)
+			assert.Assert(t, agree(f), "agreement does not last")
+		})
+	}
+}
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -110,12 +110,13 @@
 // follows from the suspicion, so that all nodes derive the same record.
 func (r *Reducer) judge(now time.Time) (effects []Effect) {
 	var overdue []*record
-	for instance, m := range r.members {
+	for instance, m := range r.unsettled {
 		switch {
 		case m.State == Suspect && m.Region == r.self.Region && !r.leaving && m.overdue(now):
 			overdue = append(overdue, m)
 		case m.State >= Dead && now.Sub(time.UnixMilli(m.Changed.Millis)) >= deadRetention:
 			delete(r.members, instance)
+			delete(r.unsettled, instance)
 		}
 	}
 	slices.SortFunc(overdue, func(a, b *record) int { return cmp.Compare(a.Instance, b.Instance) })
@@ -151,7 +152,7 @@
 			lost = append(lost, address)
 		}
 	}
-	for _, m := range r.members {
+	for _, m := range r.unsettled {
 		if m.State == Dead && r.absent(m.Address) {
 			lost = append(lost, m.Address)
 		}
--- a/pkg/membership/reducer.go
+++ b/pkg/membership/reducer.go
@@ -116,6 +116,9 @@
 	seeds   []string
 	random  *rand.Rand
 	members map[string]*record
+	// unsettled holds the members that are not alive, whose records change or
+	// end with time.
+	unsettled map[string]*record
 	// byAddress maps addresses of present members to their instances.
 	byAddress map[string]string
 	targets   map[string]*announcement
@@ -158,7 +161,7 @@
 	self.Changed = timestamp(s.Boot)
 	return &Reducer{
 		self: self, seeds: s.Seeds, random: rand.New(rand.NewPCG(s.Seed, 1)),
-		members: make(map[string]*record), byAddress: make(map[string]string),
+		members: make(map[string]*record), unsettled: make(map[string]*record), byAddress: make(map[string]string),
 		targets: make(map[string]*announcement), viewDirty: true,
 	}
 }
@@ -280,6 +283,11 @@
 		known.probe.refuted()
 	}
 	known.Member = m
+	if m.State == Alive {
+		delete(r.unsettled, m.Instance)
+	} else {
+		r.unsettled[m.Instance] = known
+	}
 	r.viewDirty = true
 	if _, taken := r.byAddress[m.Address]; m.State.present() && !taken {
 		r.byAddress[m.Address] = m.Instance
