Compose the node and test the whole path as processes

Cause: the packages need one program and an end-to-end test. Change: pkg/node composes the roles with do and shuts down in order; thin azurespring-node; process cluster for tests; first integration test.

--- /dev/null
+++ b/cmd/azurespring-node/main.go
@@ -0,0 +1,53 @@
+// Command azurespring-node is the process beside each target: it takes calls,
+// carries them to targets and distributes configuration.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/azurespring/azurespring/pkg/config/static"
+	"github.com/azurespring/azurespring/pkg/node"
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	settings, err := static.Load(os.Args[1:], os.Environ(), os.Stdout)
+	switch {
+	case errors.Is(err, static.ErrPrinted), errors.Is(err, flag.ErrHelp):
+		return 0
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	logger := timeline.NewLogger(timeline.LoggerOptions{
+		Output: os.Stderr, Level: settings.LogLevel,
+		Origin: timeline.Origin{
+			Instance: settings.Instance, FailureDomain: settings.FailureDomain, Region: settings.Region,
+		},
+	})
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	n, err := node.New(settings, static.Version(), logger)
+	if err == nil {
+		err = n.Run(ctx)
+	}
+	if err != nil {
+		logger.WithError(err).Error("node failed")
+		return exitFailure
+	}
+	return 0
+}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -19,9 +19,11 @@
 
 // Line is one JSON line that a process logged.
 type Line struct {
-	Event  string            `json:"event"`
-	Fields map[string]string `json:"fields"`
-	Raw    string            `json:"-"`
+	Event   string            `json:"event"`
+	Message string            `json:"msg"`
+	Fields  map[string]string `json:"fields"`
+	Address string            `json:"address"`
+	Raw     string            `json:"-"`
 }
 
 // Process is one started program. All methods are safe for concurrent use.
@@ -85,25 +87,30 @@
 	return append([]Line(nil), p.lines...)
 }
 
-// WaitEvent returns the first line with the given event. It fails when the
-// process or ctx ends first.
+// WaitEvent returns the first line with the given event.
 func (p *Process) WaitEvent(ctx context.Context, event string) (Line, error) {
+	return p.WaitLine(ctx, event, func(l Line) bool { return l.Event == event })
+}
+
+// WaitLine returns the first line that matches. It fails when the process or
+// ctx ends first; what names the wait in the error.
+func (p *Process) WaitLine(ctx context.Context, what string, matches func(Line) bool) (Line, error) {
 	for next := 0; ; {
 		p.mu.Lock()
 		lines, changed := p.lines[next:], p.changed
 		next = len(p.lines)
 		p.mu.Unlock()
 		for _, line := range lines {
-			if line.Event == event {
+			if matches(line) {
 				return line, nil
 			}
 		}
 		select {
 		case <-changed:
 		case <-p.exited:
-			return Line{}, eris.Errorf("%s exited before event %s; last lines: %s", p.Name, event, p.tail())
+			return Line{}, eris.Errorf("%s exited before %s; last lines: %s", p.Name, what, p.tail())
 		case <-ctx.Done():
-			return Line{}, eris.Wrapf(ctx.Err(), "wait for event %s of %s; last lines: %s", event, p.Name, p.tail())
+			return Line{}, eris.Wrapf(ctx.Err(), "wait for %s of %s; last lines: %s", what, p.Name, p.tail())
 		}
 	}
 }
--- /dev/null
+++ b/pkg/node/admin.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/samber/do/v2"
+
+	"github.com/azurespring/azurespring/pkg/admin"
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/distribution"
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+func (n *Node) newAdmin(i do.Injector) (*admin.Server, error) {
+	return admin.New(admin.Options{
+		Configurations: configurations{do.MustInvoke[*distribution.Service](i)},
+		Members:        do.MustInvoke[*membership.Service](i),
+		Moves:          do.MustInvoke[*move.Service](i),
+		Events:         do.MustInvoke[*timeline.Log](i),
+		Node:           n,
+		Metrics:        do.MustInvoke[*metrics](i).handler,
+		TokenFile:      n.settings.AdminTokenFile,
+		Version:        n.version,
+	}), nil
+}
+
+// Status implements admin.Node.
+func (n *Node) Status() admin.NodeStatus {
+	status := admin.NodeStatus{
+		Instance: n.settings.Instance, Region: n.settings.Region, FailureDomain: n.settings.FailureDomain,
+		Started: n.started, PlatformCalls: make(map[string]uint64), Traffic: admin.TrafficOf(n.transport.Stats()),
+	}
+	for call, count := range n.store.Counts() {
+		status.PlatformCalls[fmt.Sprintf("%s %s", call.Verb, call.Kind)] = uint64(count)
+	}
+	return status
+}
+
+// configurations gives the errors of distribution the form of the administration API.
+type configurations struct{ *distribution.Service }
+
+// Apply implements admin.Configurations.
+func (c configurations) Apply(
+	ctx context.Context, config dynamic.Config, changeID string, base uint64,
+) (version uint64, already bool, err error) {
+	result, err := c.Service.Apply(ctx, distribution.ApplyRequest{Config: config, ChangeID: changeID, BaseVersion: base})
+	var conflict *distribution.ConflictError
+	var unknown *distribution.UnknownOutcomeError
+	switch {
+	case errors.As(err, &conflict):
+		return 0, false, &admin.ConflictError{
+			BaseVersion: conflict.BaseVersion, CurrentVersion: conflict.CurrentVersion, Entries: conflict.Entries,
+		}
+	case errors.As(err, &unknown):
+		return 0, false, &admin.OutcomeUnknownError{ChangeID: unknown.ChangeID, Cause: unknown.Cause}
+	}
+	return result.Version, result.AlreadyApplied, err
+}
--- /dev/null
+++ b/pkg/node/compose.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/do/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azurespring/azurespring/pkg/admin"
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/distribution"
+	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/observation"
+	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/platform/objectapi"
+	"github.com/azurespring/azurespring/pkg/proxy"
+	"github.com/azurespring/azurespring/pkg/quarantine"
+	"github.com/azurespring/azurespring/pkg/timeline"
+	"github.com/azurespring/azurespring/pkg/transport"
+)
+
+// compose provides every role and takes each from the injector once, so that a
+// missing or failing role is reported before the node serves.
+func (n *Node) compose() error {
+	do.Provide(n.injector, n.newClock)
+	do.Provide(n.injector, n.newTimeline)
+	do.Provide(n.injector, n.newMetrics)
+	do.Provide(n.injector, n.newTransport)
+	do.Provide(n.injector, n.newStore)
+	do.Provide(n.injector, n.newGossip)
+	do.Provide(n.injector, n.newMembership)
+	do.Provide(n.injector, n.newDistribution)
+	do.Provide(n.injector, n.newMoves)
+	do.Provide(n.injector, n.newQuarantine)
+	do.Provide(n.injector, n.newTarget)
+	do.Provide(n.injector, n.newEntry)
+	do.Provide(n.injector, n.newAdmin)
+
+	steps := []func() error{
+		invoke(n, &n.timeline), invoke(n, &n.transport), invoke(n, &n.store), invoke(n, &n.gossip),
+		invoke(n, &n.membership), invoke(n, &n.distribution), invoke(n, &n.moves),
+		invoke(n, &n.quarantine), invoke(n, &n.target), invoke(n, &n.entry), invoke(n, &n.admin),
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	n.connect()
+	return nil
+}
+
+func invoke[T any](n *Node, field *T) func() error {
+	return func() (err error) {
+		*field, err = do.Invoke[T](n.injector)
+		return err
+	}
+}
+
+// connect registers the callbacks between roles.
+func (n *Node) connect() {
+	n.distribution.OnActivate(func(*dynamic.Snapshot) { n.rebuildTable() })
+	n.membership.OnChange(func(*membership.View) { n.rebuildTable() })
+	n.moves.OnSharesChange(func(move.Shares) { n.rebuildTable() })
+	n.gossip.RegisterTopic(gossip.Config, distribution.MergeConfig, n.distribution.OnConfigItem)
+	n.gossip.RegisterTopic(gossip.Moves, n.moves.Merge, n.moves.OnItem)
+	n.gossip.RegisterTopic(gossip.Quarantine, quarantine.Merge, n.quarantine.OnItem)
+	n.transport.HandleMessage(transport.KindDistribution, n.distribution.HandleMessage)
+	n.transport.HandleMessage(transport.KindMove, n.moves.HandleMessage)
+	n.transport.HandleCalls(n.target.ServeCall)
+}
+
+func (n *Node) newClock(do.Injector) (*timeline.Clock, error) {
+	return timeline.NewClock(time.Now), nil
+}
+
+func (n *Node) newTimeline(i do.Injector) (*timeline.Log, error) {
+	origin := timeline.Origin{
+		Instance: n.settings.Instance, FailureDomain: n.settings.FailureDomain, Region: n.settings.Region,
+	}
+	return timeline.NewLog(do.MustInvoke[*timeline.Clock](i), origin, n.logger), nil
+}
+
+// metrics is the root scope together with the handler that shows it.
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+func (n *Node) newMetrics(do.Injector) (*metrics, error) {
+	scope, handler, closer := admin.NewMetrics(n.logger)
+	return &metrics{scope: scope, handler: handler, closer: closer}, nil
+}
+
+func (n *Node) newTransport(i do.Injector) (*transport.Transport, error) {
+	files := n.settings.TLS
+	source, err := transport.NewTLSSource(files.Cert, files.Key, files.CA)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the node's certificate")
+	}
+	t, err := transport.Listen(transport.Options{
+		Address: n.settings.NodeListen, TLS: source, Logger: n.logger,
+		Scope: do.MustInvoke[*metrics](i).scope, Clock: do.MustInvoke[*timeline.Clock](i),
+		OtherRegion: n.otherRegion,
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for nodes")
+	}
+	n.addresses.Node = bound(n.settings.NodeAdvertise, t.Address())
+	return t, nil
+}
+
+func (n *Node) newStore(i do.Injector) (*platform.Counted, error) {
+	settings := n.settings.Platform
+	options := objectapi.Options{BaseURL: settings.URL}
+	if settings.TokenFile != "" {
+		token, err := os.ReadFile(settings.TokenFile)
+		if err != nil {
+			return nil, eris.Wrap(err, "read the platform's token")
+		}
+		options.Token = strings.TrimSpace(string(token))
+	}
+	client, err := objectapi.New(options)
+	if err != nil {
+		return nil, err
+	}
+	return platform.NewCounted(client, do.MustInvoke[*metrics](i).scope), nil
+}
+
+// budgeted returns the platform as the roles of this node may use it.
+func (n *Node) budgeted(store platform.Store) platform.Store {
+	budget := platform.DefaultBudget()
+	budget.Default.WritesPerSecond = n.settings.Platform.WritesPerSecond
+	budget.Default.ReadsPerSecond = n.settings.Platform.ReadsPerSecond
+	budget.Watches = n.settings.Platform.Watches
+	return platform.NewBudgeted(store, budget)
+}
+
+func (n *Node) newGossip(i do.Injector) (*gossip.Service, error) {
+	t := do.MustInvoke[*transport.Transport](i)
+	return gossip.New(gossip.Options{
+		Address: n.addresses.Node, Messenger: t, Seed: rand.Uint64(), Logger: n.logger,
+		Scope: do.MustInvoke[*metrics](i).scope,
+	}), nil
+}
+
+func (n *Node) newMembership(i do.Injector) (*membership.Service, error) {
+	return membership.New(membership.Options{
+		Self: membership.Member{
+			Instance: n.settings.Instance, Address: n.addresses.Node, AdminAddress: n.addresses.Admin,
+			Region: n.settings.Region, FailureDomain: n.settings.FailureDomain, Protocol: transport.ProtocolV1,
+		},
+		Seeds: n.settings.Seeds, Messenger: do.MustInvoke[*transport.Transport](i),
+		Gossip: do.MustInvoke[*gossip.Service](i), Seed: rand.Uint64(), Logger: n.logger,
+	}), nil
+}
+
+func (n *Node) newDistribution(i do.Injector) (*distribution.Service, error) {
+	return distribution.New(distribution.Options{
+		Store: n.budgeted(do.MustInvoke[*platform.Counted](i)), Requester: do.MustInvoke[*transport.Transport](i),
+		Publisher: do.MustInvoke[*gossip.Service](i), Instance: n.settings.Instance, Region: n.settings.Region,
+		Timeline: do.MustInvoke[*timeline.Log](i), Logger: n.logger,
+		Peers: n.pullPeers, ReaderCandidate: n.readerCandidate, Contacts: n.contacts,
+	})
+}
+
+func (n *Node) newMoves(i do.Injector) (*move.Service, error) {
+	store := n.budgeted(do.MustInvoke[*platform.Counted](i))
+	return move.New(move.Options{
+		Instance: n.settings.Instance, Snapshot: n.snapshot, View: do.MustInvoke[*membership.Service](i).View,
+		Requester: do.MustInvoke[*transport.Transport](i), Publisher: do.MustInvoke[*gossip.Service](i),
+		Store: store, Leases: newLeaseFactory(store, n.settings.Instance, n.logger),
+		Timeline: do.MustInvoke[*timeline.Log](i),
+	}), nil
+}
+
+func (n *Node) newQuarantine(i do.Injector) (*quarantine.Registry, error) {
+	return quarantine.New(nil, do.MustInvoke[*gossip.Service](i), nil), nil
+}
+
+func (n *Node) proxyDeps(i do.Injector) proxy.Deps {
+	return proxy.Deps{
+		Self: n.self, Table: n.table.Load, Snapshot: n.snapshot, Calls: do.MustInvoke[*transport.Transport](i),
+		Observer:   observation.Observers{do.MustInvoke[*move.Service](i)},
+		Timeline:   do.MustInvoke[*timeline.Log](i),
+		Quarantine: do.MustInvoke[*quarantine.Registry](i),
+	}
+}
+
+func (n *Node) newTarget(i do.Injector) (*proxy.TargetSide, error) {
+	return proxy.NewTargetSide(n.proxyDeps(i)), nil
+}
+
+func (n *Node) newEntry(i do.Injector) (*proxy.Entry, error) {
+	return proxy.NewEntry(n.proxyDeps(i), do.MustInvoke[*proxy.TargetSide](i)), nil
+}
--- /dev/null
+++ b/pkg/node/peers.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+	"github.com/samber/lo"
+
+	"github.com/azurespring/azurespring/pkg/membership"
+)
+
+// Numbers of peers and contacts.
+const (
+	// maxPullPeers bounds the peers that a node asks for configuration parts.
+	maxPullPeers = 6
+	// maxContacts is the number of addresses kept in the platform for first contact.
+	maxContacts = 20
+)
+
+// pullPeers returns other members to pull configuration from: a few random ones
+// of this region, so that transfers spread, then some of other regions.
+func (n *Node) pullPeers() []string {
+	near, far := n.otherMembers()
+	peers := append(sample(near, maxPullPeers), sample(far, maxPullPeers/2)...)
+	return lo.Map(peers, func(m membership.Member, _ int) string { return m.Address })
+}
+
+func (n *Node) otherMembers() (sameRegion, otherRegions []membership.Member) {
+	for _, member := range n.membership.View().Members {
+		switch {
+		case member.Instance == n.settings.Instance:
+		case member.Region == n.settings.Region:
+			sameRegion = append(sameRegion, member)
+		default:
+			otherRegions = append(otherRegions, member)
+		}
+	}
+	return sameRegion, otherRegions
+}
+
+func sample(members []membership.Member, count int) []membership.Member {
+	members = slices.Clone(members)
+	rand.Shuffle(len(members), func(i, k int) { members[i], members[k] = members[k], members[i] })
+	return members[:min(count, len(members))]
+}
+
+// bootstrapPeers returns other members so that the first ones lie in different
+// failure domains.
+func (n *Node) bootstrapPeers() []string {
+	near, far := n.otherMembers()
+	members := append(sample(near, len(near)), sample(far, len(far))...)
+	seen := make(map[string]int)
+	rank := make(map[string]int, len(members))
+	for _, member := range members {
+		rank[member.Instance] = seen[member.FailureDomain]
+		seen[member.FailureDomain]++
+	}
+	slices.SortStableFunc(members, func(a, b membership.Member) int { return rank[a.Instance] - rank[b.Instance] })
+	return lo.Map(members, func(m membership.Member, _ int) string { return m.Address })
+}
+
+// readerCandidate reports whether this node is the first choice for its
+// region's reader. Only one node per region then calls the platform for the lease.
+func (n *Node) readerCandidate() bool {
+	var names []string
+	for _, member := range n.membership.View().Members {
+		if member.Region == n.settings.Region && member.State == membership.Alive {
+			names = append(names, member.Instance)
+		}
+	}
+	return first(names, "reader-"+n.settings.Region) == n.settings.Instance
+}
+
+// first returns the name with the highest rendezvous hash for key, "" if there
+// are none.
+func first(names []string, key string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return rendezvous.New(names, xxhash.Sum64String).Lookup(key)
+}
+
+// contacts returns node addresses of the region for first contact.
+func (n *Node) contacts() []string {
+	near, _ := n.otherMembers()
+	addresses := lo.Map(sample(near, maxContacts-1), func(m membership.Member, _ int) string { return m.Address })
+	return append(addresses, n.addresses.Node)
+}
+
+// otherRegion reports whether the node at address is known to be in another region.
+func (n *Node) otherRegion(address string) bool {
+	if n.membership == nil {
+		return false
+	}
+	for _, member := range n.membership.View().Members {
+		if member.Address == address {
+			return member.Region != n.settings.Region
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/integration/path_test.go
@@ -0,0 +1,34 @@
+package integration
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/internal/loadgen"
+)
+
+// Guards against any break in the path from an operator's lists and a target's
+// announcement to a caller's answer, with every part a process of its own.
+func TestWholePath(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	c := newCluster(t, ctx)
+	a := c.node("r1", "d1")
+	b := c.node("r1", "d2")
+	target := c.target(b, stock("1"))
+	c.apply(a, 0, lists{version: "1"})
+	c.await(a, "stock")
+
+	result := loadgen.Run(ctx, loadgen.Options{
+		Nodes: []string{a.Caller, b.Caller}, Service: "stock", Method: http.MethodGet, Path: "/stock/1",
+		Key: customerKey, Count: 200, Workers: 4, Timeout: 10 * time.Second,
+	})
+
+	assert.Equal(t, result.OK(), 200, "refusals: %v", result.Codes())
+	assert.Equal(t, c.runs(target), 200)
+	t.Logf("p50 %s p99 %s", result.Percentile(50), result.Percentile(99))
+}
