Add the platform adapter, its wrappers and a stand-in

Cause: the control roles need the platform's object API, and tests need one that can fail on request. Change: platform/objectapi implements platform.Store over the Kubernetes API conventions with net/http; Counted and Budgeted wrap any Store; NotApplied says which errors prove that a write had no effect; internal/teststore is a stand-in with faults that tests set through Go methods or /control.

--- /dev/null
+++ b/internal/teststore/http.go
@@ -0,0 +1,275 @@
+package teststore
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxBodyBytes bounds request bodies: a value of 1 MB in base64 and its frame.
+const maxBodyBytes = 2 << 20
+
+// maxValueBytes is the platform's limit on a stored value, in its base64 form.
+const maxValueBytes = (1<<20)*4/3 + 64
+
+// resourcesWithStatus are those whose status is written through the subresource only.
+var resourcesWithStatus = []string{"movestatuses"}
+
+type target struct {
+	key
+	subresource string
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/control" {
+		s.control(w, r)
+		return
+	}
+	t, ok := parsePath(r.URL.Path)
+	if !ok {
+		fail(w, http.StatusNotFound, "NotFound", "unknown path")
+		return
+	}
+	verb := verbOf(r, t)
+	// The body is read before any delay, because the server notices that a client
+	// has gone only after that.
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		fail(w, http.StatusBadRequest, "BadRequest", err.Error())
+		return
+	}
+	if !s.admit(w, r, verb, t) {
+		return
+	}
+	if verb == "watch" {
+		s.watch(w, r, t)
+		return
+	}
+	code, body := s.answer(r, data, verb, t)
+	if isWrite(verb) && code < http.StatusMultipleChoices && s.loseReply() {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, code, body)
+}
+
+// parsePath splits /apis/azurespring.io/v1/namespaces/{ns}/{resource}[/{name}[/status]].
+func parsePath(path string) (target, bool) {
+	rest, ok := strings.CutPrefix(path, "/apis/azurespring.io/v1/namespaces/")
+	if !ok {
+		return target{}, false
+	}
+	parts := strings.Split(rest, "/")
+	if len(parts) < 2 || len(parts) > 4 || slices.Contains(parts, "") {
+		return target{}, false
+	}
+	t := target{key: key{namespace: parts[0], resource: parts[1]}}
+	if len(parts) > 2 {
+		t.name = parts[2]
+	}
+	if len(parts) > 3 {
+		t.subresource = parts[3]
+	}
+	return t, t.subresource == "" || t.subresource == "status"
+}
+
+func verbOf(r *http.Request, t target) string {
+	switch r.Method {
+	case http.MethodGet:
+		switch {
+		case r.URL.Query().Get("watch") == "true":
+			return "watch"
+		case t.name == "":
+			return "list"
+		}
+		return "get"
+	case http.MethodPost:
+		return "create"
+	case http.MethodPut:
+		return "update"
+	case http.MethodDelete:
+		return "delete"
+	}
+	return "unknown"
+}
+
+func isWrite(verb string) bool { return verb == "create" || verb == "update" || verb == "delete" }
+
+// admit counts the call and applies the faults that precede its effect.
+func (s *Store) admit(w http.ResponseWriter, r *http.Request, verb string, t target) bool {
+	s.mu.Lock()
+	s.counts[verb+" "+t.resource]++
+	f := s.faults
+	limited, rejected := f.RateLimit > 0, false
+	if limited {
+		s.faults.RateLimit--
+	} else if rejected = isWrite(verb) && f.RejectWrites > 0; rejected {
+		s.faults.RejectWrites--
+	}
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-r.Context().Done():
+		}
+	}
+	switch {
+	case f.Down:
+		panic(http.ErrAbortHandler)
+	case limited:
+		w.Header().Set("Retry-After", strconv.Itoa(f.RetryAfterSeconds))
+		fail(w, http.StatusTooManyRequests, "TooManyRequests", "rate limit")
+	case rejected:
+		fail(w, http.StatusInternalServerError, "InternalError", "write rejected")
+	}
+	return !limited && !rejected
+}
+
+func (s *Store) loseReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseReplies == 0 {
+		return false
+	}
+	s.faults.LoseReplies--
+	return true
+}
+
+type statusBody struct {
+	Kind    string `json:"kind"`
+	Status  string `json:"status"`
+	Reason  string `json:"reason"`
+	Message string `json:"message"`
+	Code    int    `json:"code"`
+}
+
+func failed(code int, reason, message string) (int, any) {
+	return code, statusBody{Kind: "Status", Status: "Failure", Reason: reason, Message: message, Code: code}
+}
+
+func fail(w http.ResponseWriter, code int, reason, message string) {
+	code, body := failed(code, reason, message)
+	reply(w, code, body)
+}
+
+func reply(w http.ResponseWriter, code int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+type requestBody struct {
+	Kind     string `json:"kind"`
+	Metadata struct {
+		Name            string `json:"name"`
+		ResourceVersion string `json:"resourceVersion"`
+	} `json:"metadata"`
+	Spec          json.RawMessage `json:"spec"`
+	Status        json.RawMessage `json:"status"`
+	Preconditions struct {
+		ResourceVersion string `json:"resourceVersion"`
+	} `json:"preconditions"`
+}
+
+func (s *Store) answer(r *http.Request, data []byte, verb string, t target) (int, any) {
+	var body requestBody
+	if isWrite(verb) {
+		if err := json.Unmarshal(data, &body); err != nil && len(data) != 0 {
+			return failed(http.StatusBadRequest, "BadRequest", err.Error())
+		}
+		if len(body.Spec) > maxValueBytes || len(body.Status) > maxValueBytes {
+			return failed(http.StatusRequestEntityTooLarge, "RequestEntityTooLarge", "value exceeds 1 MB")
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch verb {
+	case "get":
+		return s.get(t)
+	case "list":
+		return s.list(r, t)
+	case "create":
+		return s.create(t, body)
+	case "update":
+		return s.update(t, body)
+	case "delete":
+		return s.remove(t, body)
+	}
+	return failed(http.StatusMethodNotAllowed, "MethodNotAllowed", r.Method)
+}
+
+func (s *Store) get(t target) (int, any) {
+	o, ok := s.objects[t.key]
+	if !ok {
+		return failed(http.StatusNotFound, "NotFound", t.name)
+	}
+	return http.StatusOK, o.json()
+}
+
+func (s *Store) list(r *http.Request, t target) (int, any) {
+	var names []string
+	for k := range s.objects {
+		if k.namespace == t.namespace && k.resource == t.resource {
+			names = append(names, k.name)
+		}
+	}
+	slices.Sort(names)
+	from, _ := slices.BinarySearch(names, r.URL.Query().Get("continue"))
+	names = names[from:]
+	metadata := map[string]any{"resourceVersion": strconv.FormatUint(s.version, 10)}
+	if limit, err := strconv.Atoi(r.URL.Query().Get("limit")); err == nil && limit > 0 && limit < len(names) {
+		metadata["continue"] = names[limit]
+		names = names[:limit]
+	}
+	items := make([]any, 0, len(names))
+	for _, name := range names {
+		items = append(items, s.objects[key{t.namespace, t.resource, name}].json())
+	}
+	return http.StatusOK, map[string]any{"kind": "List", "metadata": metadata, "items": items}
+}
+
+func (s *Store) create(t target, body requestBody) (int, any) {
+	t.name = body.Metadata.Name
+	if t.name == "" || body.Kind == "" {
+		return failed(http.StatusUnprocessableEntity, "Invalid", "name and kind are required")
+	}
+	if _, ok := s.objects[t.key]; ok {
+		return failed(http.StatusConflict, "AlreadyExists", t.name)
+	}
+	o := object{Name: t.name, Kind: body.Kind, Spec: body.Spec}
+	return http.StatusCreated, s.put(t.key, o, "ADDED").json()
+}
+
+func (s *Store) update(t target, body requestBody) (int, any) {
+	o, ok := s.objects[t.key]
+	if !ok {
+		return failed(http.StatusNotFound, "NotFound", t.name)
+	}
+	if body.Metadata.ResourceVersion != strconv.FormatUint(o.Version, 10) {
+		return failed(http.StatusConflict, "Conflict", "the object has been modified")
+	}
+	switch {
+	case t.subresource == "status":
+		o.Status = body.Status
+	case slices.Contains(resourcesWithStatus, t.resource):
+		o.Spec = body.Spec
+	default:
+		o.Spec, o.Status = body.Spec, body.Status
+	}
+	return http.StatusOK, s.put(t.key, o, "MODIFIED").json()
+}
+
+func (s *Store) remove(t target, body requestBody) (int, any) {
+	o, ok := s.objects[t.key]
+	if !ok {
+		return failed(http.StatusNotFound, "NotFound", t.name)
+	}
+	if want := body.Preconditions.ResourceVersion; want != "" && want != strconv.FormatUint(o.Version, 10) {
+		return failed(http.StatusConflict, "Conflict", "the object has been modified")
+	}
+	return http.StatusOK, s.put(t.key, o, "DELETED").json()
+}
--- /dev/null
+++ b/pkg/platform/objectapi/faults_test.go
@@ -0,0 +1,153 @@
+package objectapi_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/azurespring/azurespring/internal/teststore"
+	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/platform/objectapi"
+	"gotest.tools/v3/assert"
+)
+
+// TestWriteOutcomes guards that only proofs that a write had no effect count as
+// such; callers repeat or refuse on the strength of NotApplied.
+func TestWriteOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		faults     teststore.Faults
+		applied    bool
+		notApplied bool
+	}{
+		"lost reply": {faults: teststore.Faults{LoseReplies: 1}, applied: true},
+		"down":       {faults: teststore.Faults{Down: true}},
+		"rejected":   {faults: teststore.Faults{RejectWrites: 1}},
+		"rate limit": {faults: teststore.Faults{RateLimit: 1, RetryAfterSeconds: 7}, notApplied: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			backend, client := start(t, objectapi.Options{})
+			backend.SetFaults(c.faults)
+			_, err := client.Create(t.Context(), platform.Lease, "a", []byte("1"))
+			assert.Assert(t, err != nil)
+			assert.Equal(t, platform.NotApplied(err), c.notApplied, "%v", err)
+			backend.SetFaults(teststore.Faults{})
+			_, err = client.Get(t.Context(), platform.Lease, "a")
+			assert.Equal(t, err == nil, c.applied)
+		})
+	}
+}
+
+// TestRetryAfter guards that the wait that the platform asks for reaches callers.
+func TestRetryAfter(t *testing.T) {
+	backend, client := start(t, objectapi.Options{})
+	backend.SetFaults(teststore.Faults{RateLimit: 1, RetryAfterSeconds: 7})
+	_, err := client.Get(t.Context(), platform.Lease, "a")
+	var limited *platform.RateLimitedError
+	assert.Assert(t, errors.As(err, &limited))
+	assert.Equal(t, limited.RetryAfter, 7*time.Second)
+}
+
+// TestUnreachable guards that a refused connection proves that a write had no effect.
+func TestUnreachable(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	client, err := objectapi.New(objectapi.Options{BaseURL: server.URL})
+	assert.NilError(t, err)
+	server.Close()
+	_, err = client.Create(t.Context(), platform.Lease, "a", nil)
+	assert.ErrorIs(t, err, platform.ErrNotSent)
+	assert.Assert(t, platform.NotApplied(err))
+}
+
+// TestSlow guards that a slow platform ends calls by the call timeout and leaves
+// the outcome of a write open.
+func TestSlow(t *testing.T) {
+	backend, client := start(t, objectapi.Options{CallTimeout: 20 * time.Millisecond})
+	backend.SetFaults(teststore.Faults{Delay: time.Hour})
+	_, err := client.Create(t.Context(), platform.Lease, "a", nil)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Assert(t, !platform.NotApplied(err))
+}
+
+// TestWatchFaults guards that a broken watch ends with an error that says how.
+func TestWatchFaults(t *testing.T) {
+	cases := map[string]struct {
+		options objectapi.Options
+		disturb func(*teststore.Store)
+		want    error
+	}{
+		"expired": {disturb: (*teststore.Store).ExpireWatches, want: platform.ErrWatchExpired},
+		"restored": {
+			disturb: func(s *teststore.Store) { s.Restore(teststore.Copy{}) }, want: platform.ErrWatchExpired,
+		},
+		"silent": {
+			options: objectapi.Options{WatchSilence: 200 * time.Millisecond},
+			disturb: func(s *teststore.Store) { s.SetFaults(teststore.Faults{Silent: true}) },
+			want:    objectapi.ErrSilent,
+		},
+		"down": {disturb: func(s *teststore.Store) { s.SetFaults(teststore.Faults{Down: true}) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			backend, client := start(t, c.options)
+			first, err := client.Create(t.Context(), platform.ConfigHead, "a", nil)
+			assert.NilError(t, err)
+			_, err = client.Update(t.Context(), first)
+			assert.NilError(t, err)
+			ended := make(chan error, 1)
+			seen := make(chan struct{})
+			go func() {
+				ended <- client.Watch(t.Context(), platform.ConfigHead, first.Version, func(platform.Event) error {
+					close(seen)
+					return nil
+				})
+			}()
+			<-seen
+			c.disturb(backend)
+			err = <-ended
+			assert.Assert(t, err != nil)
+			if c.want != nil {
+				assert.ErrorIs(t, err, c.want)
+			}
+		})
+	}
+}
+
+// TestMalformedReplies guards that a faulty platform causes errors, not panics
+// or wrong objects.
+func TestMalformedReplies(t *testing.T) {
+	bodies := map[string]string{
+		"empty":         "",
+		"not JSON":      "<html>",
+		"null":          "null",
+		"no version":    `{"kind":"Lease","metadata":{"name":"a"}}`,
+		"wrong kind":    `{"kind":"ConfigHead","metadata":{"name":"a","resourceVersion":"1"},"spec":{"value":""}}`,
+		"wrong name":    `{"kind":"Lease","metadata":{"name":"b","resourceVersion":"1"},"spec":{"value":""}}`,
+		"not base64":    `{"kind":"Lease","metadata":{"name":"a","resourceVersion":"1"},"spec":{"value":"!"}}`,
+		"beyond limit":  strings.Repeat(" ", 2000) + `{}`,
+		"bad list item": `{"metadata":{"resourceVersion":"1"},"items":[{}]}`,
+	}
+	for name, body := range bodies {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(body))
+			}))
+			defer server.Close()
+			client, err := objectapi.New(objectapi.Options{BaseURL: server.URL, MaxResponseBytes: 1000})
+			assert.NilError(t, err)
+			defer client.Close()
+			_, err = client.Get(t.Context(), platform.Lease, "a")
+			assert.Assert(t, err != nil)
+			_, err = client.Create(t.Context(), platform.Lease, "a", nil)
+			assert.Assert(t, err != nil)
+			_, _, err = client.List(t.Context(), platform.Lease)
+			assert.Assert(t, err != nil)
+			err = client.Watch(t.Context(), platform.Lease, "1", func(platform.Event) error { return nil })
+			assert.Assert(t, err != nil)
+		})
+	}
+}
