Add leases and a first distribution of configurations

Cause: accepted configurations must reach every node without each node watching the platform. Change: pkg/lease gives the reader's role to one node by conditional updates; pkg/distribution accepts changes with one conditional update of the head, spreads versions by announcement and delta pulls, and lets joining nodes take the highest version of their peers. Conclusion: apply, activation and bootstrap work end to end; faults of leases, restores and races are not tested yet.

--- /dev/null
+++ b/pkg/distribution/distribution_test.go
@@ -0,0 +1,96 @@
+package distribution_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/azurespring/azurespring/internal/teststore"
+	"github.com/azurespring/azurespring/pkg/distribution"
+	"github.com/azurespring/azurespring/pkg/platform"
+	"gotest.tools/v3/assert"
+)
+
+// TestApplyReachesAllNodes guards the way of a change from one node through the
+// platform to all others, and that only the node that handles the change and
+// the reader call the platform.
+func TestApplyReachesAllNodes(t *testing.T) {
+	f := newFleet(t)
+	first := f.add(nil)
+	readerNode := f.add(reader)
+	other := f.add(nil)
+	f.await("a reader", func() bool { return readerNode.recorded(distribution.EventReaderStarted) })
+	for version := uint64(1); version <= 3; version++ {
+		result, err := first.Apply(t.Context(), change(string(rune('a'+version)), version-1, string(rune('a'+version))))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, result, distribution.ApplyResult{Version: version})
+		f.awaitVersion(version, first, readerNode, other)
+	}
+	assert.Equal(t, other.Current().Service("service-0").Version, "d")
+	assert.DeepEqual(t, other.activated(), []uint64{1, 2, 3})
+	assert.Equal(t, len(other.counted.Counts()), 0)
+}
+
+// TestApplyOutcomes guards that Apply reports what the platform holds.
+func TestApplyOutcomes(t *testing.T) {
+	f := newFleet(t)
+	n := f.add(nil)
+	_, err := n.Apply(t.Context(), change("one", 0, "a"))
+	assert.NilError(t, err)
+
+	// A lost reply is resolved by the change id in the head.
+	f.backend.SetFaults(teststore.Faults{LoseReplies: 10})
+	result, err := n.Apply(t.Context(), change("two", 1, "b"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, result, distribution.ApplyResult{Version: 2})
+	f.backend.SetFaults(teststore.Faults{})
+
+	result, err = n.Apply(t.Context(), change("two", 1, "b"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, result, distribution.ApplyResult{Version: 2, AlreadyApplied: true})
+
+	_, err = n.Apply(t.Context(), change("two", 1, "c"))
+	var invalid *distribution.InvalidError
+	assert.Assert(t, errors.As(err, &invalid), "a change id must not be used for another configuration")
+
+	_, err = n.Apply(t.Context(), change("three", 1, "c"))
+	var conflict *distribution.ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.DeepEqual(t, *conflict, distribution.ConflictError{
+		BaseVersion: 1, CurrentVersion: 2, Entries: []string{"service/service-0"},
+	})
+
+	broken := change("four", 2, "c")
+	broken.Config.Plans = nil
+	_, err = n.Apply(t.Context(), broken)
+	assert.Assert(t, errors.As(err, &invalid))
+	assert.Equal(t, n.Version(), uint64(2))
+}
+
+// TestBootstrap guards that a joining node takes the highest version of its
+// peers without calling the platform, and calls it only if no peer answers.
+func TestBootstrap(t *testing.T) {
+	f := newFleet(t)
+	behind, ahead := f.add(nil), f.add(nil)
+	assert.NilError(t, behind.Bootstrap(t.Context(), nil))
+	assert.Assert(t, behind.Current() == nil)
+	_, err := ahead.Apply(t.Context(), change("one", 0, "a"))
+	assert.NilError(t, err)
+	f.awaitVersion(1, behind)
+	f.setCut(behind.address, true)
+	_, err = ahead.Apply(t.Context(), change("two", 1, "b"))
+	assert.NilError(t, err)
+	f.setCut(behind.address, false)
+
+	joining := f.add(nil)
+	f.backend.SetFaults(teststore.Faults{Down: true})
+	assert.NilError(t, joining.Bootstrap(t.Context(), []string{"gone", behind.address, ahead.address}))
+	assert.Equal(t, joining.Version(), uint64(2))
+	assert.Equal(t, len(joining.counted.Counts()), 0)
+
+	alone := f.add(nil)
+	assert.Assert(t, alone.Bootstrap(t.Context(), []string{"gone"}) != nil)
+	f.backend.SetFaults(teststore.Faults{})
+	assert.NilError(t, alone.Bootstrap(t.Context(), []string{"gone"}))
+	assert.Equal(t, alone.Version(), uint64(2))
+	assert.Equal(t, alone.counted.Counts()[platform.Call{Kind: platform.ConfigHead, Verb: platform.VerbGet}], int64(2))
+}
--- /dev/null
+++ b/pkg/distribution/service.go
@@ -0,0 +1,282 @@
+// Package distribution brings accepted configuration versions to all nodes: one
+// reader per region watches the platform, versions spread by gossip, and each
+// node pulls from its neighbours the parts that changed.
+package distribution
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/lease"
+	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/reducer"
+	"github.com/azurespring/azurespring/pkg/timeline"
+	"github.com/azurespring/azurespring/pkg/transport"
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+)
+
+// Defaults of Options.
+const (
+	DefaultLeaseDuration   = 15 * time.Second
+	DefaultRenewEvery      = 5 * time.Second
+	DefaultGarbageEvery    = time.Hour
+	DefaultGarbageAge      = time.Hour
+	DefaultContactsEvery   = 10 * time.Minute
+	defaultTickInterval    = 100 * time.Millisecond
+	configItemKey          = "head"
+	readerLeasePrefix      = "reader-"
+	candidateCheckInterval = time.Second
+)
+
+// Options configures a Service. Store, Requester, Publisher, Instance and Region
+// are required.
+type Options struct {
+	Store     platform.Store
+	Requester transport.Requester
+	Publisher gossip.Publisher
+	Instance  string
+	Region    string
+	// Timeline receives what happens; nil records nothing.
+	Timeline timeline.Recorder
+	// Peers returns the addresses of the nodes to pull from, the gossip neighbours.
+	Peers func() []string
+	// ReaderCandidate says whether this node should try to become its region's
+	// reader, for example because it is the first live member by rendezvous hash.
+	// Nil means never.
+	ReaderCandidate func() bool
+	// Contacts returns node addresses to write for first contact; nil writes none.
+	Contacts func() []string
+
+	// LeaseDuration and RenewEvery are those of the reader's lease.
+	LeaseDuration time.Duration
+	RenewEvery    time.Duration
+	// GarbageEvery is the time between searches for unreferenced parts; GarbageAge
+	// is the time for which a part must be seen unreferenced before it is deleted.
+	// It must be longer than any Apply may take.
+	GarbageEvery time.Duration
+	GarbageAge   time.Duration
+	// ContactsEvery is the least time between writes of the contacts.
+	ContactsEvery time.Duration
+	// Recorder receives the reducer's events; nil records none.
+	Recorder reducer.Recorder[Event]
+	// Seed makes the jitter of retries reproducible; 0 takes a random one.
+	Seed   uint64
+	Logger *logrus.Logger
+}
+
+func (o *Options) setDefaults() {
+	o.LeaseDuration = lo.CoalesceOrEmpty(o.LeaseDuration, DefaultLeaseDuration)
+	o.RenewEvery = lo.CoalesceOrEmpty(o.RenewEvery, DefaultRenewEvery)
+	o.GarbageEvery = lo.CoalesceOrEmpty(o.GarbageEvery, DefaultGarbageEvery)
+	o.GarbageAge = lo.CoalesceOrEmpty(o.GarbageAge, DefaultGarbageAge)
+	o.ContactsEvery = lo.CoalesceOrEmpty(o.ContactsEvery, DefaultContactsEvery)
+	if o.Timeline == nil {
+		o.Timeline = timeline.Discard{}
+	}
+	if o.Peers == nil {
+		o.Peers = func() []string { return nil }
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	if o.Logger == nil {
+		o.Logger = logrus.New()
+		o.Logger.SetOutput(io.Discard)
+	}
+}
+
+// Service keeps the configuration in force. Its methods are safe for concurrent use.
+type Service struct {
+	o        Options
+	logger   *logrus.Entry
+	loop     *reducer.Loop[Event, Effect]
+	versions *versions
+	snapshot atomic.Pointer[dynamic.Snapshot]
+	reader   *reader
+	// fence is the highest fencing number announced for this region's lease.
+	fence atomic.Uint64
+
+	mu        sync.Mutex
+	callbacks []func(*dynamic.Snapshot)
+	// changes are the change ids of the last head that this node saw.
+	changes []change
+
+	background sync.WaitGroup
+}
+
+// New returns a service that is not yet running, or an error if a required
+// option is missing.
+func New(o Options) (*Service, error) {
+	if o.Store == nil || o.Requester == nil || o.Publisher == nil || o.Instance == "" || o.Region == "" {
+		return nil, eris.New("distribution needs Store, Requester, Publisher, Instance and Region")
+	}
+	o.setDefaults()
+	s := &Service{
+		o: o, versions: newVersions(),
+		logger: o.Logger.WithFields(logrus.Fields{"package": "distribution", "instance": o.Instance}),
+	}
+	s.reader = &reader{s: s}
+	s.loop = reducer.NewLoop(reducer.Reducer[Event, Effect](NewMachine(o.Seed)), reducer.Executor[Effect](s),
+		reducer.Options[Event]{
+			Tick: func() Event { return Tick{} }, TickInterval: defaultTickInterval, Recorder: o.Recorder,
+		})
+	return s, nil
+}
+
+// Run keeps the configuration up to date until ctx ends. While this node is a
+// reader candidate, it also contends for the reader's lease.
+func (s *Service) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		s.reader.stop()
+		s.background.Wait()
+	}()
+	if s.o.ReaderCandidate != nil {
+		s.background.Go(func() { s.contend(ctx) })
+	}
+	s.loop.Run(ctx)
+}
+
+// contend runs the reader's lease whenever this node is a candidate.
+func (s *Service) contend(ctx context.Context) {
+	name := readerLeasePrefix + s.o.Region
+	l, err := lease.New(lease.Options{
+		Store: s.o.Store, Name: name, Holder: s.o.Instance,
+		Duration: s.o.LeaseDuration, RenewEvery: s.o.RenewEvery,
+		Candidate: s.o.ReaderCandidate, CheckEvery: min(candidateCheckInterval, s.o.RenewEvery/5),
+		MinFence: s.fence.Load,
+		OnChange: func(fence uint64, held bool) {
+			s.loop.Submit(ctx, RoleChanged{Lease: name, Held: held, Fence: fence})
+		},
+		Logger: s.o.Logger,
+	})
+	if err != nil {
+		s.logger.WithError(err).Error("reader lease cannot run")
+		return
+	}
+	l.Run(ctx)
+}
+
+// Current returns the snapshot in force, nil before the first.
+func (s *Service) Current() *dynamic.Snapshot { return s.snapshot.Load() }
+
+// Version returns the number of the version in force, 0 before the first.
+func (s *Service) Version() uint64 {
+	if current := s.Current(); current != nil {
+		return current.Version()
+	}
+	return 0
+}
+
+// OnActivate registers a function that is called with each new snapshot, in
+// order, from the service's loop. It must not block. If a snapshot is in force
+// already, the function is called with it at once.
+func (s *Service) OnActivate(callback func(*dynamic.Snapshot)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callbacks = append(s.callbacks, callback)
+	if current := s.Current(); current != nil {
+		callback(current)
+	}
+}
+
+// OnConfigItem implements gossip.Subscriber for topic config.
+func (s *Service) OnConfigItem(item gossip.Item) {
+	a, err := decodeAnnouncement(item.Payload)
+	if err != nil {
+		s.logger.WithError(err).Warn("malformed announcement")
+		return
+	}
+	if a.Lease == readerLeasePrefix+s.o.Region {
+		raise(&s.fence, a.Fence)
+	}
+	s.loop.Submit(context.Background(), Announced{Announcement: a})
+}
+
+func raise(value *atomic.Uint64, to uint64) {
+	for current := value.Load(); current < to; current = value.Load() {
+		if value.CompareAndSwap(current, to) {
+			return
+		}
+	}
+}
+
+// Execute implements reducer.Executor.
+func (s *Service) Execute(ctx context.Context, effect Effect) {
+	switch e := effect.(type) {
+	case Pull:
+		s.background.Go(func() { s.pull(ctx) })
+	case Fetch:
+		s.background.Go(func() { s.reader.fetch(ctx, e.Version) })
+	case Activate:
+		s.activate(e.Version)
+	case Drop:
+		s.versions.drop(e.Version)
+	case Publish:
+		s.o.Publisher.Publish(gossip.Item{Topic: gossip.Config, Key: configItemKey, Payload: encode(e.Announcement)})
+	case StartReading:
+		s.reader.start(ctx)
+	case StopReading:
+		s.reader.stop()
+	case WriteBack:
+		s.background.Go(func() { s.reader.writeBack(ctx, e) })
+	case Report:
+		s.o.Timeline.Record(e.Event)
+	}
+}
+
+// activate swaps in a prepared version. The versions refuse anything that is
+// not above the version in force, whatever the reducer decided.
+func (s *Service) activate(id Version) {
+	c := s.versions.activate(id)
+	if c == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshot.Store(c.snapshot)
+	for _, callback := range s.callbacks {
+		callback(c.snapshot)
+	}
+}
+
+func (s *Service) peers() []string { return slices.Clone(s.o.Peers()) }
+
+// awaitVersion waits until a version of at least number is in force.
+func (s *Service) awaitVersion(ctx context.Context, number uint64) error {
+	for {
+		active, raised := s.versions.current()
+		if active != nil && active.manifest.Version >= number {
+			return nil
+		}
+		select {
+		case <-raised:
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "wait for version %d", number)
+		}
+	}
+}
+
+// noteHead remembers the change ids of the newest head.
+func (s *Service) noteHead(h head) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = mergeChanges(h.Changes, s.changes)
+}
+
+// mergeChanges returns the newest changes of both lists, oldest first.
+func mergeChanges(a, b []change) []change {
+	all := lo.UniqBy(slices.Concat(a, b), func(c change) string { return c.ID })
+	slices.SortStableFunc(all, func(x, y change) int { return int(int64(x.Version) - int64(y.Version)) })
+	return all[max(0, len(all)-keptChanges):]
+}
