Add the operator's command azurespringctl

Cause: operators apply lists and look at moves, reports and time lines from scripts and by hand. Change: pkg/ctl with validate, apply, get, moves, report, timeline, version and completion; apply generates a change id and sends the same change again while its outcome is unknown; -wait polls every member; documented exit codes; several node addresses are tried in order. Conclusion: a lost answer neither fails a change nor applies it under two ids.

--- /dev/null
+++ b/cmd/azurespringctl/main.go
@@ -0,0 +1,18 @@
+// Command azurespringctl is the operator's command.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/azurespring/azurespring/pkg/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Run(ctx, ctl.Process{Args: os.Args[1:], Env: os.Environ(), Stdout: os.Stdout, Stderr: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/pkg/ctl/ctl_test.go
@@ -0,0 +1,265 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/admin"
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/ctl"
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+// node is the administration API of one node over a configuration of its own.
+type node struct {
+	*httptest.Server
+	mu sync.Mutex
+	// loseReplies is the number of applies that take effect but whose answer is lost.
+	loseReplies int
+	// behind is the number of status requests for which the node has no version yet.
+	behind   int
+	applyErr error
+	ids      []string
+	current  *dynamic.Snapshot
+	members  []membership.Member
+	moves    [][]move.State
+	events   []timeline.Event
+}
+
+func startNode(t *testing.T) *node {
+	n := &node{}
+	n.Server = httptest.NewServer(admin.New(admin.Options{Configurations: n, Members: n, Moves: n, Reports: n, Events: n}))
+	t.Cleanup(n.Close)
+	n.members = []membership.Member{{Instance: "a", AdminAddress: n.Listener.Addr().String(), State: membership.Alive}}
+	return n
+}
+
+func (n *node) Apply(_ context.Context, config dynamic.Config, id string, _ uint64) (uint64, bool, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.applyErr != nil {
+		return 0, false, n.applyErr
+	}
+	n.ids = append(n.ids, id)
+	if n.loseReplies > 0 {
+		n.loseReplies--
+		panic(http.ErrAbortHandler)
+	}
+	parts, err := dynamic.Split(config)
+	if err != nil {
+		return 0, false, err
+	}
+	n.current, err = dynamic.Compile(dynamic.NewManifest(7, parts), config)
+	return 7, len(n.ids) > 1, err
+}
+
+func (n *node) Current() *dynamic.Snapshot {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.current != nil && n.behind > 0 {
+		n.behind--
+		return nil
+	}
+	return n.current
+}
+
+func (n *node) View() *membership.View   { return &membership.View{Members: n.members} }
+func (n *node) Events() []timeline.Event { return n.events }
+
+// States returns the states one after the other, and the last again and again.
+func (n *node) States() []move.State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	states := n.moves[0]
+	if len(n.moves) > 1 {
+		n.moves = n.moves[1:]
+	}
+	return states
+}
+
+func (n *node) Report(_ context.Context, department string, since time.Time) ([]admin.Period, error) {
+	return []admin.Period{{Start: since, Good: 9990, Bad: 10, Share: 0.999, Promised: 0.9995, Complete: true}}, nil
+}
+
+// refused is the address of a port on which nothing listens.
+func refused(t *testing.T) string {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	return server.Listener.Addr().String()
+}
+
+type result struct {
+	code           int
+	stdout, stderr string
+}
+
+func run(env []string, args ...string) result {
+	var stdout, stderr bytes.Buffer
+	code := ctl.Run(context.Background(), ctl.Process{Args: args, Env: env, Stdout: &stdout, Stderr: &stderr})
+	return result{code, stdout.String(), stderr.String()}
+}
+
+func (r result) check(t *testing.T, code int, texts ...string) {
+	t.Helper()
+	assert.Equal(t, r.code, code, "%+v", r)
+	for _, text := range texts {
+		assert.Assert(t, strings.Contains(r.stdout+r.stderr, text), "no %q in %+v", text, r)
+	}
+}
+
+func nodes(addresses ...string) []string {
+	return []string{"AZURESPRING_NODES=" + strings.Join(addresses, ","), "AZURESPRING_INSTANCE=x"}
+}
+
+const (
+	customerFile    = "../../examples/council/customers.yaml"
+	entitlementFile = "../../examples/council/entitlements.yaml"
+)
+
+// Guards against a lost answer that makes a change fail, or run under two ids,
+// and against a first node that is down.
+func TestApplyRetriesUnderTheSameID(t *testing.T) {
+	n := startNode(t)
+	n.loseReplies = 2
+	r := run(nodes(refused(t), n.URL), "apply", customerFile, "-wait", entitlementFile)
+	r.check(t, ctl.ExitOK, "Version 7 was accepted by an earlier attempt", "service/payments added", "in force on all 1 nodes", "trying again with change id "+n.ids[0])
+	assert.Equal(t, len(n.ids), 3)
+	assert.Equal(t, n.ids[0], n.ids[1])
+	assert.Equal(t, n.ids[0], n.ids[2])
+}
+
+// Guards against exit codes that scripts cannot rely on, and messages without the next step.
+func TestApplyExitCodes(t *testing.T) {
+	broken := filepath.Join(t.TempDir(), "broken.yaml")
+	assert.NilError(t, os.WriteFile(broken, []byte("apiVersion: azurespring/v1\nkind: EntitlementList\n"), 0o600))
+	down := refused(t)
+	for _, test := range []struct {
+		name  string
+		setup func(n *node)
+		args  []string
+		code  int
+		want  string
+	}{
+		{"accepted", func(*node) {}, nil, ctl.ExitOK, "Version 7 was accepted"},
+		{"dry run", func(*node) {}, []string{"-dry-run"}, ctl.ExitOK, "these entries would change"},
+		{"conflict", func(n *node) {
+			n.applyErr = &admin.ConflictError{BaseVersion: 6, CurrentVersion: 8, Entries: []string{"service/assets"}}
+		}, nil, ctl.ExitConflict, "Entries that somebody else changed: service/assets"},
+		{"outcome unknown", func(n *node) { n.loseReplies = 1 << 30 }, []string{"-retry-for", "300ms", "-change-id", "change-42"}, ctl.ExitOutcomeUnknown, "-change-id change-42"},
+		{"unknown outcome at the node", func(n *node) { n.applyErr = &admin.OutcomeUnknownError{Cause: errors.New("lost")} }, []string{"-retry-for", "300ms"}, ctl.ExitOutcomeUnknown, "never applied twice"},
+		{"platform down", func(n *node) { n.applyErr = errors.New("no route") }, []string{"-retry-for", "300ms"}, ctl.ExitUnavailable, "the change was not accepted: no route"},
+		{"no node", func(*node) {}, []string{"-nodes", down}, ctl.ExitUnavailable, "no node answered"},
+		{"invalid", func(*node) {}, []string{broken}, ctl.ExitInvalidLists, "broken.yaml:1: services: is required"},
+		{"missing file", func(*node) {}, []string{broken + "2"}, ctl.ExitUsage, "no such file"},
+		{"unknown flag", func(*node) {}, []string{"-colour"}, ctl.ExitUsage, "apply -help"},
+		{"not in force", func(n *node) { n.behind = 1 << 30 }, []string{"-wait", "-wait-for", "300ms"}, ctl.ExitNotInForce, "missing: a"},
+		{"in force later", func(n *node) { n.behind = 2 }, []string{"-wait"}, ctl.ExitOK, "in force on all 1 nodes"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := startNode(t)
+			test.setup(n)
+			args := append([]string{"apply", customerFile, entitlementFile}, test.args...)
+			run(nodes(n.URL), args...).check(t, test.code, test.want)
+		})
+	}
+}
+
+// Guards against lists that cannot be read from one system and checked again.
+func TestGetAndValidate(t *testing.T) {
+	n := startNode(t)
+	run(nodes(n.URL), "apply", customerFile, entitlementFile).check(t, ctl.ExitOK)
+	got := run(nodes(n.URL), "get")
+	got.check(t, ctl.ExitOK, "# azurespring configuration version 7")
+	file := filepath.Join(t.TempDir(), "lists.yaml")
+	assert.NilError(t, os.WriteFile(file, []byte(got.stdout), 0o600))
+	run(nil, "validate", file).check(t, ctl.ExitOK, "The lists are valid.")
+	run(nodes(n.URL), "validate", file).check(t, ctl.ExitOK, "Compared with version 7 in force:\n  no entry differs")
+	run(nodes(n.URL), "get", "members").check(t, ctl.ExitOK, "alive")
+	run(nodes(n.URL), "get", "status", "-o", "json").check(t, ctl.ExitOK, `"configVersion": 7`)
+	run(nil, "get").check(t, ctl.ExitUsage, "AZURESPRING_NODES")
+	run(nodes(n.URL), "get", "nothing").check(t, ctl.ExitUsage)
+}
+
+// Guards against a watch that ends too early, misses a change or hides that a
+// move was taken back.
+func TestMovesWatch(t *testing.T) {
+	running := move.State{Service: "stock", From: "1", To: "2", Phase: move.Running, Share: 100}
+	further, done, back := running, running, running
+	further.Share = 2000
+	done.Phase, done.Share = move.Done, move.ShareUnit
+	back.Phase, back.Share, back.Reason = move.TakenBack, 0, "route check failed"
+	for _, test := range []struct {
+		name  string
+		moves [][]move.State
+		code  int
+		want  []string
+	}{
+		{"done", [][]move.State{nil, {running}, {further}, {done}}, ctl.ExitOK, []string{"running, 1% of", "running, 20% of", "done, 100% of"}},
+		{"taken back", [][]move.State{{running}, {back}}, ctl.ExitTakenBack, []string{"taken back: stock to 2 (route check failed)", "What to do"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := startNode(t)
+			n.moves = test.moves
+			run(nodes(n.URL), "moves", "-watch", "-interval", "1ms", "stock").check(t, test.code, test.want...)
+		})
+	}
+}
+
+// Guards against reports that misstate a promise or let a name in as markup.
+func TestReport(t *testing.T) {
+	n := startNode(t)
+	run(nodes(n.URL), "apply", customerFile, entitlementFile).check(t, ctl.ExitOK)
+	run(nodes(n.URL), "report", "treasury", "-since", "2026-05-01T00:00:00Z").check(t, ctl.ExitOK, "2026-05-01", "9990", "99.9%", "99.95%", "no")
+	run(nodes(n.URL), "report", "treasury", "-o", "html").check(t, ctl.ExitOK, `<tr class="broken">`)
+	run(nodes(n.URL), "report", "treasury", "-o", "json").check(t, ctl.ExitOK, `"held": false`)
+	run(nodes(n.URL), "report", "nobody").check(t, ctl.ExitFailure, "there is no department nobody")
+	run(nodes(n.URL), "report", "treasury", "-since", "soon").check(t, ctl.ExitUsage)
+}
+
+// Guards against events that are lost, shown twice or out of order when they
+// come from several nodes or files.
+func TestTimeline(t *testing.T) {
+	a, b := startNode(t), startNode(t)
+	event := func(millis int64, instance string, kind timeline.Kind) timeline.Event {
+		return timeline.Event{Time: timeline.Timestamp{Millis: millis}, Instance: instance, Kind: kind, ConfigVersion: 4}
+	}
+	a.events = []timeline.Event{event(1, "a", "accepted"), event(3, "a", "activated")}
+	b.events = []timeline.Event{event(2, "b", "activated"), event(4, "b", "left")}
+	a.members = append(a.members, membership.Member{Instance: "b", AdminAddress: b.Listener.Addr().String()},
+		membership.Member{Instance: "c", AdminAddress: refused(t)})
+	r := run(nodes(a.URL), "timeline", "-limit", "3", "-o", "json")
+	r.check(t, ctl.ExitOK, "events are missing")
+	events, _, err := timeline.ReadLog(strings.NewReader(r.stdout))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, events, []timeline.Event{b.events[0], a.events[1], b.events[1]})
+	file := filepath.Join(t.TempDir(), "log")
+	assert.NilError(t, os.WriteFile(file, []byte(r.stdout), 0o600))
+	fromFile := run(nil, "timeline", "-kind", "activated", file, file)
+	fromFile.check(t, ctl.ExitOK, "configVersion=4")
+	assert.Equal(t, strings.Count(fromFile.stdout, "activated"), 2)
+}
+
+// Guards against commands and flags that help and completion do not know.
+func TestHelpAndCompletion(t *testing.T) {
+	run(nil, "completion", "bash").check(t, ctl.ExitOK, "validate apply get moves report timeline version completion help", "-change-id")
+	run(nil, "help").check(t, ctl.ExitOK, "5  it is not known")
+	run(nil, "help", "apply").check(t, ctl.ExitOK, "azurespringctl apply -base 41", "AZURESPRING_NODES")
+	run(nil, "moves", "-help").check(t, ctl.ExitOK, "-evidence")
+	run(nil, "version").check(t, ctl.ExitOK, "azurespringctl ")
+	run(nil).check(t, ctl.ExitUsage)
+	run(nil, "aply").check(t, ctl.ExitUsage, "there is no command")
+	run(nil, "get", "-o", "html").check(t, ctl.ExitUsage)
+}
--- /dev/null
+++ b/pkg/ctl/moves.go
@@ -0,0 +1,160 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/azurespring/azurespring/pkg/admin"
+)
+
+var movesCommand = command{
+	name: "moves", arguments: "[SERVICE...]", summary: "Show moves to new target versions",
+	description: "With -watch, changes are shown until every shown move is done or taken back. The exit\n" +
+		"code then says whether one was taken back.",
+	examples:   []string{"moves", "moves -evidence stock", "moves -watch stock prices"},
+	needsNodes: true,
+	make:       func() runner { return &moves{} },
+}
+
+// defaultMovesInterval is the time between two looks of moves -watch.
+const defaultMovesInterval = 2 * time.Second
+
+type moves struct {
+	watch    bool
+	evidence bool
+	interval time.Duration
+}
+
+func (m *moves) define(flags *flag.FlagSet) {
+	flags.BoolVar(&m.watch, "watch", false, "show changes until every move has ended")
+	flags.BoolVar(&m.evidence, "evidence", false, "show the evidence of each route")
+	flags.DurationVar(&m.interval, "interval", defaultMovesInterval, "`duration` between two looks of -watch")
+}
+
+func (m *moves) run(ctx context.Context, s *session, services []string) error {
+	c, err := s.client()
+	if err != nil {
+		return err
+	}
+	if m.interval <= 0 {
+		return usageError("-interval must be above 0")
+	}
+	if m.watch {
+		return m.follow(ctx, s, c, services)
+	}
+	shown, err := fetchMoves(ctx, c, services)
+	if err != nil {
+		return err
+	}
+	return s.print(shown, func(w io.Writer) { m.print(w, shown) })
+}
+
+func fetchMoves(ctx context.Context, c *client, services []string) ([]admin.Move, error) {
+	var all []admin.Move
+	if err := c.get(ctx, "/v1/moves", &all); err != nil {
+		return nil, err
+	}
+	return lo.Filter(all, func(move admin.Move, _ int) bool {
+		return len(services) == 0 || slices.Contains(services, move.State.Service)
+	}), nil
+}
+
+func (m *moves) print(w io.Writer, shown []admin.Move) {
+	if len(shown) == 0 {
+		fmt.Fprintln(w, "There are no moves.")
+		return
+	}
+	table(w, "SERVICE\tFROM\tTO\tPHASE\tSHARE\tFINISH BY\tREASON", shown, func(move admin.Move) []any {
+		return []any{
+			move.State.Service, move.State.From, move.State.To, move.Phase, percent(move.Share),
+			move.State.FinishBy.Format(time.RFC3339), move.State.Reason,
+		}
+	})
+}
+
+func percent(share float64) string {
+	text := fmt.Sprintf("%.4f", share*100)
+	return strings.TrimSuffix(strings.TrimRight(text, "0"), ".") + "%"
+}
+
+// follow prints each change of the moves until all have ended.
+func (m *moves) follow(ctx context.Context, s *session, c *client, services []string) error {
+	last := make(map[string]string)
+	for {
+		shown, err := fetchMoves(ctx, c, services)
+		if err != nil {
+			return err
+		}
+		if err := m.printChanged(s, shown, last); err != nil {
+			return err
+		}
+		if allEnded(shown, services) {
+			return takenBack(shown)
+		}
+		if !pause(ctx, m.interval) {
+			return ctx.Err()
+		}
+	}
+}
+
+// printChanged prints the moves that differ from last, one line each.
+func (m *moves) printChanged(s *session, shown []admin.Move, last map[string]string) error {
+	var changed []admin.Move
+	for _, move := range shown {
+		key := move.State.Service + "/" + move.State.To
+		text := fmt.Sprint(move.Phase, move.Share, move.State.Reason)
+		if last[key] != text {
+			last[key] = text
+			changed = append(changed, move)
+		}
+	}
+	if s.options.output == outputJSON {
+		encoder := json.NewEncoder(s.Stdout)
+		for _, move := range changed {
+			if err := encoder.Encode(move); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	for _, move := range changed {
+		fmt.Fprintf(s.Stdout, "%s %s -> %s: %s, %s of traffic, finish by %s %s\n", move.State.Service, move.State.From,
+			move.State.To, move.Phase, percent(move.Share), move.State.FinishBy.Format(time.RFC3339), move.State.Reason)
+	}
+	return nil
+}
+
+// allEnded reports whether no move runs and each named service has one.
+func allEnded(shown []admin.Move, services []string) bool {
+	for _, service := range services {
+		if !slices.ContainsFunc(shown, func(m admin.Move) bool { return m.State.Service == service }) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(shown, func(m admin.Move) bool { return m.Phase == "running" })
+}
+
+func takenBack(shown []admin.Move) error {
+	var names []string
+	for _, move := range shown {
+		if move.Phase == "taken-back" {
+			names = append(names, fmt.Sprintf("%s to %s (%s)", move.State.Service, move.State.To, move.State.Reason))
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	return &failure{
+		Code: ExitTakenBack, Message: "taken back: " + strings.Join(names, ", "),
+		Advice: "All traffic is on the old version. Repair the new one and start it under another version name; " +
+			"see azurespringctl moves -evidence.",
+	}
+}
