Show the evidence of moves per route and version

Cause: the moves now carry evidence, and the numeric phase of the internal state is of no use to operators. Change: /v1/moves answers a flat view with phase, share and evidence; numbers that JSON cannot hold are bounded; azurespringctl moves -evidence shows them. Conclusion: an infinite test ratio no longer makes /v1/moves fail.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -45,7 +46,7 @@
 func (f *fake) Ready() error               { return f.notReady }
 func (f *fake) View() *membership.View     { return &membership.View{Members: members} }
 func (f *fake) States() []move.State {
-	return []move.State{{Service: "stock", Phase: move.TakenBack, Share: 500}}
+	return states
 }
 func (f *fake) Events() []timeline.Event { return events }
 func (f *fake) Report(context.Context, string, time.Time) ([]admin.Period, error) {
@@ -53,6 +54,9 @@
 }
 
 var (
+	states = []move.State{{Service: "stock", Phase: move.TakenBack, Share: 500, Routes: []move.RouteEvidence{
+		{Route: "check", New: move.Counts{Good: 3, Slow: 2}, Ratio: math.Inf(1), Rate: math.NaN()},
+	}}}
 	members = []membership.Member{{
 		Instance: "a", State: membership.Suspect,
 		Targets: []membership.Target{{ID: "t", Service: "stock", State: membership.Draining}},
@@ -195,6 +199,7 @@
 		{"/v1/targets", 200, `"state":"draining"`},
 		{"/v1/targets?service=hires", 200, `[]`},
 		{"/v1/moves", 200, `"phase":"taken-back","share":0.05`},
+		{"/v1/moves", 200, `"new":{"good":3,"failed":0,"slow":2,`},
 		{"/v1/status", 200, `"notReady":"joining","configVersion":5`},
 		{"/v1/timeline?configVersion=7&limit=1", 200, `"event":"second"`},
 		{"/v1/timeline?limit=0", 422, `"field":"query.limit"`},
--- a/pkg/admin/views.go
+++ b/pkg/admin/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -86,10 +87,30 @@
 
 // Move is the state of one move with its evidence.
 type Move struct {
-	Phase string  `json:"phase" enum:"running,done,taken-back"`
-	Share float64 `json:"share" doc:"Share of traffic on the new version, 0 to 1"`
-	// State is the state as the deciders exchange it; State.Share counts 1/10,000.
-	State move.State `json:"state"`
+	Service  string    `json:"service"`
+	From     string    `json:"from"`
+	To       string    `json:"to"`
+	FinishBy time.Time `json:"finishBy"`
+	Phase    string    `json:"phase" enum:"running,done,taken-back"`
+	Share    float64   `json:"share" doc:"Share of traffic on the new version, 0 to 1"`
+	// Held is set while the step lasts longer than planned; Reason says why.
+	Held     bool       `json:"held"`
+	Reason   string     `json:"reason,omitempty"`
+	Started  time.Time  `json:"started"`
+	Entered  time.Time  `json:"entered" doc:"When the share was set"`
+	Decider  string     `json:"decider,omitempty" doc:"Instance that decided last"`
+	Evidence []Evidence `json:"evidence"`
+}
+
+// Evidence is what is known of one route in a move, since the move began.
+type Evidence struct {
+	Route      string      `json:"route" doc:"Empty for all routes of the service together"`
+	Department string      `json:"department,omitempty"`
+	Old        move.Counts `json:"old"`
+	New        move.Counts `json:"new"`
+	// Ratio and Rate are the log likelihood ratios of the two sequential tests.
+	Ratio float64 `json:"ratio"`
+	Rate  float64 `json:"rate"`
 }
 
 // Period is what became of a department's promise in one period.
@@ -190,9 +211,29 @@
 	if s.options.Moves == nil {
 		return nil, missing("moves")
 	}
-	return &body[[]Move]{lo.Map(s.options.Moves.States(), func(state move.State, _ int) Move {
-		return Move{Phase: phases[state.Phase], Share: float64(state.Share) / move.ShareUnit, State: state}
-	})}, nil
+	return &body[[]Move]{lo.Map(s.options.Moves.States(), func(state move.State, _ int) Move { return viewOf(state) })}, nil
+}
+
+func viewOf(s move.State) Move {
+	return Move{
+		Service: s.Service, From: s.From, To: s.To, FinishBy: s.FinishBy, Phase: phases[s.Phase],
+		Share: float64(s.Share) / move.ShareUnit, Held: s.Held, Reason: s.Reason,
+		Started: s.Started, Entered: s.Entered, Decider: s.Decider,
+		Evidence: lo.Map(s.Routes, func(e move.RouteEvidence, _ int) Evidence {
+			return Evidence{
+				Route: e.Route, Department: e.Department, Old: e.Old, New: e.New,
+				Ratio: finite(e.Ratio), Rate: finite(e.Rate),
+			}
+		}),
+	}
+}
+
+// finite bounds a number so that JSON can hold it.
+func finite(n float64) float64 {
+	if math.IsNaN(n) {
+		return 0
+	}
+	return max(-math.MaxFloat64, min(math.MaxFloat64, n))
 }
 
 type reportRequest struct {
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -218,6 +218,18 @@
 	}
 }
 
+// Guards against evidence that cannot be told apart by route and version.
+func TestMovesEvidence(t *testing.T) {
+	n := startNode(t)
+	n.moves = [][]move.State{{{Service: "stock", From: "1", To: "2", Held: true, Reason: "too few calls", Routes: []move.RouteEvidence{
+		{Old: move.Counts{Good: 70}, New: move.Counts{Good: 30}},
+		{Route: "check", Department: "warehouse", New: move.Counts{Good: 30, Crashed: 4}},
+	}}}}
+	run(nodes(n.URL), "moves", "-evidence").check(t, ctl.ExitOK, "stock    (all)  -           1        70", "stock    check  warehouse   2        30    0       0     4")
+	run(nodes(n.URL), "moves").check(t, ctl.ExitOK, "held: too few calls")
+	run(nodes(n.URL), "moves", "hires").check(t, ctl.ExitOK, "There are no moves.")
+}
+
 // Guards against reports that misstate a promise or let a name in as markup.
 func TestReport(t *testing.T) {
 	n := startNode(t)
--- a/pkg/ctl/moves.go
+++ b/pkg/ctl/moves.go
@@ -13,6 +13,7 @@
 	"github.com/samber/lo"
 
 	"github.com/azurespring/azurespring/pkg/admin"
+	"github.com/azurespring/azurespring/pkg/move"
 )
 
 var movesCommand = command{
@@ -63,7 +64,7 @@
 		return nil, err
 	}
 	return lo.Filter(all, func(move admin.Move, _ int) bool {
-		return len(services) == 0 || slices.Contains(services, move.State.Service)
+		return len(services) == 0 || slices.Contains(services, move.Service)
 	}), nil
 }
 
@@ -72,14 +73,55 @@
 		fmt.Fprintln(w, "There are no moves.")
 		return
 	}
+	if m.evidence {
+		printEvidence(w, shown)
+		return
+	}
 	table(w, "SERVICE\tFROM\tTO\tPHASE\tSHARE\tFINISH BY\tREASON", shown, func(move admin.Move) []any {
 		return []any{
-			move.State.Service, move.State.From, move.State.To, move.Phase, percent(move.Share),
-			move.State.FinishBy.Format(time.RFC3339), move.State.Reason,
+			move.Service, move.From, move.To, move.Phase, percent(move.Share),
+			move.FinishBy.Format(time.RFC3339), reasonOf(move),
 		}
 	})
 }
 
+// reasonOf returns why a move is not as planned.
+func reasonOf(move admin.Move) string {
+	if move.Held {
+		return "held: " + move.Reason
+	}
+	return move.Reason
+}
+
+// printEvidence prints one line per move, route and version.
+func printEvidence(w io.Writer, shown []admin.Move) {
+	type line struct {
+		move     admin.Move
+		evidence admin.Evidence
+	}
+	lines := lo.FlatMap(shown, func(move admin.Move, _ int) []line {
+		return lo.Map(move.Evidence, func(e admin.Evidence, _ int) line { return line{move, e} })
+	})
+	if len(lines) == 0 {
+		fmt.Fprintln(w, "There is no evidence yet.")
+		return
+	}
+	table(w, "SERVICE\tROUTE\tDEPARTMENT\tVERSION\tGOOD\tFAILED\tSLOW\tCRASHED\tREFUSED", lo.FlatMap(lines,
+		func(l line, _ int) [][]any {
+			return [][]any{
+				evidenceRow(l.move.Service, l.move.From, l.evidence, l.evidence.Old),
+				evidenceRow(l.move.Service, l.move.To, l.evidence, l.evidence.New),
+			}
+		}), func(row []any) []any { return row })
+}
+
+func evidenceRow(service, version string, e admin.Evidence, c move.Counts) []any {
+	return []any{
+		service, lo.CoalesceOrEmpty(e.Route, "(all)"), lo.CoalesceOrEmpty(e.Department, "-"), version,
+		c.Good, c.Failed, c.Slow, c.Crashed, c.Refused,
+	}
+}
+
 func percent(share float64) string {
 	text := fmt.Sprintf("%.4f", share*100)
 	return strings.TrimSuffix(strings.TrimRight(text, "0"), ".") + "%"
@@ -109,8 +151,8 @@
 func (m *moves) printChanged(s *session, shown []admin.Move, last map[string]string) error {
 	var changed []admin.Move
 	for _, move := range shown {
-		key := move.State.Service + "/" + move.State.To
-		text := fmt.Sprint(move.Phase, move.Share, move.State.Reason)
+		key := move.Service + "/" + move.To
+		text := fmt.Sprint(move.Phase, move.Share, move.Held, move.Reason)
 		if last[key] != text {
 			last[key] = text
 			changed = append(changed, move)
@@ -126,8 +168,8 @@
 		return nil
 	}
 	for _, move := range changed {
-		fmt.Fprintf(s.Stdout, "%s %s -> %s: %s, %s of traffic, finish by %s %s\n", move.State.Service, move.State.From,
-			move.State.To, move.Phase, percent(move.Share), move.State.FinishBy.Format(time.RFC3339), move.State.Reason)
+		fmt.Fprintf(s.Stdout, "%s %s -> %s: %s, %s of traffic, finish by %s %s\n", move.Service, move.From,
+			move.To, move.Phase, percent(move.Share), move.FinishBy.Format(time.RFC3339), reasonOf(move))
 	}
 	return nil
 }
@@ -135,7 +177,7 @@
 // allEnded reports whether no move runs and each named service has one.
 func allEnded(shown []admin.Move, services []string) bool {
 	for _, service := range services {
-		if !slices.ContainsFunc(shown, func(m admin.Move) bool { return m.State.Service == service }) {
+		if !slices.ContainsFunc(shown, func(m admin.Move) bool { return m.Service == service }) {
 			return false
 		}
 	}
@@ -146,7 +188,7 @@
 	var names []string
 	for _, move := range shown {
 		if move.Phase == "taken-back" {
-			names = append(names, fmt.Sprintf("%s to %s (%s)", move.State.Service, move.State.To, move.State.Reason))
+			names = append(names, fmt.Sprintf("%s to %s (%s)", move.Service, move.To, move.Reason))
 		}
 	}
 	if len(names) == 0 {
