--- /dev/null
+++ b/pkg/ctl/docs_test.go
@@ -0,0 +1,114 @@
+package ctl_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/config/static"
+)
+
+var (
+	helpFlag    = regexp.MustCompile(`(?m)^  -([a-z-]+)`)
+	codeSpan    = regexp.MustCompile("`([^`]+)`")
+	flagInCode  = regexp.MustCompile(`(?:^| )-([a-z][a-z-]*)`)
+	settingsRow = regexp.MustCompile("(?m)^\\| `-([a-z-]+)` \\| `([A-Z_]+)` \\| ([^|]+) \\|")
+	defaultText = regexp.MustCompile(`\(default ([^)]+)\)`)
+)
+
+func page(t *testing.T, name string) string {
+	data, err := os.ReadFile(filepath.Join("../../docs/operators", name))
+	assert.NilError(t, err)
+	return string(data)
+}
+
+func nodeHelp(t *testing.T) string {
+	var help bytes.Buffer
+	_, err := static.Load([]string{"-help"}, nil, &help)
+	assert.ErrorContains(t, err, "help requested")
+	return help.String()
+}
+
+func flagsIn(help string) []string {
+	var flags []string
+	for _, match := range helpFlag.FindAllStringSubmatch(help, -1) {
+		flags = append(flags, match[1])
+	}
+	slices.Sort(flags)
+	return flags
+}
+
+// Guards against settings that are undocumented, gone, or documented with a
+// wrong variable or default.
+func TestSettingsPage(t *testing.T) {
+	help := nodeHelp(t)
+	documented := []string{"print-config", "version"}
+	for _, row := range settingsRow.FindAllStringSubmatch(page(t, "settings.md"), -1) {
+		name, variable, fallback := row[1], row[2], row[3]
+		documented = append(documented, name)
+		assert.Equal(t, variable, static.EnvName(name))
+		_, rest, ok := strings.Cut(help, "  -"+name+" ")
+		assert.Assert(t, ok, "no flag -%s", name)
+		entry, _, _ := strings.Cut(rest, "\n  -")
+		if match := defaultText.FindStringSubmatch(entry); match != nil && name != "instance" {
+			assert.Equal(t, fallback, "`"+match[1]+"`", name)
+		}
+		assert.Equal(t, fallback == "required", strings.Contains(entry, "(required)"), name)
+	}
+	slices.Sort(documented)
+	assert.DeepEqual(t, documented, flagsIn(help))
+}
+
+// Guards against commands and flags that are undocumented or documented for
+// another command.
+func TestCommandsPage(t *testing.T) {
+	general, rest, _ := strings.Cut(page(t, "commands.md"), "\n## ")
+	for _, section := range strings.Split(rest, "\n## ") {
+		name, text, _ := strings.Cut(section, "\n")
+		if name == "Exit codes" {
+			continue
+		}
+		help := run(nil, "help", name)
+		assert.Equal(t, help.code, 0, name)
+		for _, flag := range flagsIn(help.stdout) {
+			assert.Assert(t, strings.Contains(general+text, "| `-"+flag+"` |"), "%s -%s is not documented", name, flag)
+		}
+	}
+	script := run(nil, "completion", "bash").stdout
+	for _, command := range strings.Fields("validate apply get moves report timeline version completion") {
+		assert.Assert(t, strings.Contains(script, command) && strings.Contains(rest, command+"\n"), command)
+	}
+}
+
+// Guards against pages that name a command or flag that does not exist.
+func TestPagesNameExistingFlags(t *testing.T) {
+	paths, err := filepath.Glob("../../docs/operators/*.md")
+	assert.NilError(t, err)
+	assert.Assert(t, len(paths) >= 8)
+	known := flagsIn(nodeHelp(t))
+	for _, command := range strings.Fields("validate apply get moves report timeline version completion") {
+		known = append(known, flagsIn(run(nil, "help", command).stdout)...)
+	}
+	known = append(known, "help")
+	for _, path := range paths {
+		text := strings.ReplaceAll(page(t, filepath.Base(path)), "```", "")
+		for _, span := range codeSpan.FindAllStringSubmatch(text, -1) {
+			code := strings.Join(strings.Fields(span[1]), " ")
+			allowed := known
+			if words := strings.Fields(code); len(words) > 1 && words[0] == "azurespringctl" {
+				help := run(nil, "help", words[1])
+				assert.Equal(t, help.code, 0, "%s: %s", path, code)
+				allowed = append(flagsIn(help.stdout), "help")
+			}
+			for _, flag := range flagInCode.FindAllStringSubmatch(code, -1) {
+				assert.Assert(t, slices.Contains(allowed, flag[1]), "%s: no flag -%s in %q", path, flag[1], code)
+			}
+		}
+	}
+}
