--- a/internal/testtarget/serve.go
+++ b/internal/testtarget/serve.go
@@ -75,6 +75,10 @@
 	if behavior.Silent || r.Header.Get(HeaderSilent) != "" {
 		t.waitSilent(r)
 	}
+	if depth, _ := strconv.Atoi(r.Header.Get(HeaderDepth)); depth > 0 {
+		t.callNested(w, r, depth)
+		return
+	}
 	if !t.work(r, behavior, slots) {
 		t.canceled.Add(1)
 		panic(http.ErrAbortHandler)
@@ -144,10 +148,6 @@
 		shed(w)
 		return
 	}
-	if depth, _ := strconv.Atoi(r.Header.Get(HeaderDepth)); depth > 0 {
-		t.callNested(w, r, depth)
-		return
-	}
 	if n, err := strconv.Atoi(r.Header.Get(HeaderChunks)); err == nil {
 		t.chunks(w, r, n)
 		return
--- a/pkg/proxy/crash.go
+++ b/pkg/proxy/crash.go
@@ -69,11 +69,17 @@
 	return c.Conn.Close()
 }
 
-// mark returns the number of the newest connection and how many are open.
-func (t *connTracker) mark() (newest uint64, open int) {
+// mark returns the number of the newest connection and whether any but failed
+// is open.
+func (t *connTracker) mark(failed *trackedConn) (newest uint64, others bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.next, len(t.open)
+	for conn := range t.open {
+		if conn != failed {
+			return t.next, true
+		}
+	}
+	return t.next, false
 }
 
 // closed reports whether all connections up to a number are closed.
@@ -92,17 +98,19 @@
 type crashCheck struct {
 	done    chan struct{}
 	crashed bool
+	// refused is set if the target accepts no connections.
+	refused bool
 }
 
 // crashed finds out whether the target's process ended, and if so counts the
 // crash against each call in flight. Calls that fail together share one check.
-func (s *TargetSide) crashed(target *localTarget, call *inFlight, _ *trackedConn) bool {
+func (s *TargetSide) crashed(target *localTarget, failed *trackedConn) bool {
 	target.mu.Lock()
 	check := target.crash
 	if check == nil {
 		check = &crashCheck{done: make(chan struct{})}
 		target.crash = check
-		go s.checkCrash(target, check)
+		go s.checkCrash(target, check, failed)
 	}
 	target.mu.Unlock()
 	<-check.done
@@ -112,17 +120,16 @@
 // checkCrash takes a target for crashed if it refuses connections, or if it
 // closed all of several ones. A single closed connection is not enough: servers
 // close one to abort an answer.
-func (s *TargetSide) checkCrash(target *localTarget, check *crashCheck) {
-	newest, open := target.conns.mark()
-	// The connection of the call that failed is already closed.
-	several := open > 0
+func (s *TargetSide) checkCrash(target *localTarget, check *crashCheck, failed *trackedConn) {
+	newest, several := target.conns.mark(failed)
 	deadline := time.NewTimer(crashWindow)
 	defer deadline.Stop()
 	poll := time.NewTicker(crashPoll)
 	defer poll.Stop()
 	for waiting := true; waiting; {
-		if refusesConnections(target.address) || (several && target.conns.closed(newest)) {
-			check.crashed = true
+		check.refused = refusesConnections(target.address)
+		check.crashed = check.refused || (several && target.conns.closed(newest))
+		if check.crashed {
 			break
 		}
 		select {
@@ -145,6 +152,9 @@
 	if check.crashed {
 		s.countCrash(target, calls, crashes)
 	}
+	if check.refused {
+		s.lost(target.record.Load().ID, target)
+	}
 	close(check.done)
 }
 
@@ -161,7 +171,6 @@
 		"target": record.ID, "service": record.Service, "version": record.Version,
 		"callsInFlight": strconv.Itoa(len(calls)),
 	}})
-	s.lost(record.ID, target)
 }
 
 // refused handles a target that did not accept a connection.
--- a/pkg/proxy/entry.go
+++ b/pkg/proxy/entry.go
@@ -197,6 +197,11 @@
 		}
 		return verdict.Refuse(verdict.BadRequest, "request body: %v", err)
 	}
+	if _, ok := c.body.whole(); !ok {
+		// Without this, net/http would read the rest of the body before it sends the
+		// answer's start. HTTP/2 always works both ways and reports an error.
+		_ = http.NewResponseController(c.w).EnableFullDuplex()
+	}
 	c.fillHead()
 	return nil
 }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -183,7 +183,11 @@
 	}
 	f.watch()
 	defer f.stall.Stop()
-	if err := f.out.start(head); err != nil {
+	err := f.out.start(head)
+	if err == nil && response.ContentLength < 0 {
+		err = f.out.write(nil, true)
+	}
+	if err != nil {
 		return f.notTaken(err)
 	}
 	var total int64
@@ -208,7 +212,7 @@
 
 func (f *forwarding) answerSmall(head *answerHead, response *http.Response, chunk []byte) *verdict.Error {
 	n, err := io.ReadFull(response.Body, chunk[:response.ContentLength])
-	if err == io.EOF && response.Request.Method == http.MethodHead || n == 0 && err == io.EOF && noBody(response.StatusCode) {
+	if err == io.EOF && !bodyAllowed(response.Request.Method, response.StatusCode) {
 		err = nil
 	}
 	if err != nil {
@@ -225,8 +229,9 @@
 	return f.finish(int64(n), response)
 }
 
-func noBody(status int) bool {
-	return status == http.StatusNoContent || status == http.StatusNotModified
+// bodyAllowed reports whether an answer with a Content-Length has a body.
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 func (f *forwarding) finish(total int64, response *http.Response) *verdict.Error {
@@ -269,7 +274,7 @@
 		f.side.refused(f.target, dial)
 		return failure
 	}
-	if connectionLost(err) && f.side.crashed(f.target, f.call, f.conn.Load()) {
+	if connectionLost(err) && f.side.crashed(f.target, f.conn.Load()) {
 		failure.Code, failure.Detail = verdict.TargetCrashed, "the target's process ended during the call"
 	}
 	return failure
--- a/pkg/proxy/remote.go
+++ b/pkg/proxy/remote.go
@@ -136,7 +136,11 @@
 	if head.ContentLength >= 0 && head.ContentLength <= smallAnswerBytes {
 		return x.receiveSmall(head, chunk)
 	}
-	if err := out.start(head); err != nil {
+	err := out.start(head)
+	if err == nil && head.ContentLength < 0 {
+		err = out.write(nil, true)
+	}
+	if err != nil {
 		return x.broken(err)
 	}
 	for {
@@ -171,6 +175,9 @@
 			return x.broken(err)
 		}
 	}
+	if bodyAllowed(x.call.r.Method, head.Status) && int64(total) != head.ContentLength {
+		return x.broken(errLength)
+	}
 	out := (*callerAnswer)(x.call)
 	if err := out.start(head); err != nil {
 		return x.broken(err)
