Spread calls of a move evenly instead of by customer

Cause: shares by a hash of the customer are all or nothing where a service has few customers; one customer gave a new version either no calls or all of them, so that a move had no evidence at 1%. Change: calls are spread by a low-discrepancy sequence per node and service; a service can ask for sticky customers; retries go to the old version. Before/after: one customer at a share of 1%: 0 or 10,000 of 10,000 calls before, 100 +- 1 after (TestShares). Conclusion: small shares are exact for any number of customers.

--- a/pkg/config/dynamic/config.go
+++ b/pkg/config/dynamic/config.go
@@ -52,6 +52,9 @@
 	Version string `cbor:"3,keyasint" json:"version" yaml:"version"`
 	// Move is nil if no move is wanted.
 	Move *Move `cbor:"4,keyasint" json:"move,omitempty" yaml:"move,omitempty"`
+	// Sticky keeps all calls of a customer on one version during a move. The
+	// shares are then exact only over many customers.
+	Sticky bool `cbor:"5,keyasint" json:"sticky,omitempty" yaml:"sticky,omitempty"`
 }
 
 // Route is one kind of call of a service.
--- a/pkg/config/dynamic/entries.go
+++ b/pkg/config/dynamic/entries.go
@@ -129,6 +129,9 @@
 	if v, ok := o.require("version"); ok {
 		service.Version = v.matching(versionPattern, versionRule)
 	}
+	if v, ok := o.field("sticky"); ok {
+		service.Sticky = v.boolean()
+	}
 	if v, ok := o.field("move"); ok {
 		if move := v.object(); move != nil {
 			service.Move = readMove(move, service.Version)
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,7 +27,7 @@
 	if s == nil {
 		return nil, verdict.Refuse(verdict.UnknownService, "no service is called %q", name)
 	}
-	p := s.poolFor(name, customer)
+	p := s.poolFor(name, customer, len(tried) > 0)
 	if p != nil {
 		if e := p.choose(tried, now.UnixNano()); e != nil {
 			return e, nil
@@ -39,21 +40,39 @@
 
 // poolFor chooses the version. Calls outside the new version's share never
 // reach it, even if the old version has no targets left, because a bad version
-// may receive only its share.
-func (s *service) poolFor(name, customer string) *pool {
+// may receive only its share. A retry goes to the old version, so that it
+// neither adds to that share nor meets the same fault twice.
+func (s *service) poolFor(name, customer string, retry bool) *pool {
 	if s.split == nil {
 		return s.versions[s.version]
 	}
-	if Bucket(customer, name) < s.split.Share {
-		if p := s.versions[s.split.To]; p != nil {
-			return p
-		}
+	if p := s.versions[s.split.To]; p != nil && s.position(name, customer, retry) < s.split.Share {
+		return p
 	}
 	return s.versions[s.split.From]
 }
 
-// Bucket returns the position of a customer in the shares of a service, from 0
-// to move.ShareUnit-1. It is the same on all nodes.
+// position returns the place of a call in the shares, from 0 to
+// move.ShareUnit-1. Without stickiness calls are spread evenly, so that even a
+// small share of few customers' calls reaches the new version exactly.
+func (s *service) position(name, customer string, retry bool) int {
+	switch {
+	case s.split.Share >= move.ShareUnit:
+		return 0
+	case s.sticky:
+		return Bucket(customer, name)
+	case retry:
+		return move.ShareUnit
+	}
+	// The fractional parts of multiples of the golden ratio fill the unit interval
+	// evenly over any run of calls.
+	const golden = 0x9E3779B97F4A7C15
+	position, _ := bits.Mul64(s.calls.Add(1)*golden, move.ShareUnit)
+	return int(position)
+}
+
+// Bucket returns the position of a customer in the shares of a sticky service,
+// from 0 to move.ShareUnit-1. It is the same on all nodes.
 func Bucket(customer, service string) int {
 	var buffer [128]byte
 	key := append(append(append(buffer[:0], customer...), 0), service...)
--- /dev/null
+++ b/pkg/routing/split_test.go
@@ -0,0 +1,77 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/move"
+)
+
+func splitTable(t *testing.T, sticky bool, share int) *Table {
+	t.Helper()
+	snapshot, err := dynamic.Compile(dynamic.Manifest{Version: 1}, dynamic.Config{
+		Services: []dynamic.Service{{Name: "stock", Version: "1", Sticky: sticky}},
+	})
+	assert.NilError(t, err)
+	endpoint := func(version string) membership.Endpoint {
+		return membership.Endpoint{
+			Target:   membership.Target{ID: version, Service: "stock", Version: version, Slots: 8, State: membership.Ready},
+			Instance: "node-" + version,
+		}
+	}
+	shares := move.Shares{"stock": {From: "1", To: "2", Share: share}}
+	endpoints := []membership.Endpoint{endpoint("1"), endpoint("2")}
+	return NewBuilder(nil).Build(snapshot, endpoints, shares, Locality{})
+}
+
+// Guards against a share that depends on the number of customers, and against
+// customers of a sticky service that change their version from call to call.
+func TestShares(t *testing.T) {
+	const calls = 10_000
+	tests := []struct {
+		name      string
+		sticky    bool
+		share     int
+		low, high int
+	}{
+		{"one percent of one customer's calls", false, 100, 99, 101},
+		{"half of one customer's calls", false, 5000, 4999, 5001},
+		{"none", false, 0, 0, 0},
+		{"all", false, move.ShareUnit, calls, calls},
+		{"sticky customer inside the share", true, Bucket("a", "stock") + 1, calls, calls},
+		{"sticky customer outside the share", true, Bucket("a", "stock"), 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := splitTable(t, tt.sticky, tt.share)
+			reached := 0
+			for range calls {
+				e, err := table.Choose("stock", "a", nil, time.Now())
+				assert.Assert(t, err == nil)
+				if e.Version == "2" {
+					reached++
+				}
+			}
+			assert.Assert(t, reached >= tt.low && reached <= tt.high, "%d calls reached the new version", reached)
+		})
+	}
+}
+
+// Guards against retries that add to a bad version's share.
+func TestRetryReachesOldVersion(t *testing.T) {
+	table := splitTable(t, false, 5000)
+	for range 100 {
+		first, err := table.Choose("stock", "a", nil, time.Now())
+		assert.Assert(t, err == nil)
+		if first.Version != "2" {
+			continue
+		}
+		second, err := table.Choose("stock", "a", []*Endpoint{first}, time.Now())
+		assert.Assert(t, err == nil)
+		assert.Equal(t, second.Version, "1")
+	}
+}
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -4,8 +4,10 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,6 +73,10 @@
 	version  string
 	split    *move.Split
 	versions map[string]*pool
+	// sticky keeps the calls of a customer on one version.
+	sticky bool
+	// calls counts the calls that were spread over versions. It outlives tables.
+	calls *atomic.Uint64
 }
 
 // pool holds the candidates of one version, nearest tier first.
@@ -90,6 +96,7 @@
 
 	mu        sync.Mutex
 	stats     map[statsKey]*Stats
+	calls     map[string]*atomic.Uint64
 	snapshot  *dynamic.Snapshot
 	customers map[string]*dynamic.Customer
 }
@@ -101,7 +108,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Builder{now: now, stats: make(map[statsKey]*Stats)}
+	return &Builder{now: now, stats: make(map[statsKey]*Stats), calls: make(map[string]*atomic.Uint64)}
 }
 
 // Build compiles a table. Services without ready endpoints have no pool, so
@@ -119,7 +126,10 @@
 	}
 	for i := range config.Services {
 		entry := &config.Services[i]
-		s := &service{version: entry.Version, versions: make(map[string]*pool)}
+		s := &service{
+			version: entry.Version, versions: make(map[string]*pool),
+			sticky: entry.Sticky, calls: b.callsOf(entry.Name),
+		}
 		if split, ok := shares[entry.Name]; ok {
 			s.split = &split
 		}
@@ -181,6 +191,18 @@
 	return 0
 }
 
+// callsOf returns the counter of a service. It starts anywhere, so that nodes
+// with few calls do not all keep them from the new version.
+func (b *Builder) callsOf(service string) *atomic.Uint64 {
+	counter := b.calls[service]
+	if counter == nil {
+		counter = &atomic.Uint64{}
+		counter.Store(rand.Uint64())
+		b.calls[service] = counter
+	}
+	return counter
+}
+
 func (b *Builder) statsOf(e *membership.Endpoint, now time.Time) *Stats {
 	key := statsKey{instance: e.Instance, target: e.ID}
 	stats := b.stats[key]
