Replace silent connections from another port and test transport faults

Cause: a path may silence the flow between two ports for good; a new connection from the same UDP port would be silent as well, and calls would hang until the idle timeout. Change: an address that was found silent is dialed from a newer port. The pool's table is read without lock or allocation. A reset answer ends its call for the orderly Close, which otherwise waited for the write side. internal/faultproxy relays UDP with loss, delay and silenced flows.

--- a/pkg/transport/close.go
+++ b/pkg/transport/close.go
@@ -57,8 +57,7 @@
 
 // release frees the socket and waits for the goroutines.
 func (t *Transport) release(ctx context.Context) error {
-	_ = t.quic.Close()
-	_ = t.socket.Close()
+	t.sockets.close()
 	done := make(chan struct{})
 	go func() {
 		t.tasks.Wait()
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -30,12 +30,15 @@
 	quic      *quic.Conn
 	class     class
 	address   string
+	socket    *socket
 	peer      Peer
 	dialed    bool
 
 	opened   atomic.Int64 // streams opened here that have not ended
 	accepted atomic.Int64 // streams whose handler runs
 	lastUse  atomic.Int64 // Unix milliseconds
+	lastOpen atomic.Int64 // Unix milliseconds
+	silence  silence
 
 	// retired is set when no more streams may be opened. drained and peerDrained
 	// are closed when the streams opened here and by the peer have ended.
@@ -48,9 +51,15 @@
 
 func (c *conn) touch() { c.lastUse.Store(time.Now().UnixMilli()) }
 
-func (c *conn) unused() bool {
+func (c *conn) touchOpen() {
+	now := time.Now().UnixMilli()
+	c.lastUse.Store(now)
+	c.lastOpen.Store(now)
+}
+
+func (c *conn) unused(now time.Time) bool {
 	return c.opened.Load() == 0 && c.accepted.Load() == 0 &&
-		time.Since(time.UnixMilli(c.lastUse.Load())) > unusedAfter
+		now.Sub(time.UnixMilli(c.lastUse.Load())) > unusedAfter
 }
 
 // watch removes the connection from the pool as soon as it ends.
--- /dev/null
+++ b/pkg/transport/fault_test.go
@@ -0,0 +1,334 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/azurespring/azurespring/internal/faultproxy"
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against nodes that talk to processes outside of the CA, in either
+// direction.
+func TestStrangersAreRejected(t *testing.T) {
+	member := listen(t, Options{TLS: newSource(t, newAuthority(t), "member")})
+	stranger := listen(t, Options{TLS: newSource(t, newAuthority(t), "stranger")})
+	for _, node := range []*Transport{member, stranger} {
+		node.HandleMessage(testKind, echo)
+		node.HandleCalls(echoCalls)
+	}
+	_, err := stranger.Request(testContext(t), member.Address(), testKind, nil)
+	assert.Assert(t, err != nil)
+	_, err = member.Request(testContext(t), stranger.Address(), testKind, nil)
+	assert.ErrorContains(t, err, "certificate")
+	assert.Equal(t, member.Stats().MessagesReceived, uint64(0))
+	assert.Equal(t, stranger.Stats().MessagesReceived, uint64(0))
+}
+
+// Guards against nodes that must be restarted when their keys are replaced, and
+// against nodes that lose their identity while the files do not match.
+func TestKeyRotation(t *testing.T) {
+	authority := newAuthority(t)
+	dir := t.TempDir()
+	files, err := authority.Write(dir, "old")
+	assert.NilError(t, err)
+	source, err := NewTLSSource(files.Certificate, files.Key, files.CA)
+	assert.NilError(t, err)
+	client := listen(t, Options{TLS: source})
+	serverSource := newSource(t, authority, "server")
+	name := func() string {
+		server := listen(t, Options{TLS: serverSource})
+		server.HandleMessage(testKind, func(_ context.Context, from Peer, _ []byte) ([]byte, error) {
+			return []byte(from.Instance), nil
+		})
+		reply, err := client.Request(testContext(t), server.Address(), testKind, nil)
+		assert.NilError(t, err)
+		return string(reply)
+	}
+	assert.Equal(t, name(), "old")
+	assert.NilError(t, os.WriteFile(files.Key, []byte("half written"), 0o600))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if source.current(); source.Failure() != nil {
+			return poll.Success()
+		}
+		return poll.Continue("the broken key is not noticed")
+	}, poll.WithTimeout(testTimeout))
+	assert.Equal(t, name(), "old")
+	next, err := authority.Write(dir, "new")
+	assert.NilError(t, err)
+	assert.NilError(t, os.Rename(next.Key, files.Key))
+	assert.NilError(t, os.Rename(next.Certificate, files.Certificate))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := name(); got != "new" {
+			return poll.Continue("the peer sees %s", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(testTimeout))
+}
+
+// Guards against connections that stay in use after their path went silent for
+// good, while a connection from another port works.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	a, b := pair(t)
+	relay, err := faultproxy.NewUDP(b.Address())
+	assert.NilError(t, err)
+	t.Cleanup(relay.Close)
+	call := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(testContext(t), limit)
+		defer cancel()
+		stream, err := a.OpenCall(ctx, relay.Address())
+		if err != nil {
+			return err
+		}
+		defer stream.Cancel()
+		deadline, _ := ctx.Deadline()
+		assert.NilError(t, stream.SetDeadline(deadline))
+		if _, err := stream.Write([]byte("x")); err != nil {
+			return err
+		}
+		if err := stream.CloseWrite(); err != nil {
+			return err
+		}
+		_, err = io.ReadAll(stream)
+		return err
+	}
+	request := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(testContext(t), limit)
+		defer cancel()
+		_, err := a.Request(ctx, relay.Address(), testKind, nil)
+		return err
+	}
+	for name, try := range map[string]func(time.Duration) error{"call": call, "request": request} {
+		assert.NilError(t, try(testTimeout))
+		for range 2 {
+			relay.Blackhole()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if err := try(time.Second); err != nil {
+					return poll.Continue("%s: %v", name, err)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(testTimeout))
+		}
+	}
+}
+
+// Guards against messages and calls that fail on a lossy, slow path.
+func TestLossyPath(t *testing.T) {
+	a, b := pair(t)
+	relay, err := faultproxy.NewUDP(b.Address())
+	assert.NilError(t, err)
+	t.Cleanup(relay.Close)
+	relay.SetDelay(8 * time.Millisecond)
+	_, err = a.Request(testContext(t), relay.Address(), testKind, nil)
+	assert.NilError(t, err)
+	relay.SetLoss(0.05)
+	for range 20 {
+		_, err := a.Request(testContext(t), relay.Address(), testKind, make([]byte, 10_000))
+		assert.NilError(t, err)
+	}
+}
+
+// Guards against a version that only one side speaks, and against the older of
+// two common versions.
+func TestProtocolVersions(t *testing.T) {
+	authority := newAuthority(t)
+	cases := []struct {
+		client, server []int
+		want           int
+	}{
+		{[]int{1}, []int{1}, 1},
+		{[]int{1, 2}, []int{1}, 1},
+		{[]int{1}, []int{2, 1}, 1},
+		{[]int{1, 2}, []int{1, 2}, 2},
+		{[]int{2}, []int{1}, 0},
+	}
+	for _, c := range cases {
+		client := listen(t, Options{TLS: newSource(t, authority, "client"), Protocols: c.client})
+		server := listen(t, Options{TLS: newSource(t, authority, "server"), Protocols: c.server})
+		server.HandleMessage(testKind, func(_ context.Context, from Peer, _ []byte) ([]byte, error) {
+			return []byte{byte(from.Protocol)}, nil
+		})
+		reply, err := client.Request(testContext(t), server.Address(), testKind, nil)
+		if c.want == 0 {
+			assert.Assert(t, err != nil, "%v with %v", c.client, c.server)
+			continue
+		}
+		assert.NilError(t, err)
+		assert.Equal(t, int(reply[0]), c.want, "%v with %v", c.client, c.server)
+	}
+}
+
+// Guards against handlers that take the process down, and against errors that
+// do not reach the sender.
+func TestHandlerFailures(t *testing.T) {
+	a, b := pair(t)
+	b.HandleMessage(testKind, func(context.Context, Peer, []byte) ([]byte, error) { panic("message") })
+	b.HandleMessage(testKind+1, func(context.Context, Peer, []byte) ([]byte, error) { return nil, eris.New("no") })
+	b.HandleCalls(func(context.Context, Peer, Stream) { panic("call") })
+	_, err := a.Request(testContext(t), b.Address(), testKind, nil)
+	assert.Assert(t, err != nil)
+	_, err = a.Request(testContext(t), b.Address(), testKind+1, nil)
+	var remote *RemoteError
+	assert.Assert(t, eris.As(err, &remote))
+	assert.Equal(t, remote.Text, "no")
+	_, err = a.Request(testContext(t), b.Address(), testKind+2, nil)
+	assert.ErrorContains(t, err, "no handler")
+	stream, err := a.OpenCall(testContext(t), b.Address())
+	assert.NilError(t, err)
+	_, _ = stream.Write([]byte("x"))
+	_, err = io.ReadAll(stream)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, !IsRefused(err))
+}
+
+// Guards against a planned stop that cuts off calls: an open one ends whole, and
+// the peer opens no new one on the old connection.
+func TestCloseLetsCallsEnd(t *testing.T) {
+	a, b := pair(t)
+	stream, err := a.OpenCall(testContext(t), b.Address())
+	assert.NilError(t, err)
+	_, err = stream.Write([]byte("first"))
+	assert.NilError(t, err)
+	_, err = io.ReadFull(stream, make([]byte, len("first")))
+	assert.NilError(t, err)
+	closed := make(chan error, 1)
+	go func() { closed <- b.Close(testContext(t)) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a.pools[calls].lookup(b.Address()).conn.Load() == nil {
+			return poll.Success()
+		}
+		return poll.Continue("the connection is still in use")
+	}, poll.WithTimeout(testTimeout))
+	_, err = stream.Write([]byte("second"))
+	assert.NilError(t, err)
+	assert.NilError(t, stream.CloseWrite())
+	rest, err := io.ReadAll(stream)
+	assert.NilError(t, err)
+	assert.Equal(t, string(rest), "second")
+	assert.NilError(t, <-closed)
+	_, err = b.Request(testContext(t), a.Address(), testKind, nil)
+	assert.ErrorIs(t, err, ErrClosed)
+}
+
+// Guards against a Close that waits for a stuck call beyond its bound.
+func TestCloseIsBounded(t *testing.T) {
+	a, b := pair(t)
+	stream, err := a.OpenCall(testContext(t), b.Address())
+	assert.NilError(t, err)
+	_, err = stream.Write([]byte("x"))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(testContext(t))
+	cancel()
+	assert.ErrorIs(t, b.Close(ctx), context.Canceled)
+	_, err = io.ReadAll(stream)
+	assert.Assert(t, err != nil)
+}
+
+// Guards against one handshake per waiting caller, and against a second
+// connection for the way back.
+func TestDialsAreShared(t *testing.T) {
+	a, b := pair(t)
+	a.HandleMessage(testKind, echo)
+	var waits sync.WaitGroup
+	for i := range 50 {
+		waits.Go(func() {
+			_, err := a.Request(testContext(t), b.Address(), testKind, []byte(fmt.Sprint(i)))
+			assert.Check(t, err)
+		})
+	}
+	waits.Wait()
+	_, err := b.Request(testContext(t), a.Address(), testKind, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Stats().Connections, 1)
+	assert.Equal(t, b.Stats().Connections, 1)
+}
+
+// Guards against small messages that expand beyond the size limit.
+func TestDecompressionBomb(t *testing.T) {
+	c, err := newCodec()
+	assert.NilError(t, err)
+	defer c.close()
+	payload, err := cbor.Marshal(envelope{Payload: make([]byte, 16*MaxMessageBytes)})
+	assert.NilError(t, err)
+	packer, err := zstd.NewWriter(nil)
+	assert.NilError(t, err)
+	bomb := packer.EncodeAll(payload, []byte{encodingZstd})
+	assert.NilError(t, packer.Close())
+	assert.Assert(t, len(bomb) < 1<<16)
+	_, err = c.unmarshal(bomb)
+	assert.ErrorContains(t, err, "decompress")
+}
+
+// Guards against clocks that do not follow the messages they receive.
+func TestMessagesCarryTime(t *testing.T) {
+	authority := newAuthority(t)
+	ahead := timeline.NewClock(func() time.Time { return time.Now().Add(10 * time.Second) })
+	behind := timeline.NewClock(time.Now)
+	a := listen(t, Options{TLS: newSource(t, authority, "a"), Clock: ahead})
+	b := listen(t, Options{TLS: newSource(t, authority, "b"), Clock: behind})
+	b.HandleMessage(testKind, echo)
+	sent := ahead.Now()
+	_, err := a.Request(testContext(t), b.Address(), testKind, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, behind.Now().Compare(sent) > 0)
+}
+
+// FuzzUnmarshal guards against messages that crash the decoder or pass the size
+// limit.
+func FuzzUnmarshal(f *testing.F) {
+	c, err := newCodec()
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, size := range []int{0, 10, 2 * compressAbove} {
+		data, err := c.marshal(envelope{Kind: testKind, Payload: make([]byte, size)})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if message, err := c.unmarshal(data); err == nil && len(message.Payload) > MaxMessageBytes+maxEnvelopeOverhead {
+			t.Fatalf("payload of %d bytes", len(message.Payload))
+		}
+	})
+}
+
+// BenchmarkCall measures a small call over an open connection.
+func BenchmarkCall(b *testing.B) {
+	authority := newAuthority(b)
+	client := listen(b, Options{TLS: newSource(b, authority, "client")})
+	server := listen(b, Options{TLS: newSource(b, authority, "server")})
+	server.HandleCalls(echoCalls)
+	body := make([]byte, 512)
+	b.ReportAllocs()
+	for b.Loop() {
+		stream, err := client.OpenCall(context.Background(), server.Address())
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := stream.Write(body); err != nil {
+			b.Fatal(err)
+		}
+		if err := stream.CloseWrite(); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, stream); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,18 +21,30 @@
 type pool struct {
 	transport *Transport
 	class     class
-	entries   sync.Map // address to *entry
+
+	// entries is replaced as a whole under mu, so that the request path reads it
+	// without a lock or an allocation.
+	entries atomic.Pointer[map[string]*entry]
+	mu      sync.Mutex
+}
+
+func newPool(t *Transport, c class) *pool {
+	p := &pool{transport: t, class: c}
+	p.entries.Store(&map[string]*entry{})
+	return p
 }
 
 // entry is the state of one address. The request path only loads conn.
 type entry struct {
 	conn atomic.Pointer[conn]
 
-	mu      sync.Mutex
-	dialing *dial
-	backoff *backoff.ExponentialBackOff
-	retryAt time.Time
-	failure error
+	mu        sync.Mutex
+	dialing   *dial
+	backoff   *backoff.ExponentialBackOff
+	retryAt   time.Time
+	failure   error
+	suspected time.Time
+	idleSince time.Time
 }
 
 // dial is an attempt that all callers of an address wait for.
@@ -62,7 +75,7 @@
 			stream, err = c.quic.OpenStreamSync(ctx)
 		}
 		if err == nil {
-			c.touch()
+			c.touchOpen()
 			return c, stream, nil
 		}
 		c.endOpened()
@@ -75,14 +88,25 @@
 	return nil, nil, eris.Wrapf(failure, "open a stream to %s", address)
 }
 
+// lookup returns the state of an address, or nil.
+func (p *pool) lookup(address string) *entry { return (*p.entries.Load())[address] }
+
+// entry returns the state of an address and creates it if needed.
 func (p *pool) entry(address string) *entry {
-	if e, ok := p.entries.Load(address); ok {
-		return e.(*entry)
-	}
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = backoffMin, backoffMax
-	e, _ := p.entries.LoadOrStore(address, &entry{backoff: b})
-	return e.(*entry)
+	if e := p.lookup(address); e != nil {
+		return e
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.lookup(address); e != nil {
+		return e
+	}
+	e := &entry{backoff: backoff.NewExponentialBackOff()}
+	e.backoff.InitialInterval, e.backoff.MaxInterval = backoffMin, backoffMax
+	next := maps.Clone(*p.entries.Load())
+	next[address] = e
+	p.entries.Store(&next)
+	return e
 }
 
 func (p *pool) get(ctx context.Context, address string) (*conn, error) {
@@ -153,17 +177,28 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "resolve %s", address)
 	}
+	from, err := t.sockets.acquire(address)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
 	defer cancel()
 	streams := int64(maxControlStreams)
 	if p.class == calls {
 		streams = maxCallStreams
 	}
-	qc, err := t.quic.Dial(ctx, remote, t.options.TLS.clientConfig(t.alpn, serverNames[p.class]), quicConfig(streams))
+	var c *conn
+	qc, err := from.quic.Dial(ctx, remote, t.options.TLS.clientConfig(t.alpn, serverNames[p.class]), quicConfig(streams))
+	if err == nil {
+		c, err = t.adopt(qc, p.class, address, from, true)
+	}
 	if err != nil {
-		return nil, eris.Wrapf(err, "connect to %s", address)
+		if isSilence(err) {
+			t.sockets.avoid(address, from.generation)
+		}
+		t.sockets.release(from)
 	}
-	return t.adopt(qc, p.class, address, true)
+	return c, eris.Wrapf(err, "connect to %s", address)
 }
 
 // offer puts an accepted connection into the pool if there is none for its
@@ -177,7 +212,7 @@
 
 // remove takes c out of the pool. The entry stays while it carries a backoff.
 func (p *pool) remove(c *conn) {
-	if e, ok := p.entries.Load(c.address); ok {
-		e.(*entry).conn.CompareAndSwap(c, nil)
+	if e := p.lookup(c.address); e != nil {
+		e.conn.CompareAndSwap(c, nil)
 	}
 }
--- a/pkg/transport/quic.go
+++ b/pkg/transport/quic.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
@@ -36,8 +35,7 @@
 	options  Options
 	codec    *codec
 	alpn     []string
-	socket   *net.UDPConn
-	quic     *quic.Transport
+	sockets  *sockets
 	listener *quic.Listener
 	pools    [classCount]*pool
 	stats    counters
@@ -75,27 +73,28 @@
 	if err != nil {
 		return nil, err
 	}
-	socket, err := net.ListenUDP("udp", address)
+	udp, err := net.ListenUDP("udp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "open UDP socket")
 	}
+	main := &socket{udp: udp, quic: &quic.Transport{Conn: udp, StatelessResetKey: resetKey}}
 	t := &Transport{
-		options: o, codec: codec, alpn: alpn(o.Protocols), socket: socket,
-		quic: &quic.Transport{Conn: socket, StatelessResetKey: resetKey}, conns: make(map[*conn]struct{}),
+		options: o, codec: codec, alpn: alpn(o.Protocols),
+		sockets: newSockets(main), conns: make(map[*conn]struct{}),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	for c := range classCount {
-		t.pools[c] = &pool{transport: t, class: c}
+		t.pools[c] = newPool(t, c)
 	}
-	t.listener, err = t.quic.Listen(o.TLS.serverConfig(t.alpn), t.serverConfig())
+	t.listener, err = main.quic.Listen(o.TLS.serverConfig(t.alpn), quicConfig(maxCallStreams))
 	if err != nil {
 		t.cancel()
-		_ = socket.Close()
+		main.close()
 		return nil, eris.Wrap(err, "listen")
 	}
 	t.tasks.Add(2)
 	go t.accept()
-	go t.reap()
+	go t.scan()
 	return t, nil
 }
 
@@ -111,8 +110,6 @@
 	return names
 }
 
-func (t *Transport) serverConfig() *quic.Config { return quicConfig(maxCallStreams) }
-
 func quicConfig(streams int64) *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:  handshakeIdle,
@@ -124,7 +121,7 @@
 }
 
 // Address returns the bound IP and port.
-func (t *Transport) Address() string { return t.socket.LocalAddr().String() }
+func (t *Transport) Address() string { return t.sockets.main.udp.LocalAddr().String() }
 
 // HandleMessage sets the handler of messages of a kind.
 func (t *Transport) HandleMessage(kind Kind, h MessageHandler) { t.messageHandlers.Store(kind, h) }
@@ -157,7 +154,7 @@
 		if qc.ConnectionState().TLS.ServerName == serverNames[calls] {
 			kind = calls
 		}
-		c, err := t.adopt(qc, kind, qc.RemoteAddr().String(), false)
+		c, err := t.adopt(qc, kind, qc.RemoteAddr().String(), t.sockets.main, false)
 		if err != nil {
 			continue
 		}
@@ -166,7 +163,7 @@
 }
 
 // adopt registers an established connection and starts to serve its streams.
-func (t *Transport) adopt(qc *quic.Conn, kind class, address string, dialed bool) (*conn, error) {
+func (t *Transport) adopt(qc *quic.Conn, kind class, address string, from *socket, dialed bool) (*conn, error) {
 	state := qc.ConnectionState().TLS
 	protocol, err := strconv.Atoi(strings.TrimPrefix(state.NegotiatedProtocol, alpnPrefix))
 	if err != nil || len(state.PeerCertificates) == 0 {
@@ -174,7 +171,7 @@
 		return nil, eris.Errorf("connection with %s has no protocol version or certificate", address)
 	}
 	c := &conn{
-		transport: t, quic: qc, class: kind, address: address, dialed: dialed,
+		transport: t, quic: qc, class: kind, address: address, socket: from, dialed: dialed,
 		drained: make(chan struct{}), peerDrained: make(chan struct{}),
 		peer: Peer{
 			Instance: instanceName(state.PeerCertificates[0]),
@@ -197,11 +194,14 @@
 }
 
 func (t *Transport) forget(c *conn) {
-	t.pools[c.class].remove(c)
+	t.pools[c.class].ended(c, context.Cause(c.quic.Context()))
 	t.mu.Lock()
 	delete(t.conns, c)
 	t.mu.Unlock()
 	t.stats.addClosed(c, t.options.OtherRegion(c.address))
+	if c.dialed {
+		t.sockets.release(c.socket)
+	}
 }
 
 func (t *Transport) connections() []*conn {
@@ -213,23 +213,3 @@
 	}
 	return list
 }
-
-// reap closes connections that have had no stream for a while.
-func (t *Transport) reap() {
-	defer t.tasks.Done()
-	ticker := time.NewTicker(reapInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-t.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		for _, c := range t.connections() {
-			if c.dialed && c.unused() {
-				t.pools[c.class].remove(c)
-				_ = c.quic.CloseWithError(codeUnused, "unused")
-			}
-		}
-	}
-}
--- a/pkg/transport/stream.go
+++ b/pkg/transport/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
@@ -24,8 +25,13 @@
 
 func (s *openedStream) Read(p []byte) (int, error) {
 	n, err := s.Stream.Read(p)
-	if err != nil && !isTimeout(err) {
+	switch {
+	case err == nil || isTimeout(err):
+	case errors.Is(err, io.EOF):
 		s.end(readEnded)
+	default:
+		// Without an answer there is no use in sending the rest of the request.
+		s.Cancel()
 	}
 	return n, err
 }
--- a/pkg/transport/transport_test.go
+++ b/pkg/transport/transport_test.go
@@ -17,14 +17,14 @@
 
 const testKind Kind = 0x7f
 
-func newAuthority(t *testing.T) *testcerts.Authority {
+func newAuthority(t testing.TB) *testcerts.Authority {
 	t.Helper()
 	authority, err := testcerts.NewAuthority()
 	assert.NilError(t, err)
 	return authority
 }
 
-func newSource(t *testing.T, authority *testcerts.Authority, instance string) *TLSSource {
+func newSource(t testing.TB, authority *testcerts.Authority, instance string) *TLSSource {
 	t.Helper()
 	files, err := authority.Write(t.TempDir(), instance)
 	assert.NilError(t, err)
@@ -33,7 +33,7 @@
 	return source
 }
 
-func listen(t *testing.T, o Options) *Transport {
+func listen(t testing.TB, o Options) *Transport {
 	t.Helper()
 	o.Address = "127.0.0.1:0"
 	node, err := Listen(o)
