Count calls per department and report on their promises

Cause: departments need to see whether their own promises held, over replaced nodes and platform outages. Change: pkg/report counts calls at entry nodes by department and slot of 10 min, sends cumulative counters to the collector of the failure domain, merges them by maximum per reporter into hourly ReportPeriod objects, and renders reports as table, JSON and HTML. Moves take their leases through the shape of pkg/lease's type.

--- a/pkg/move/roles.go
+++ b/pkg/move/roles.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"sync"
-	"time"
 )
 
-// leaseInterval is the time between renewals of the leases of moves.
-const leaseInterval = 5 * time.Second
-
 // roles tracks which services' moves this node decides, and their leases.
 type roles struct {
 	leases LeaseFactory
+	fence  func(service string) uint64
+	begun  chan Lease
 	mu     sync.Mutex
 	by     map[string]*role
 }
@@ -23,8 +21,11 @@
 	lease     Lease
 }
 
-func newRoles(options Options) *roles {
-	return &roles{leases: options.Leases, by: map[string]*role{}}
+// maxBegun is the number of leases that may wait to be run.
+const maxBegun = 64
+
+func newRoles(leases LeaseFactory, fence func(service string) uint64) *roles {
+	return &roles{leases: leases, fence: fence, begun: make(chan Lease, maxBegun), by: map[string]*role{}}
 }
 
 func (r *roles) decides(service string) bool {
@@ -45,7 +46,7 @@
 	began = deciding && !known.deciding
 	known.deciding = deciding
 	if deciding && known.lease == nil && r.leases != nil {
-		known.lease = r.leases("move-" + service)
+		known.lease = r.begin(service)
 	}
 	result.Deciding = deciding
 	if deciding && known.lease != nil {
@@ -76,47 +77,35 @@
 	return services
 }
 
-// run renews the leases of roles that are held and releases the others.
+// begin makes the lease of a service, which is kept until the process ends.
+func (r *roles) begin(service string) Lease {
+	candidate := func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.by[service].deciding
+	}
+	made := r.leases("move-"+service, candidate, func() uint64 { return r.fence(service) })
+	if made == nil {
+		return nil
+	}
+	select {
+	case r.begun <- made:
+		return made
+	default:
+		return nil // tried again in the next period
+	}
+}
+
+// run runs the leases until ctx ends.
 func (r *roles) run(ctx context.Context) {
-	ticker := time.NewTicker(leaseInterval)
-	defer ticker.Stop()
+	var group sync.WaitGroup
+	defer group.Wait()
 	for {
-		r.renew(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (r *roles) renew(ctx context.Context) {
-	for _, known := range r.withLease() {
-		callContext, cancel := context.WithTimeout(ctx, leaseInterval)
-		r.mu.Lock()
-		deciding, lease := known.deciding, known.lease
-		if !deciding {
-			known.lease = nil
-		}
-		r.mu.Unlock()
-		if deciding {
-			// A refusal or an outage leaves Held false: the move goes on by takeover count.
-			_, _, _ = lease.Acquire(callContext)
-		} else {
-			lease.Release(callContext)
-		}
-		cancel()
-	}
-}
-
-func (r *roles) withLease() []*role {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var result []*role
-	for _, known := range r.by {
-		if known.lease != nil {
-			result = append(result, known)
+		case lease := <-r.begun:
+			group.Go(func() { lease.Run(ctx) })
 		}
 	}
-	return result
 }
--- a/pkg/move/service.go
+++ b/pkg/move/service.go
@@ -21,19 +21,19 @@
 	"github.com/azurespring/azurespring/pkg/transport"
 )
 
-// Lease is one lease in the platform. Implementations are safe for concurrent use.
+// Lease is one lease in the platform, as lease.Lease.
 type Lease interface {
-	// Acquire takes or renews the lease once. granted is false if another holder
-	// has it; an error means that the platform gave no answer.
-	Acquire(ctx context.Context) (fence uint64, granted bool, err error)
+	// Run contends for the lease until ctx ends.
+	Run(ctx context.Context)
 	// Held returns the fencing number while the lease is held and has not lapsed.
 	Held() (fence uint64, held bool)
-	// Release gives the lease up, so that the next decider need not wait.
-	Release(ctx context.Context)
 }
 
-// LeaseFactory returns the lease of a name such as "move-stock".
-type LeaseFactory func(name string) Lease
+// LeaseFactory returns the lease of a name such as "move-stock", not yet
+// running. While candidate is false the lease is given up and makes no calls;
+// the next fencing number must exceed minFence. It returns nil if there can be
+// no lease.
+type LeaseFactory func(name string, candidate func() bool, minFence func() uint64) Lease
 
 // Options configures a Service. Leases and Store may be nil: moves then go on
 // without fencing numbers and leave no MoveStatus.
@@ -86,8 +86,9 @@
 	s := &Service{
 		options: options, reporter: newReporter(), states: map[string]State{}, sent: map[string]ack{},
 		answered: map[string]time.Time{}, guards: map[string]*guarded{},
-		incarnation: uint64(options.Now().UnixNano()), roles: newRoles(options),
+		incarnation: uint64(options.Now().UnixNano()),
 	}
+	s.roles = newRoles(options.Leases, s.fence)
 	s.keeper = newKeeper(options.Store, options.Now)
 	s.shares.Store(&Shares{})
 	s.loop = reducer.NewLoop(NewGroup(options.Instance), reducer.ExecutorFunc[Effect](s.execute),
@@ -151,6 +152,18 @@
 	return states
 }
 
+// fence returns the highest fencing number known for a service.
+func (s *Service) fence(service string) (highest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.states {
+		if state.Service == service {
+			highest = max(highest, state.Fence)
+		}
+	}
+	return highest
+}
+
 // updateShares compiles the shares from the configuration and the states.
 func (s *Service) updateShares() {
 	snapshot := s.options.Snapshot()
--- /dev/null
+++ b/pkg/report/objects.go
@@ -0,0 +1,123 @@
+package report
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/pkg/platform"
+)
+
+// indexName is the ReportPeriod object that lists the failure domains which
+// have objects, so that a report is complete while a whole domain is away.
+const indexName = "domains"
+
+var (
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(64<<20))
+)
+
+func objectName(domain string, start int64) string {
+	return fmt.Sprintf("%s-%s", domain, time.Unix(start, 0).UTC().Format("20060102t150405"))
+}
+
+func encodeContent(content Content) ([]byte, error) {
+	plain, err := cbor.Marshal(content)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode report period")
+	}
+	return encoder.EncodeAll(plain, nil), nil
+}
+
+func decodeContent(value []byte) (content Content, err error) {
+	plain, err := decoder.DecodeAll(value, nil)
+	if err != nil {
+		return content, eris.Wrap(err, "decompress report period")
+	}
+	return content, eris.Wrap(cbor.Unmarshal(plain, &content), "decode report period")
+}
+
+// readObject returns the content and version of an object, both empty if there
+// is none.
+func readObject(ctx context.Context, store platform.Store, name string) (content Content, version string, err error) {
+	object, err := store.Get(ctx, platform.ReportPeriod, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return content, "", nil
+	}
+	if err != nil {
+		return content, "", err
+	}
+	content, err = decodeContent(object.Value)
+	return content, object.Version, err
+}
+
+func writeObject(ctx context.Context, store platform.Store, name, version string, content Content) (string, error) {
+	value, err := encodeContent(content)
+	if err != nil {
+		return "", err
+	}
+	if len(value) > platform.MaxValueBytes {
+		return "", eris.Errorf("report period %s has %d bytes", name, len(value))
+	}
+	var object platform.Object
+	if version == "" {
+		object, err = store.Create(ctx, platform.ReportPeriod, name, value)
+	} else {
+		object, err = store.Update(ctx, platform.Object{
+			Kind: platform.ReportPeriod, Name: name, Version: version, Value: value,
+		})
+	}
+	return object.Version, err
+}
+
+// deleteObject removes an object if there is one.
+func deleteObject(ctx context.Context, store platform.Store, name string) error {
+	object, err := store.Get(ctx, platform.ReportPeriod, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return store.Delete(ctx, platform.ReportPeriod, name, object.Version)
+}
+
+// readIndex returns the failure domains that have objects.
+func readIndex(ctx context.Context, store platform.Store) (domains []string, version string, err error) {
+	object, err := store.Get(ctx, platform.ReportPeriod, indexName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, "", nil
+	}
+	if err != nil {
+		return nil, "", err
+	}
+	return domains, object.Version, eris.Wrap(cbor.Unmarshal(object.Value, &domains), "decode index of reports")
+}
+
+// enterIndex adds a domain. A conflict is an error; the caller tries again.
+func enterIndex(ctx context.Context, store platform.Store, domain string) error {
+	domains, version, err := readIndex(ctx, store)
+	if err != nil || slices.Contains(domains, domain) {
+		return err
+	}
+	domains = append(domains, domain)
+	slices.Sort(domains)
+	value, err := cbor.Marshal(domains)
+	if err != nil {
+		return eris.Wrap(err, "encode index of reports")
+	}
+	if version == "" {
+		_, err = store.Create(ctx, platform.ReportPeriod, indexName, value)
+	} else {
+		_, err = store.Update(ctx, platform.Object{
+			Kind: platform.ReportPeriod, Name: indexName, Version: version, Value: value,
+		})
+	}
+	return err
+}
