--- a/internal/teststore/http.go
+++ b/internal/teststore/http.go
@@ -51,7 +51,7 @@
 		return
 	}
 	code, body := s.answer(r, data, verb, t)
-	if isWrite(verb) && code < http.StatusMultipleChoices && s.loseReply() {
+	if isWrite(verb) && code < http.StatusMultipleChoices && s.loseReply(t) {
 		panic(http.ErrAbortHandler)
 	}
 	reply(w, code, body)
@@ -104,10 +104,10 @@
 	s.mu.Lock()
 	s.counts[verb+" "+t.resource]++
 	f := s.faults
-	limited, rejected := f.RateLimit > 0, false
+	limited, rejected := f.RateLimit > 0 && f.concern(t), false
 	if limited {
 		s.faults.RateLimit--
-	} else if rejected = isWrite(verb) && f.RejectWrites > 0; rejected {
+	} else if rejected = isWrite(verb) && f.RejectWrites > 0 && f.concern(t); rejected {
 		s.faults.RejectWrites--
 	}
 	s.mu.Unlock()
@@ -129,10 +129,10 @@
 	return !limited && !rejected
 }
 
-func (s *Store) loseReply() bool {
+func (s *Store) loseReply(t target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faults.LoseReplies == 0 {
+	if s.faults.LoseReplies == 0 || !s.faults.concern(t) {
 		return false
 	}
 	s.faults.LoseReplies--
--- a/internal/teststore/store.go
+++ b/internal/teststore/store.go
@@ -28,10 +28,15 @@
 	RateLimit int `json:"rateLimit"`
 	// RetryAfterSeconds goes with RateLimit.
 	RetryAfterSeconds int `json:"retryAfterSeconds"`
+	// Resource restricts LoseReplies, RejectWrites and RateLimit to one plural
+	// resource name, such as "configheads"; empty means all.
+	Resource string `json:"resource"`
 	// Silent makes watches send nothing, not even bookmarks.
 	Silent bool `json:"silent"`
 }
 
+func (f Faults) concern(t target) bool { return f.Resource == "" || f.Resource == t.resource }
+
 // object is one stored object. Spec and Status stay as they were sent.
 type object struct {
 	Name    string          `json:"name"`
