Run reports in the node and wait for all nodes in the test

Cause: the test waited for one node's configuration and called two. Change: the test waits for each node it calls; the node runs reports and ends them while the transport is still open. Conclusion: the refusals were truthful (no-target, not-run); the test was early.

--- a/pkg/node/compose.go
+++ b/pkg/node/compose.go
@@ -23,6 +23,7 @@
 	"github.com/azurespring/azurespring/pkg/platform/objectapi"
 	"github.com/azurespring/azurespring/pkg/proxy"
 	"github.com/azurespring/azurespring/pkg/quarantine"
+	"github.com/azurespring/azurespring/pkg/report"
 	"github.com/azurespring/azurespring/pkg/timeline"
 	"github.com/azurespring/azurespring/pkg/transport"
 )
@@ -39,6 +40,7 @@
 	do.Provide(n.injector, n.newMembership)
 	do.Provide(n.injector, n.newDistribution)
 	do.Provide(n.injector, n.newMoves)
+	do.Provide(n.injector, n.newReports)
 	do.Provide(n.injector, n.newQuarantine)
 	do.Provide(n.injector, n.newTarget)
 	do.Provide(n.injector, n.newEntry)
@@ -46,7 +48,7 @@
 
 	steps := []func() error{
 		invoke(n, &n.timeline), invoke(n, &n.transport), invoke(n, &n.store), invoke(n, &n.gossip),
-		invoke(n, &n.membership), invoke(n, &n.distribution), invoke(n, &n.moves),
+		invoke(n, &n.membership), invoke(n, &n.distribution), invoke(n, &n.moves), invoke(n, &n.reports),
 		invoke(n, &n.quarantine), invoke(n, &n.target), invoke(n, &n.entry), invoke(n, &n.admin),
 	}
 	for _, step := range steps {
@@ -75,6 +77,7 @@
 	n.gossip.RegisterTopic(gossip.Quarantine, quarantine.Merge, n.quarantine.OnItem)
 	n.transport.HandleMessage(transport.KindDistribution, n.distribution.HandleMessage)
 	n.transport.HandleMessage(transport.KindMove, n.moves.HandleMessage)
+	n.transport.HandleMessage(transport.KindReport, n.reports.HandleMessage)
 	n.transport.HandleCalls(n.target.ServeCall)
 }
 
@@ -183,6 +186,14 @@
 	}), nil
 }
 
+func (n *Node) newReports(i do.Injector) (*report.Service, error) {
+	return report.New(report.Options{
+		Instance: n.settings.Instance, Snapshot: n.snapshot, View: do.MustInvoke[*membership.Service](i).View,
+		Requester: do.MustInvoke[*transport.Transport](i), Store: n.budgeted(do.MustInvoke[*platform.Counted](i)),
+		Logger: n.logger,
+	}), nil
+}
+
 func (n *Node) newQuarantine(i do.Injector) (*quarantine.Registry, error) {
 	return quarantine.New(nil, do.MustInvoke[*gossip.Service](i), nil), nil
 }
@@ -190,7 +201,7 @@
 func (n *Node) proxyDeps(i do.Injector) proxy.Deps {
 	return proxy.Deps{
 		Self: n.self, Table: n.table.Load, Snapshot: n.snapshot, Calls: do.MustInvoke[*transport.Transport](i),
-		Observer:   observation.Observers{do.MustInvoke[*move.Service](i)},
+		Observer:   observation.Observers{do.MustInvoke[*move.Service](i), do.MustInvoke[*report.Service](i)},
 		Timeline:   do.MustInvoke[*timeline.Log](i),
 		Quarantine: do.MustInvoke[*quarantine.Registry](i),
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/azurespring/azurespring/pkg/platform"
 	"github.com/azurespring/azurespring/pkg/proxy"
 	"github.com/azurespring/azurespring/pkg/quarantine"
+	"github.com/azurespring/azurespring/pkg/report"
 	"github.com/azurespring/azurespring/pkg/routing"
 	"github.com/azurespring/azurespring/pkg/timeline"
 	"github.com/azurespring/azurespring/pkg/transport"
@@ -52,6 +53,7 @@
 	store        *platform.Counted
 	distribution *distribution.Service
 	moves        *move.Service
+	reports      *report.Service
 	quarantine   *quarantine.Registry
 	entry        *proxy.Entry
 	target       *proxy.TargetSide
@@ -117,6 +119,7 @@
 	defer stopRoles()
 	group, roles := errgroup.WithContext(roles)
 	n.startRoles(roles, group)
+	stopReports := n.startReports(roles)
 	n.servers.serve(group, n.entry, n.target.AnnounceHandler(announcer{n.membership}), n.admin)
 	n.recordListening()
 
@@ -129,7 +132,7 @@
 		case <-roles.Done():
 		}
 	}
-	n.shutdown(context.WithoutCancel(ctx))
+	n.shutdown(context.WithoutCancel(ctx), stopReports)
 	stopRoles()
 	waitErr := group.Wait()
 	n.timeline.Record(timeline.Event{Kind: eventStopped})
@@ -161,6 +164,21 @@
 	run(n.rebuildPeriodically)
 }
 
+// startReports runs the reports and returns the function that ends them, which
+// must happen while the transport can still carry the last counters.
+func (n *Node) startReports(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.reports.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
 // join makes the node a member of the fleet and waits until it has the highest
 // configuration version that its peers know, so that it never serves an old one.
 func (n *Node) join(ctx context.Context) error {
@@ -236,7 +254,7 @@
 
 // shutdown ends the node's work in order, within the drain timeout. Other nodes
 // stop choosing this one's targets before its calls are awaited.
-func (n *Node) shutdown(ctx context.Context) {
+func (n *Node) shutdown(ctx context.Context, stopReports func()) {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
 	defer cancel()
 	n.ready.Store(false)
@@ -248,6 +266,7 @@
 	n.servers.shutdownCaller(ctx)
 	n.target.Drain()
 	n.awaitCalls(ctx)
+	stopReports()
 	n.servers.shutdown(ctx)
 	if err := n.transport.Close(ctx); err != nil {
 		n.logger.WithError(err).Warn("calls from other nodes were still open at the end of the drain timeout")
--- a/test/integration/cluster_test.go
+++ b/test/integration/cluster_test.go
@@ -143,8 +143,15 @@
 	assert.Equal(c.t, code, 0, output)
 }
 
-// await waits until a call of a service through n succeeds.
-func (c *cluster) await(n *testcluster.Node, service string) {
+// await waits until a call of a service succeeds through each of the nodes.
+func (c *cluster) await(service string, nodes ...*testcluster.Node) {
+	c.t.Helper()
+	for _, n := range nodes {
+		c.awaitOne(service, n)
+	}
+}
+
+func (c *cluster) awaitOne(service string, n *testcluster.Node) {
 	c.t.Helper()
 	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
 		result := loadgen.Run(c.ctx, loadgen.Options{
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -21,7 +21,7 @@
 	b := c.node("r1", "d2")
 	target := c.target(b, stock("1"))
 	c.apply(a, 0, lists{version: "1"})
-	c.await(a, "stock")
+	c.await("stock", a, b)
 
 	result := loadgen.Run(ctx, loadgen.Options{
 		Nodes: []string{a.Caller, b.Caller}, Service: "stock", Method: http.MethodGet, Path: "/stock/1",
