--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,11 @@
 
 fmt:
 	$(GO) tool gofumpt -w .
+
+# Starts a small deployment as processes and checks what must hold.
+demo: build
+	$(GO) run ./test/demo -bin bin
+
+# Runs the measurements of docs/measurements.md.
+bench:
+	$(GO) run ./test/bench
--- a/pkg/proxy/remote.go
+++ b/pkg/proxy/remote.go
@@ -33,9 +33,9 @@
 	failure := x.run()
 	stop()
 	x.reader.release()
-	if failure != nil || !x.sent {
-		stream.Cancel()
-	}
+	// Nothing more is read, even if the peer's end of the stream is still on its
+	// way; a stream left open would hold up the shutdown of this node.
+	stream.Cancel()
 	return failure
 }
 
@@ -44,8 +44,6 @@
 	call   *call
 	stream transport.Stream
 	reader *frameReader
-	// sent is set if the request went out whole before the answer.
-	sent bool
 }
 
 func (x *exchange) run() *verdict.Error {
@@ -98,7 +96,6 @@
 	if err := buffer.flush(x.stream); err != nil {
 		return err
 	}
-	x.sent = true
 	return x.stream.CloseWrite()
 }
 
--- a/pkg/transport/stream.go
+++ b/pkg/transport/stream.go
@@ -53,7 +53,10 @@
 // Cancel implements Stream.
 func (s *openedStream) Cancel() {
 	s.CancelRead(streamCanceled)
-	s.CancelWrite(streamCanceled)
+	// After CloseWrite, a cancelled writing side could lose the request's end.
+	if s.state.Load()&writeEnded == 0 {
+		s.CancelWrite(streamCanceled)
+	}
 	s.end(bothEnded)
 }
 
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -51,7 +51,8 @@
 	io.Writer
 	// CloseWrite ends the sending side in order.
 	CloseWrite() error
-	// Cancel aborts both directions; the peer's reads and writes fail.
+	// Cancel aborts the directions that have not ended; the peer's reads and writes
+	// fail. The opener of a stream calls it when it is done, also after success.
 	Cancel()
 	// SetDeadline bounds all reads and writes.
 	SetDeadline(t time.Time) error
