--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -15,6 +14,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/azurespring/azurespring/internal/testcerts"
 	"github.com/azurespring/azurespring/internal/testtarget"
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
 	"github.com/azurespring/azurespring/pkg/membership"
@@ -25,53 +25,19 @@
 	"github.com/azurespring/azurespring/pkg/transport"
 )
 
-// tcpStream is a transport.Stream over one TCP connection.
-type tcpStream struct {
-	*net.TCPConn
-	ctx    context.Context
-	cancel context.CancelFunc
+// opener is a node's QUIC transport, whose new streams wrap may change to break
+// them at a chosen point.
+type opener struct {
+	transport.CallOpener
+	fleet *fleet
 }
 
-func newTCPStream(conn net.Conn) *tcpStream {
-	s := &tcpStream{TCPConn: conn.(*net.TCPConn)}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
-	return s
-}
-
-func (s *tcpStream) Read(p []byte) (int, error) {
-	n, err := s.TCPConn.Read(p)
-	if err != nil && err != io.EOF {
-		s.cancel()
+func (o opener) OpenCall(ctx context.Context, address string) (transport.Stream, error) {
+	stream, err := o.CallOpener.OpenCall(ctx, address)
+	if err == nil && o.fleet.wrap != nil {
+		stream = o.fleet.wrap(stream)
 	}
-	return n, err
-}
-
-// Cancel resets the connection.
-func (s *tcpStream) Cancel() {
-	s.cancel()
-	_ = s.SetLinger(0)
-	_ = s.Close()
-}
-
-func (s *tcpStream) Context() context.Context { return s.ctx }
-
-// loopback connects nodes by TCP; each call has a connection of its own, so that
-// a reset is seen by the other side.
-type loopback struct {
-	// wrap changes each new stream of an entry node; nil changes nothing.
-	wrap func(transport.Stream) transport.Stream
-}
-
-func (l *loopback) OpenCall(ctx context.Context, address string) (transport.Stream, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	var stream transport.Stream = newTCPStream(conn)
-	if l.wrap != nil {
-		stream = l.wrap(stream)
-	}
-	return stream, nil
+	return stream, err
 }
 
 // node is an entry and a target side with listeners.
@@ -82,7 +48,7 @@
 	entry    *Entry
 	http     *httptest.Server
 	local    *httptest.Server
-	listener net.Listener
+	quic     *transport.Transport
 	targets  map[string]membership.Target
 	observed []observation.Call
 	mu       sync.Mutex
@@ -120,80 +86,18 @@
 	var endpoints []membership.Endpoint
 	for _, target := range n.targets {
 		endpoints = append(endpoints, membership.Endpoint{
-			Target: target, Instance: n.name, Address: n.listener.Addr().String(), Region: "r", FailureDomain: "d",
+			Target: target, Instance: n.name, Address: n.quic.Address(), Region: "r", FailureDomain: "d",
 		})
 	}
 	return endpoints
 }
 
-// serve hands each connection to the target side. A goroutine notices the reset
-// of a stream whose reader waits for nothing.
-func (n *node) serve() {
-	for {
-		conn, err := n.listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			stream := newTCPStream(conn)
-			defer stream.Close()
-			watched := watchedStream{tcpStream: stream, reads: make(chan []byte, 1)}
-			go watched.watch()
-			n.side.ServeCall(context.Background(), transport.Peer{}, &watched)
-		}()
-	}
-}
-
-// watchedStream reads ahead all the time, as QUIC does, so that its context
-// ends when the peer cancels.
-type watchedStream struct {
-	*tcpStream
-	reads chan []byte
-	rest  []byte
-}
-
-func (w *watchedStream) watch() {
-	defer close(w.reads)
-	for {
-		buffer := make([]byte, 32<<10)
-		n, err := w.tcpStream.Read(buffer)
-		if n > 0 {
-			select {
-			case w.reads <- buffer[:n]:
-			case <-w.ctx.Done():
-				return
-			}
-		}
-		if err == io.EOF {
-			return
-		}
-		if err != nil {
-			w.cancel()
-			return
-		}
-	}
-}
-
-func (w *watchedStream) Read(p []byte) (int, error) {
-	for len(w.rest) == 0 {
-		rest, ok := <-w.reads
-		if !ok {
-			if w.ctx.Err() != nil {
-				return 0, net.ErrClosed
-			}
-			return 0, io.EOF
-		}
-		w.rest = rest
-	}
-	n := copy(p, w.rest)
-	w.rest = w.rest[n:]
-	return n, nil
-}
-
 // fleet is a set of nodes that share one configuration.
 type fleet struct {
-	t        testing.TB
-	link     *loopback
+	t testing.TB
+	// wrap changes each new stream of an entry node; nil changes nothing.
+	wrap     func(transport.Stream) transport.Stream
+	certs    *testcerts.Authority
 	snapshot *dynamic.Snapshot
 	shares   move.Shares
 	claimer  IdempotencyClaimer
@@ -226,10 +130,11 @@
 }
 
 func newFleet(t testing.TB, names ...string) *fleet {
-	f := &fleet{t: t, link: &loopback{}}
+	certs, err := testcerts.NewAuthority()
+	assert.NilError(t, err)
 	snapshot, err := dynamic.Compile(dynamic.Manifest{Version: 1}, testConfig())
 	assert.NilError(t, err)
-	f.snapshot = snapshot
+	f := &fleet{t: t, certs: certs, snapshot: snapshot}
 	for _, name := range names {
 		f.add(name)
 	}
@@ -238,9 +143,13 @@
 }
 
 func (f *fleet) add(name string) *node {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	files, err := f.certs.Write(f.t.TempDir(), name)
+	assert.NilError(f.t, err)
+	source, err := transport.NewTLSSource(files.Certificate, files.Key, files.CA)
+	assert.NilError(f.t, err)
+	quic, err := transport.Listen(transport.Options{Address: "127.0.0.1:0", TLS: source})
 	assert.NilError(f.t, err)
-	n := &node{fleet: f, name: name, listener: listener, targets: make(map[string]membership.Target)}
+	n := &node{fleet: f, name: name, quic: quic, targets: make(map[string]membership.Target)}
 	index := len(f.nodes)
 	deps := Deps{
 		Self: routing.Locality{Instance: name, Region: "r", FailureDomain: "d"},
@@ -250,7 +159,7 @@
 			return f.tables[index]
 		},
 		Snapshot: func() *dynamic.Snapshot { return f.snapshot },
-		Calls:    f.link, Observer: n, Quarantine: quarantine.New(nil, nil, nil),
+		Calls:    opener{CallOpener: quic, fleet: f}, Observer: n, Quarantine: quarantine.New(nil, nil, nil),
 		Claimer: f.claimer,
 	}
 	n.side = NewTargetSide(deps)
@@ -260,12 +169,14 @@
 	f.nodes = append(f.nodes, n)
 	f.builders = append(f.builders, routing.NewBuilder(nil))
 	f.tables = append(f.tables, nil)
-	go n.serve()
+	quic.HandleCalls(n.side.ServeCall)
 	f.t.Cleanup(func() {
 		n.http.Close()
 		n.local.Close()
 		n.side.Close()
-		_ = listener.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_ = quic.Close(ctx)
 	})
 	return n
 }
--- a/pkg/proxy/remote.go
+++ b/pkg/proxy/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 
 	"github.com/azurespring/azurespring/pkg/routing"
 	"github.com/azurespring/azurespring/pkg/transport"
@@ -32,11 +33,25 @@
 	x := &exchange{call: c, stream: stream, reader: newFrameReader(stream)}
 	failure := x.run()
 	stop()
-	x.reader.release()
+	defer x.reader.release()
 	if failure != nil || !x.sent {
 		stream.Cancel()
+		return failure
+	}
+	x.drain()
+	return nil
+}
+
+// drain reads the end of the stream, which releases it. The caller gets its
+// answer before, because the end may come in a later packet.
+func (x *exchange) drain() {
+	if x.call.ctx.Err() == nil {
+		_ = http.NewResponseController(x.call.w).Flush()
+	}
+	var rest [1]byte
+	if _, err := x.reader.in.Read(rest[:]); err != io.EOF {
+		x.stream.Cancel()
 	}
-	return failure
 }
 
 // exchange is one try over a stream.
@@ -99,7 +114,10 @@
 		return err
 	}
 	x.sent = true
-	return x.stream.CloseWrite()
+	// The target node has the end frame. It may even have answered and released the
+	// stream by now, in which case closing fails.
+	_ = x.stream.CloseWrite()
+	return nil
 }
 
 // sendBody streams a body. If the caller's side breaks, the stream is cancelled,
@@ -114,7 +132,8 @@
 		buffer.body(chunk[:n])
 		if err == io.EOF {
 			err = buffer.encode(frameEnd, end{Total: reader.offset, Trailers: body.trailers()})
-			if err == nil && buffer.flush(stream) == nil && stream.CloseWrite() == nil {
+			if err == nil && buffer.flush(stream) == nil {
+				_ = stream.CloseWrite()
 				return
 			}
 		}
@@ -209,6 +228,9 @@
 	if failure := asVerdict(err); failure != nil {
 		return failure
 	}
+	if transport.IsRefused(err) {
+		return verdict.Refuse(verdict.NoTarget, "the target's node takes no calls")
+	}
 	if c.ctx.Err() != nil {
 		return c.ended(verdict.MayHaveRun)
 	}
