--- a/pkg/proxy/remote.go
+++ b/pkg/proxy/remote.go
@@ -96,7 +96,10 @@
 	if err := buffer.flush(x.stream); err != nil {
 		return err
 	}
-	return x.stream.CloseWrite()
+	// The target node has the end frame. It may even have answered and released the
+	// stream by now, in which case closing fails.
+	_ = x.stream.CloseWrite()
+	return nil
 }
 
 // sendBody streams a body. If the caller's side breaks, the stream is cancelled,
@@ -111,7 +114,8 @@
 		buffer.body(chunk[:n])
 		if err == io.EOF {
 			err = buffer.encode(frameEnd, end{Total: reader.offset, Trailers: body.trailers()})
-			if err == nil && buffer.flush(stream) == nil && stream.CloseWrite() == nil {
+			if err == nil && buffer.flush(stream) == nil {
+				_ = stream.CloseWrite()
 				return
 			}
 		}
@@ -206,6 +210,9 @@
 	if failure := asVerdict(err); failure != nil {
 		return failure
 	}
+	if transport.IsRefused(err) {
+		return verdict.Refuse(verdict.NoTarget, "the target's node takes no calls")
+	}
 	if c.ctx.Err() != nil {
 		return c.ended(verdict.MayHaveRun)
 	}
--- a/pkg/proxy/stream_test.go
+++ b/pkg/proxy/stream_test.go
@@ -44,7 +44,7 @@
 func TestStreamsAreReleasedAfterWholeAnswers(t *testing.T) {
 	f := newFleet(t, "entry", "beside")
 	var open atomic.Int64
-	f.link.wrap = func(s transport.Stream) transport.Stream {
+	f.wrap = func(s transport.Stream) transport.Stream {
 		open.Add(1)
 		return &lateEndStream{Stream: s, open: &open}
 	}
