--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -20,6 +21,8 @@
 // testTimeout only bounds a test that hangs.
 const testTimeout = 2 * time.Minute
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 type node struct {
 	transport *transport.Transport
 	gossip    *gossip.Service
@@ -105,3 +108,57 @@
 		poll.WaitOn(t, sees(n, names...), poll.WithTimeout(testTimeout))
 	}
 }
+
+// Guards against a node that waits for a dead seed for good.
+func TestDeadSeed(t *testing.T) {
+	authority, err := testcerts.NewAuthority()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	dead := startNode(t, authority, "dead")
+	address := dead.transport.Address()
+	dead.stop()
+	n := startNode(t, authority, "n0", address)
+	assert.NilError(t, n.members.Join(ctx, []string{address}))
+	poll.WaitOn(t, sees(n, "n0"), poll.WithTimeout(testTimeout))
+}
+
+// Guards against parts of the fleet that started alone and stay apart.
+func TestSeparateStartsMerge(t *testing.T) {
+	authority, err := testcerts.NewAuthority()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	first := startNode(t, authority, "n0")
+	second := startNode(t, authority, "n1", first.transport.Address())
+	for _, n := range []*node{first, second} {
+		assert.NilError(t, n.members.Join(ctx, nil))
+	}
+	for _, n := range []*node{first, second} {
+		poll.WaitOn(t, sees(n, "n0", "n1"), poll.WithTimeout(testTimeout))
+	}
+}
+
+// Guards against a herd of nodes that all start at once, seeds included, and do
+// not find each other.
+func TestHerdStart(t *testing.T) {
+	authority, err := testcerts.NewAuthority()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	first, second := startNode(t, authority, "n00"), startNode(t, authority, "n01")
+	seeds := []string{first.transport.Address(), second.transport.Address()}
+	nodes, names := []*node{first, second}, []string{"n00", "n01"}
+	for i := 2; i < 16; i++ {
+		instance := fmt.Sprintf("n%02d", i)
+		nodes, names = append(nodes, startNode(t, authority, instance, seeds...)), append(names, instance)
+	}
+	var joins sync.WaitGroup
+	for _, n := range nodes {
+		joins.Go(func() { assert.Check(t, n.members.Join(ctx, seeds)) })
+	}
+	joins.Wait()
+	for _, n := range nodes {
+		poll.WaitOn(t, sees(n, names...), poll.WithTimeout(testTimeout))
+	}
+}
