Heal conflicting versions and test distribution under faults

Cause: a restored platform could accept a change under a number in use at nodes that lag behind, and two configurations with one number stayed in force side by side when the reader had the one that the head holds (seen as a test that timed out after 60 s in 1 of 4 runs with GOMAXPROCS=2).

--- a/pkg/distribution/apply.go
+++ b/pkg/distribution/apply.go
@@ -25,6 +25,14 @@
 	maxStoreRetry = 2 * time.Second
 )
 
+// restoreWaitLeases is the time, in lease durations, for which a change waits for
+// the reader to write the version in force back to a restored platform. Without
+// this wait, a node that lags behind could accept a change under a number that
+// is in use.
+const restoreWaitLeases = 2
+
+var errHeadBehind = errors.New("the platform was restored from an older copy and is being brought up to date")
+
 // ApplyRequest asks to accept a configuration.
 type ApplyRequest struct {
 	// Config is a valid configuration; Apply checks its references again.
@@ -93,7 +101,7 @@
 	if err != nil {
 		return ApplyResult{}, err
 	}
-	a := &application{s: s, request: r, parts: parts}
+	a := &application{s: s, request: r, parts: parts, started: time.Now()}
 	h, result, err := a.run(ctx)
 	if err != nil {
 		return ApplyResult{}, err
@@ -130,7 +138,7 @@
 		return err
 	}
 	s.versions.prepare(c)
-	s.loop.Submit(ctx, Prepared{Version: versionOf(c.manifest), Accepted: true})
+	s.loop.Submit(ctx, Prepared{Version: versionOf(c.manifest), Source: Accepted})
 	return s.awaitVersion(ctx, c.manifest.Version)
 }
 
@@ -139,6 +147,7 @@
 	s       *Service
 	request ApplyRequest
 	parts   []dynamic.Part
+	started time.Time
 	// unknown is the error of a head update whose outcome is open.
 	unknown error
 }
@@ -179,6 +188,9 @@
 	if c, ok := h.find(a.request.ChangeID); ok {
 		return a.found(h, c)
 	}
+	if h.Manifest.Version < a.s.highest.Load() && time.Since(a.started) < restoreWaitLeases*a.s.o.LeaseDuration {
+		return head{}, ApplyResult{}, errHeadBehind
+	}
 	next, err := a.next(h)
 	if err != nil {
 		return head{}, ApplyResult{}, err
--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -45,7 +45,7 @@
 	stop    func()
 
 	mu      sync.Mutex
-	item    []byte
+	items   map[string][]byte
 	history []uint64
 }
 
@@ -68,7 +68,7 @@
 	f.mu.Lock()
 	address := fmt.Sprintf("node-%d", len(f.nodes))
 	f.mu.Unlock()
-	n := &node{fleet: f, address: address, counted: platform.NewCounted(client, nil)}
+	n := &node{fleet: f, address: address, items: make(map[string][]byte), counted: platform.NewCounted(client, nil)}
 	n.log = timeline.NewLog(timeline.NewClock(time.Now), timeline.Origin{Instance: address}, nil)
 	o := distribution.Options{
 		Store: n.counted, Requester: f, Publisher: n, Instance: address, Region: "a", Timeline: n.log,
@@ -141,23 +141,36 @@
 func (n *node) Publish(item gossip.Item) {
 	n.fleet.mu.Lock()
 	nodes := slices.Clone(n.fleet.nodes)
+	if n.fleet.cut[n.address] {
+		nodes = []*node{n}
+	}
 	n.fleet.mu.Unlock()
 	for _, other := range nodes {
+		n.fleet.mu.Lock()
+		cut := n.fleet.cut[other.address] && other != n
+		n.fleet.mu.Unlock()
+		if cut {
+			continue
+		}
 		other.receive(item)
+		// What anti-entropy does: the sender learns of an item that won.
+		if other != n {
+			n.receive(gossip.Item{Topic: item.Topic, Key: item.Key, Payload: other.held(item.Key)})
+		}
 	}
 }
 
+func (n *node) held(key string) []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.items[key]
+}
+
 func (n *node) receive(item gossip.Item) {
-	n.fleet.mu.Lock()
-	cut := n.fleet.cut[n.address]
-	n.fleet.mu.Unlock()
-	if cut {
-		return
-	}
 	n.mu.Lock()
-	merged, err := distribution.MergeConfig(n.item, item.Payload)
-	changed := err == nil && !slices.Equal(merged, n.item)
-	n.item = merged
+	merged, err := distribution.MergeConfig(n.items[item.Key], item.Payload)
+	changed := err == nil && !slices.Equal(merged, n.items[item.Key])
+	n.items[item.Key] = merged
 	n.mu.Unlock()
 	if changed {
 		n.OnConfigItem(gossip.Item{Topic: item.Topic, Key: item.Key, Payload: merged})
--- a/pkg/distribution/pull.go
+++ b/pkg/distribution/pull.go
@@ -39,7 +39,7 @@
 		}
 		if c != nil {
 			s.versions.prepare(c)
-			s.loop.Submit(ctx, Prepared{Version: versionOf(c.manifest)})
+			s.loop.Submit(ctx, Prepared{Version: versionOf(c.manifest), Source: Pulled})
 			return
 		}
 	}
--- a/pkg/distribution/reader.go
+++ b/pkg/distribution/reader.go
@@ -23,7 +23,9 @@
 	mu     sync.Mutex
 	head   head
 	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// superseded ends the fetch of a head that is no longer the newest.
+	superseded context.CancelFunc
+	done       sync.WaitGroup
 }
 
 func (r *reader) start(ctx context.Context) {
@@ -47,6 +49,7 @@
 	if cancel != nil {
 		cancel()
 	}
+	r.done.Wait()
 }
 
 // watch follows the head and replaces the watch whenever it breaks.
@@ -94,6 +97,9 @@
 		return err
 	}
 	r.mu.Lock()
+	if r.superseded != nil && versionOf(r.head.Manifest) != versionOf(h.Manifest) {
+		r.superseded()
+	}
 	r.head = h
 	r.mu.Unlock()
 	r.s.noteHead(h)
@@ -107,22 +113,23 @@
 	defer cancel()
 	r.mu.Lock()
 	h := r.head
+	r.superseded = cancel
 	r.mu.Unlock()
 	if versionOf(h.Manifest) != version {
-		r.s.loop.Submit(ctx, FetchFailed{Version: version})
+		r.s.loop.Submit(context.WithoutCancel(ctx), FetchFailed{Version: version})
 		return
 	}
 	c, err := r.s.load(ctx, h)
 	var invalid *InvalidError
 	switch {
 	case errors.As(err, &invalid):
-		r.s.loop.Submit(ctx, Rejected{Version: version, Reason: err.Error()})
+		r.s.loop.Submit(context.WithoutCancel(ctx), Rejected{Version: version, Reason: err.Error()})
 	case err != nil:
 		r.s.logger.WithError(err).Warn("version could not be read from the platform")
 		r.s.loop.Submit(context.WithoutCancel(ctx), FetchFailed{Version: version})
 	default:
 		r.s.versions.prepare(c)
-		r.s.loop.Submit(ctx, Prepared{Version: version})
+		r.s.loop.Submit(context.WithoutCancel(ctx), Prepared{Version: version, Source: Fetched})
 	}
 }
 
--- a/pkg/distribution/reducer.go
+++ b/pkg/distribution/reducer.go
@@ -18,6 +18,21 @@
 	EventReaderStopped timeline.Kind = "config-reader-stopped"
 )
 
+// Source says where a version came from.
+type Source uint8
+
+// The sources of a version.
+const (
+	// Joined means that the node asked for it when it joined.
+	Joined Source = iota
+	// Pulled means that it ends a Pull.
+	Pulled
+	// Fetched means that it ends a Fetch.
+	Fetched
+	// Accepted means that this node wrote it to the head.
+	Accepted
+)
+
 // Event is an input of the reducer.
 type Event interface{ event() }
 
@@ -29,8 +44,7 @@
 	// Prepared says that a complete, verified and compiled version is at hand.
 	Prepared struct {
 		Version Version
-		// Accepted is set at the node that wrote the head.
-		Accepted bool
+		Source  Source
 	}
 	// PullEnded says that a pull from peers ended without a newer version.
 	PullEnded struct{}
@@ -75,15 +89,19 @@
 	Activate struct{ Version Version }
 	// Drop forgets a prepared version.
 	Drop struct{ Version Version }
-	// Publish spreads an announcement.
-	Publish struct{ Announcement Announcement }
+	// Publish spreads an announcement. Contested says that the announced version
+	// is in force here, while another node has another one under the same number.
+	Publish struct {
+		Announcement Announcement
+		Contested    bool
+	}
 	// StartReading begins to watch the head.
 	StartReading struct{ Fence uint64 }
 	// StopReading ends it.
 	StopReading struct{}
 	// WriteBack stores the version in force in the head. If Raise is set, it does
-	// so under the next higher number, because the head holds another
-	// configuration under the same number.
+	// so under the next higher number, because another configuration has the same
+	// number.
 	WriteBack struct {
 		Active Version
 		Head   Version
@@ -114,6 +132,9 @@
 	random *rand.Rand
 	// active only ever rises.
 	active Version
+	// contested is the last version in force under whose number another
+	// configuration was seen.
+	contested Version
 	// wanted is the highest version announced.
 	wanted   Version
 	rejected map[Version]bool
@@ -198,7 +219,7 @@
 		m.fences[a.Lease] = a.Fence
 	}
 	if a.Version.Number == m.active.Number && a.Version.Digest != m.active.Digest {
-		return []Effect{report(EventConflict, a.Version, "announced with another digest than the version in force")}
+		return m.contest(a.Version, "announced with another digest than the version in force")
 	}
 	if a.Version.Number > m.wanted.Number {
 		m.wanted = a.Version
@@ -208,8 +229,10 @@
 }
 
 func (m *Machine) prepared(e Prepared) []Effect {
-	m.pulling = false
-	if e.Version == m.head {
+	switch e.Source {
+	case Pulled:
+		m.pulling = false
+	case Fetched:
 		m.fetching = false
 	}
 	switch {
@@ -218,20 +241,31 @@
 	case e.Version.Number < m.active.Number:
 		return []Effect{Drop{Version: e.Version}}
 	case e.Version.Number == m.active.Number:
-		return []Effect{
-			Drop{Version: e.Version},
-			report(EventConflict, e.Version, "received with another digest than the version in force"),
-		}
+		return append([]Effect{Drop{Version: e.Version}},
+			m.contest(e.Version, "received with another digest than the version in force")...)
 	}
 	m.active = e.Version
 	m.pull, m.fetch = schedule{}, schedule{}
 	effects := []Effect{Activate{Version: e.Version}, report(EventActivated, e.Version, "")}
-	if e.Accepted {
+	if e.Source == Accepted {
 		effects = append(effects, Publish{Announcement: Announcement{Version: e.Version}})
 	}
 	return effects
 }
 
+// contest takes in that another configuration has the number of the one in
+// force. The first time, it tells all nodes, so that a reader that has either of
+// the two learns of the other and stores its own under a new number; without that
+// the two would stay in force side by side.
+func (m *Machine) contest(other Version, reason string) []Effect {
+	effects := []Effect{report(EventConflict, other, reason)}
+	if m.contested != m.active {
+		m.contested = m.active
+		effects = append(effects, Publish{Announcement: Announcement{Version: m.active}, Contested: true})
+	}
+	return effects
+}
+
 func (m *Machine) reject(e Rejected) []Effect {
 	m.pulling, m.fetching = false, false
 	if m.rejected[e.Version] {
@@ -275,7 +309,7 @@
 
 func (m *Machine) reading(now time.Time) []Effect {
 	switch {
-	case m.head == m.active:
+	case m.head == m.active && (m.active.Number == 0 || m.contested != m.active):
 		m.writeBack = schedule{}
 		a := Announcement{Version: m.active, Lease: m.role.Lease, Fence: m.role.Fence}
 		if m.active.Number == 0 || m.published == a {
@@ -294,9 +328,15 @@
 		return nil
 	}
 	m.writingBack = true
+	if m.head.Number == m.active.Number {
+		return []Effect{
+			WriteBack{Active: m.active, Head: m.head, Raise: true},
+			report(EventConflict, m.head, "another configuration has the number of the version in force"),
+		}
+	}
 	return []Effect{
-		WriteBack{Active: m.active, Head: m.head, Raise: m.head.Number == m.active.Number},
-		report(EventWriteBack, m.active, "the head is older than the version in force or differs from it"),
+		WriteBack{Active: m.active, Head: m.head},
+		report(EventWriteBack, m.active, "the head is older than the version in force"),
 	}
 }
 
--- a/pkg/distribution/service.go
+++ b/pkg/distribution/service.go
@@ -33,6 +33,7 @@
 	DefaultContactsEvery   = 10 * time.Minute
 	defaultTickInterval    = 100 * time.Millisecond
 	configItemKey          = "head"
+	contestedItemKey       = "contested"
 	readerLeasePrefix      = "reader-"
 	candidateCheckInterval = time.Second
 )
@@ -104,6 +105,8 @@
 	reader   *reader
 	// fence is the highest fencing number announced for this region's lease.
 	fence atomic.Uint64
+	// highest is the highest version number in force here or announced.
+	highest atomic.Uint64
 
 	mu        sync.Mutex
 	callbacks []func(*dynamic.Snapshot)
@@ -200,6 +203,7 @@
 	if a.Lease == readerLeasePrefix+s.o.Region {
 		raise(&s.fence, a.Fence)
 	}
+	raise(&s.highest, a.Version.Number)
 	s.loop.Submit(context.Background(), Announced{Announcement: a})
 }
 
@@ -223,7 +227,13 @@
 	case Drop:
 		s.versions.drop(e.Version)
 	case Publish:
-		s.o.Publisher.Publish(gossip.Item{Topic: gossip.Config, Key: configItemKey, Payload: encode(e.Announcement)})
+		// Gossip calls back into this loop, so the loop must not wait for it.
+		key := configItemKey
+		if e.Contested {
+			key = contestedItemKey
+		}
+		item := gossip.Item{Topic: gossip.Config, Key: key, Payload: encode(e.Announcement)}
+		s.background.Go(func() { s.o.Publisher.Publish(item) })
 	case StartReading:
 		s.reader.start(ctx)
 	case StopReading:
@@ -242,6 +252,7 @@
 	if c == nil {
 		return
 	}
+	raise(&s.highest, id.Number)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshot.Store(c.snapshot)
