Wait for all nodes that any asked node knows

Cause: in a trial with three fresh nodes, apply -wait reported the version in force on all 1 nodes, because the first node had not heard of the others yet. Applying unchanged lists made a new version, and the end of -retry-for could cut off a request and turn a plain refusal into an unknown outcome. Change: -wait joins the members known to all given nodes and to nodes that know more; lists in force as they are are not sent unless a change id is given; retries end between requests. Conflicts name customers instead of groups, and refusals of distribution as invalid are 422. Conclusion: -wait is as complete as the joined member tables.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -20,7 +20,8 @@
 type Configurations interface {
 	// Apply returns once the configuration is accepted. already is true if an
 	// earlier call with the same change id took effect. It returns *ConflictError,
-	// *OutcomeUnknownError, or another error if the change was certainly not accepted.
+	// *OutcomeUnknownError, *distribution.InvalidError, or another error if the
+	// change was certainly not accepted.
 	Apply(ctx context.Context, config dynamic.Config, changeID string, base uint64) (version uint64, already bool, err error)
 	// Current returns nil if no configuration is in force yet.
 	Current() *dynamic.Snapshot
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/azurespring/azurespring/pkg/admin"
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/distribution"
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
 	"github.com/azurespring/azurespring/pkg/timeline"
@@ -142,7 +143,7 @@
 	bad := lists(t)
 	bad[1].Content = strings.Replace(bad[1].Content, "period: 24h", "period: 24", 1)
 	conflict := &admin.ConflictError{BaseVersion: 5, CurrentVersion: 6, Entries: []string{
-		"service/stock", dynamic.PartOf("customer/cennik-portal"),
+		"service/stock", dynamic.PartOf("customer/cennik-portal"), dynamic.PartOf("customer/nobody"),
 	}}
 	for _, test := range []struct {
 		name   string
@@ -154,6 +155,8 @@
 	}{
 		{"conflict", conflict, lists(t), 409, admin.CodeConflict, "service/stock"},
 		{"conflict names customers", conflict, lists(t), 409, admin.CodeConflict, "customer/cennik-portal"},
+		{"conflict names a group", conflict, lists(t), 409, admin.CodeConflict, "customers/"},
+		{"invalid for distribution", &distribution.InvalidError{Cause: errors.New("too large")}, lists(t), 422, admin.CodeInvalidLists, "too large"},
 		{"unknown outcome", &admin.OutcomeUnknownError{ChangeID: "change-1", Cause: io.EOF}, lists(t), 503, admin.CodeOutcomeUnknown, "same change id"},
 		{"platform down", errors.New("no route"), lists(t), 503, admin.CodeUnavailable, "Nothing was changed"},
 		{"faulty lists", nil, bad, 422, admin.CodeInvalidLists, `"file":"entitlements.yaml","line":33`},
--- a/pkg/admin/problem.go
+++ b/pkg/admin/problem.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
 	"github.com/azurespring/azurespring/pkg/config/static"
+	"github.com/azurespring/azurespring/pkg/distribution"
 )
 
 // Codes of problems.
@@ -115,7 +116,7 @@
 func applyProblem(err error, requested dynamic.Config, current *dynamic.Snapshot) *Problem {
 	var conflict *ConflictError
 	var unknown *OutcomeUnknownError
-	var faults dynamic.Faults
+	var invalid *distribution.InvalidError
 	switch {
 	case errors.As(err, &conflict):
 		p := problem(http.StatusConflict, CodeConflict, conflict.Error(),
@@ -126,30 +127,41 @@
 	case errors.As(err, &unknown):
 		return problem(http.StatusServiceUnavailable, CodeOutcomeUnknown, unknown.Error(),
 			"Send the same lists again with the same change id; a change is never applied twice.")
-	case errors.As(err, &faults):
-		return invalidLists(faults)
+	case errors.As(err, &invalid):
+		return invalidLists(dynamic.Faults{{Detail: invalid.Cause.Error()}})
 	}
 	return problem(http.StatusServiceUnavailable, CodeUnavailable, "the change was not accepted: "+err.Error(),
 		"Nothing was changed. The configuration in force goes on; try again when the platform answers.")
 }
 
+// maxNamedCustomers bounds how many customers stand for their group.
+const maxNamedCustomers = 10
+
 // namedEntries replaces groups of customers, such as "customers/17", by the
-// customers of the group that differ between requested and current.
+// customers of the group that differ between requested and current. If none
+// differs, all customers of a small group are named.
 func namedEntries(parts []string, requested dynamic.Config, current *dynamic.Snapshot) []string {
-	var changes []dynamic.Change
+	var inForce dynamic.Config
 	if current != nil {
-		changes = dynamic.Diff(requested, current.Config())
+		inForce = current.Config()
+	}
+	changed, members := make(map[string][]string), make(map[string][]string)
+	for _, change := range dynamic.Diff(requested, inForce) {
+		part := dynamic.PartOf(change.Entry)
+		changed[part] = append(changed[part], change.Entry)
+	}
+	for _, customer := range inForce.Customers {
+		entry := "customer/" + customer.Name
+		members[dynamic.PartOf(entry)] = append(members[dynamic.PartOf(entry)], entry)
 	}
 	var entries []string
 	for _, part := range parts {
-		found := false
-		for _, change := range changes {
-			if change.Entry != part && dynamic.PartOf(change.Entry) == part {
-				entries = append(entries, change.Entry)
-				found = true
-			}
-		}
-		if !found {
+		switch {
+		case len(changed[part]) > 0:
+			entries = append(entries, changed[part]...)
+		case len(members[part]) > 0 && len(members[part]) <= maxNamedCustomers:
+			entries = append(entries, members[part]...)
+		default:
 			entries = append(entries, part)
 		}
 	}
--- a/pkg/admin/views.go
+++ b/pkg/admin/views.go
@@ -57,6 +57,7 @@
 	NotReady      string `json:"notReady,omitempty" doc:"Reason why the node is not ready"`
 	ConfigVersion uint64 `json:"configVersion" doc:"Version in force; 0 if none"`
 	ConfigDigest  string `json:"configDigest,omitempty"`
+	Members       int    `json:"members" doc:"Number of nodes that this node knows, itself included"`
 }
 
 // Member is one node as its peers know it.
@@ -165,6 +166,9 @@
 			status.Ready, status.NotReady = false, err.Error()
 		}
 	}
+	if s.options.Members != nil {
+		status.Members = len(s.options.Members.View().Members)
+	}
 	if s.options.Configurations != nil {
 		if current := s.options.Configurations.Current(); current != nil {
 			status.ConfigVersion, status.ConfigDigest = current.Version(), current.Manifest().Digest
--- a/pkg/ctl/apply.go
+++ b/pkg/ctl/apply.go
@@ -20,7 +20,8 @@
 	name: "apply", arguments: "FILE...", summary: "Apply both lists as one new configuration version",
 	description: "The lists are checked, compared with the configuration in force and accepted whole or not\n" +
 		"at all. Without -base the change is based on the version in force when the command starts.\n" +
-		"If the outcome is unknown, the same change is sent again; it is never applied twice.",
+		"If the outcome is unknown, the same change is sent again; it is never applied twice. Lists\n" +
+		"that are in force already become no new version.",
 	examples: []string{
 		"apply customers.yaml entitlements.yaml",
 		"apply -base 41 -wait *.yaml",
@@ -63,7 +64,8 @@
 
 // outcome is what apply prints with -o json.
 type outcome struct {
-	ChangeID string `json:"changeId"`
+	// ChangeID is empty if the lists were in force already.
+	ChangeID string `json:"changeId,omitempty"`
 	admin.ApplyResult
 	// Nodes is the number of nodes on which the version is in force, set by -wait.
 	Nodes int `json:"nodes,omitempty"`
@@ -81,9 +83,6 @@
 	if err != nil {
 		return err
 	}
-	if a.changeID == "" {
-		a.changeID = uuid.NewString()
-	}
 	var preview admin.ValidateResult
 	if err := c.validate(ctx, files, &preview); err != nil {
 		return err
@@ -94,11 +93,7 @@
 			printChanges(w, preview.Changes)
 		})
 	}
-	if a.base < 0 {
-		a.base = int64(preview.CurrentVersion)
-	}
-	done := outcome{ChangeID: a.changeID}
-	done.ApplyResult, err = a.send(ctx, s, c, files)
+	done, err := a.accept(ctx, s, c, files, preview)
 	if err != nil {
 		return err
 	}
@@ -110,13 +105,41 @@
 	return s.print(done, func(w io.Writer) { printOutcome(w, done) })
 }
 
+// accept sends the change, unless the lists are in force as they are.
+func (a *apply) accept(
+	ctx context.Context, s *session, c *client, files []dynamic.File, preview admin.ValidateResult,
+) (done outcome, err error) {
+	current := preview.CurrentVersion
+	if a.base < 0 {
+		a.base = int64(current)
+	}
+	if a.changeID == "" && uint64(a.base) == current && current != 0 && len(preview.Changes) == 0 {
+		return outcome{ApplyResult: admin.ApplyResult{Version: current, Changes: preview.Changes}}, nil
+	}
+	if a.changeID == "" {
+		a.changeID = uuid.NewString()
+	}
+	done.ChangeID = a.changeID
+	done.ApplyResult, err = a.send(ctx, s, c, files)
+	return done, err
+}
+
 func printOutcome(w io.Writer, o outcome) {
+	if o.ChangeID == "" {
+		fmt.Fprintf(w, "Version %d holds these lists already; nothing was changed.\n", o.Version)
+		printNodes(w, o)
+		return
+	}
 	already := ""
 	if o.AlreadyApplied {
 		already = " by an earlier attempt"
 	}
 	fmt.Fprintf(w, "Version %d was accepted%s (change %s):\n", o.Version, already, o.ChangeID)
 	printChanges(w, o.Changes)
+	printNodes(w, o)
+}
+
+func printNodes(w io.Writer, o outcome) {
 	if o.Nodes > 0 {
 		fmt.Fprintf(w, "It is in force on all %d nodes.\n", o.Nodes)
 	}
@@ -125,7 +148,8 @@
 // send offers the change to the nodes until one accepts or refuses it.
 func (a *apply) send(ctx context.Context, s *session, c *client, files []dynamic.File) (admin.ApplyResult, error) {
 	request := admin.ApplyRequest{ChangeID: a.changeID, BaseVersion: uint64(a.base), Files: listFiles(files)}
-	ctx, cancel := context.WithTimeout(ctx, a.retryFor)
+	// The end of the retries cuts off no request, whose outcome would then be unknown.
+	retries, cancel := context.WithTimeout(ctx, a.retryFor)
 	defer cancel()
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRoundDelay, maxRoundDelay
@@ -140,12 +164,12 @@
 			if final := t.note(node, err); final != nil {
 				return result, final
 			}
-			if ctx.Err() != nil {
+			if retries.Err() != nil {
 				break
 			}
 			s.progress("%v; trying again with change id %s", t.last(), a.changeID)
 		}
-		if !pause(ctx, delay.NextBackOff()) {
+		if !pause(retries, delay.NextBackOff()) {
 			return admin.ApplyResult{}, t.giveUp(a)
 		}
 	}
--- a/pkg/ctl/await.go
+++ b/pkg/ctl/await.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,26 +24,37 @@
 	maxShownNodes = 5
 )
 
+// census gathers the members that any asked node knows and which of them have
+// a version in force.
+type census struct {
+	c       *client
+	version uint64
+
+	mu sync.Mutex
+	// members holds administration addresses by instance.
+	members   map[string]string
+	confirmed map[string]bool
+	// sources are the nodes to ask for their members: those of the options, and
+	// nodes that know more members than are known here.
+	sources []string
+}
+
 // await returns the number of nodes once version or a later one is in force on
 // every member that is not dead.
 func (a *apply) await(ctx context.Context, s *session, c *client, version uint64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.waitFor)
 	defer cancel()
-	confirmed := make(map[string]bool)
+	n := &census{c: c, version: version, confirmed: make(map[string]bool)}
 	shown := ""
 	for {
-		var members []admin.Member
-		missing := []string{"the list of members"}
-		if err := c.get(ctx, "/v1/members", &members); err == nil {
-			missing = c.confirm(ctx, members, version, confirmed)
-			if len(missing) == 0 {
-				return len(members), nil
-			}
+		missing := n.round(ctx)
+		if len(missing) == 0 {
+			return len(n.members), nil
 		}
 		if text := nodeNames(missing); text != shown {
 			shown = text
 			s.progress("version %d is in force on %d of %d nodes; missing: %s",
-				version, len(members)-len(missing), len(members), text)
+				version, max(0, len(n.members)-len(missing)), len(n.members), text)
 		}
 		if !pause(ctx, awaitInterval) {
 			return 0, &failure{
@@ -56,33 +68,65 @@
 	}
 }
 
-// confirm asks the members that are not confirmed yet and returns the names of
-// those that do not have the version.
-func (c *client) confirm(ctx context.Context, members []admin.Member, version uint64, confirmed map[string]bool) []string {
-	var mu sync.Mutex
-	var missing []string
+// round asks for members and versions and returns the names of what is missing.
+func (n *census) round(ctx context.Context) []string {
+	n.members = make(map[string]string)
+	sources := slices.Concat(n.c.nodes, n.sources)
+	n.sources = nil
+	parallel(sources, func(node string) {
+		var members []admin.Member
+		if n.c.call(ctx, node, "GET", "/v1/members", nil, &members) != nil {
+			return
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, member := range members {
+			n.members[member.Instance] = member.AdminAddress
+		}
+	})
+	if len(n.members) == 0 {
+		return []string{"the list of members"}
+	}
+	parallel(sortedKeys(n.members), func(instance string) { n.confirm(ctx, instance) })
+	missing := lo.Reject(sortedKeys(n.members), func(instance string, _ int) bool { return n.confirmed[instance] })
+	if len(missing) == 0 && len(n.sources) > 0 {
+		return []string{"nodes that are not known yet"}
+	}
+	return missing
+}
+
+// confirm asks one member unless it has the version already.
+func (n *census) confirm(ctx context.Context, instance string) {
+	n.mu.Lock()
+	address, done := n.members[instance], n.confirmed[instance]
+	n.mu.Unlock()
+	if done {
+		return
+	}
+	var status admin.Status
+	if n.c.call(ctx, address, "GET", "/v1/status", nil, &status) != nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.confirmed[instance] = status.ConfigVersion >= n.version
+	if status.Members > len(n.members) {
+		n.sources = append(n.sources, address)
+	}
+}
+
+// parallel calls f for each item, for at most maxParallel at once.
+func parallel(items []string, f func(item string)) {
 	var group errgroup.Group
 	group.SetLimit(maxParallel)
-	for _, member := range members {
-		if confirmed[member.Instance] {
-			continue
-		}
+	for _, item := range items {
 		group.Go(func() error {
-			var status admin.Status
-			err := c.call(ctx, member.AdminAddress, "GET", "/v1/status", nil, &status)
-			mu.Lock()
-			defer mu.Unlock()
-			if err == nil && status.ConfigVersion >= version {
-				confirmed[member.Instance] = true
-			} else {
-				missing = append(missing, member.Instance)
-			}
+			f(item)
 			return nil
 		})
 	}
 	// The functions return no errors.
 	_ = group.Wait()
-	return missing
 }
 
 func nodeNames(names []string) string {
--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -204,7 +204,7 @@
 func unavailable(errs []error) error {
 	cause := errors.Join(errs...)
 	return &failure{
-		Code: ExitUnavailable, Message: "no node answered:\n  " + strings.ReplaceAll(cause.Error(), "\n", "\n  "),
+		Code: ExitUnavailable, Message: "no node could answer:\n  " + strings.ReplaceAll(cause.Error(), "\n", "\n  "),
 		Advice: "Check the addresses in -nodes and that the nodes run, or name other nodes.", cause: cause,
 	}
 }
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -161,7 +161,7 @@
 		{"outcome unknown", func(n *node) { n.loseReplies = 1 << 30 }, []string{"-retry-for", "300ms", "-change-id", "change-42"}, ctl.ExitOutcomeUnknown, "-change-id change-42"},
 		{"unknown outcome at the node", func(n *node) { n.applyErr = &admin.OutcomeUnknownError{Cause: errors.New("lost")} }, []string{"-retry-for", "300ms"}, ctl.ExitOutcomeUnknown, "never applied twice"},
 		{"platform down", func(n *node) { n.applyErr = errors.New("no route") }, []string{"-retry-for", "300ms"}, ctl.ExitUnavailable, "the change was not accepted: no route"},
-		{"no node", func(*node) {}, []string{"-nodes", down}, ctl.ExitUnavailable, "no node answered"},
+		{"no node", func(*node) {}, []string{"-nodes", down}, ctl.ExitUnavailable, "no node could answer"},
 		{"invalid", func(*node) {}, []string{broken}, ctl.ExitInvalidLists, "broken.yaml:1: services: is required"},
 		{"missing file", func(*node) {}, []string{broken + "2"}, ctl.ExitUsage, "no such file"},
 		{"unknown flag", func(*node) {}, []string{"-colour"}, ctl.ExitUsage, "apply -help"},
@@ -177,6 +177,35 @@
 	}
 }
 
+// Guards against a new version for lists that are in force, and against a change
+// of unknown outcome that is not sent again because its lists are in force.
+func TestApplySendsNothingNew(t *testing.T) {
+	n := startNode(t)
+	run(nodes(n.URL), "apply", customerFile, entitlementFile).check(t, ctl.ExitOK)
+	run(nodes(n.URL), "apply", "-wait", customerFile, entitlementFile).check(t, ctl.ExitOK,
+		"Version 7 holds these lists already", "in force on all 1 nodes")
+	assert.Equal(t, len(n.ids), 1)
+	run(nodes(n.URL), "apply", "-base", "3", customerFile, entitlementFile).check(t, ctl.ExitOK)
+	run(nodes(n.URL), "apply", "-change-id", n.ids[0], customerFile, entitlementFile).check(t, ctl.ExitOK, "by an earlier attempt")
+	assert.Equal(t, len(n.ids), 3)
+}
+
+// Guards against a wait that ends too early because the first node has not
+// heard of the others yet.
+func TestApplyWaitsForNodesThatOnlyOthersKnow(t *testing.T) {
+	a, b, late := startNode(t), startNode(t), startNode(t)
+	b.members[0].Instance, late.members[0].Instance = "b", "late"
+	b.members = append(b.members, late.members[0])
+	r := run(nodes(a.URL, b.URL), "apply", "-wait", "-wait-for", "300ms", customerFile, entitlementFile)
+	r.check(t, ctl.ExitNotInForce, "on 1 of 3 nodes", "not known to be in force on: b, late")
+	for _, n := range []*node{b, late} {
+		run(nodes(n.URL), "apply", customerFile, entitlementFile).check(t, ctl.ExitOK)
+	}
+	a.members = append(a.members, b.members[0])
+	b.members = append(b.members, a.members[0])
+	run(nodes(a.URL), "apply", "-wait", customerFile, entitlementFile).check(t, ctl.ExitOK, "in force on all 3 nodes")
+}
+
 // Guards against lists that cannot be read from one system and checked again.
 func TestGetAndValidate(t *testing.T) {
 	n := startNode(t)
--- a/pkg/ctl/timeline.go
+++ b/pkg/ctl/timeline.go
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/azurespring/azurespring/pkg/admin"
 	"github.com/azurespring/azurespring/pkg/timeline"
 )
@@ -112,24 +110,17 @@
 	var mu sync.Mutex
 	var sources [][]timeline.Event
 	var errs []error
-	var group errgroup.Group
-	group.SetLimit(maxParallel)
-	for _, address := range addresses {
-		group.Go(func() error {
-			var events []timeline.Event
-			err := c.call(ctx, address, "GET", "/v1/timeline?"+t.query(), nil, &events)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				errs = append(errs, fmt.Errorf("%s: %w", address, err))
-				return nil
-			}
-			sources = append(sources, events)
-			return nil
-		})
-	}
-	// The functions return no errors.
-	_ = group.Wait()
+	parallel(addresses, func(address string) {
+		var events []timeline.Event
+		err := c.call(ctx, address, "GET", "/v1/timeline?"+t.query(), nil, &events)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", address, err))
+			return
+		}
+		sources = append(sources, events)
+	})
 	if len(sources) == 0 {
 		return nil, unavailable(errs)
 	}
