Refuse files that would fill the memory of a node

Cause: a 16 MB file of another kind could become millions of YAML nodes of about 200 bytes each, and as many faults, in the node that checks it. Change: the bytes that can begin a YAML node are counted before parsing and limited to 1.5 million; at most 1,000 faults are kept. moves -watch goes on for a minute without answers. Conclusion: memory for bad lists is bounded like that for good ones.

--- a/pkg/config/dynamic/document.go
+++ b/pkg/config/dynamic/document.go
@@ -23,6 +23,8 @@
 // collector gathers faults, definitions and references over all files.
 type collector struct {
 	faults Faults
+	// omitted is the number of faults beyond maxFaults.
+	omitted int
 	// places holds the finishing times of moves, which are checked later.
 	places     map[string]place
 	defined    map[string]place
@@ -42,10 +44,30 @@
 	return &collector{places: make(map[string]place), defined: make(map[string]place)}
 }
 
+// maxFaults bounds the faults that are kept, so that a file of another kind
+// does not fill the memory with them.
+const maxFaults = 1000
+
 func (c *collector) fault(at place, format string, args ...any) {
+	if len(c.faults) >= maxFaults {
+		c.omitted++
+		return
+	}
 	c.faults = append(c.faults, Fault{File: at.file, Line: at.line, Field: at.field, Detail: fmt.Sprintf(format, args...)})
 }
 
+// result returns all faults in order, or nil if there are none.
+func (c *collector) result() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	c.faults.sort()
+	if c.omitted > 0 {
+		c.faults = append(c.faults, Fault{Detail: fmt.Sprintf("%d more faults are not shown", c.omitted)})
+	}
+	return c.faults
+}
+
 // define notes that symbol, such as `plan "basic"`, is defined at a place.
 func (c *collector) define(at place, symbol string) {
 	if first, ok := c.defined[symbol]; ok {
--- a/pkg/config/dynamic/fault.go
+++ b/pkg/config/dynamic/fault.go
@@ -48,13 +48,9 @@
 	return strings.Join(lines, "\n")
 }
 
-// errorOrNil returns f in order, or nil if it is empty.
-func (f Faults) errorOrNil() error {
-	if len(f) == 0 {
-		return nil
-	}
+// sort orders f by file and line.
+func (f Faults) sort() {
 	slices.SortStableFunc(f, func(a, b Fault) int {
 		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
 	})
-	return f
 }
--- a/pkg/config/dynamic/lists.go
+++ b/pkg/config/dynamic/lists.go
@@ -1,6 +1,7 @@
 package dynamic
 
 import (
+	"bytes"
 	"fmt"
 	"regexp"
 	"time"
@@ -25,7 +26,10 @@
 // grew to 188 MB; 20,000 customers took 44 MB.
 const (
 	// MaxListBytes bounds the sum of all files.
-	MaxListBytes       = 16 << 20
+	MaxListBytes = 16 << 20
+	// maxMarks bounds the bytes that can begin a YAML node, each of which takes
+	// about 200 bytes of memory. The largest customer list has about 600,000.
+	maxMarks           = 1_500_000
 	MaxCustomers       = 50_000
 	MaxKeys            = 16
 	MaxPlans           = 1000
@@ -38,6 +42,9 @@
 	maxShare           = 1000
 )
 
+// yamlMarks are the bytes that can begin a YAML node.
+const yamlMarks = "\n,[{:-?"
+
 // Limits of times.
 const (
 	minDeadline = time.Millisecond
@@ -73,11 +80,8 @@
 // ParseLists is Parse for callers that also check the moves.
 func ParseLists(files ...File) (*Lists, error) {
 	p := parser{collector: newCollector(), kinds: make(map[string]bool)}
-	size := 0
-	for _, file := range files {
-		if size += len(file.Data); size > MaxListBytes {
-			return nil, Faults{{File: file.Name, Detail: fmt.Sprintf("the files up to this one have %d bytes, the limit is %d", size, MaxListBytes)}}
-		}
+	if err := checkSizes(files); err != nil {
+		return nil, err
 	}
 	for _, file := range files {
 		for _, document := range p.documents(file) {
@@ -93,7 +97,7 @@
 	}
 	p.checkReferences()
 	p.checkCounts()
-	if err := p.faults.errorOrNil(); err != nil {
+	if err := p.result(); err != nil {
 		return nil, err
 	}
 	p.config.sort()
@@ -103,6 +107,24 @@
 	return &Lists{Config: p.config, places: p.places}, nil
 }
 
+// checkSizes refuses files that would take too much memory to parse.
+func checkSizes(files []File) error {
+	size, marks := 0, 0
+	for _, file := range files {
+		size += len(file.Data)
+		if size > MaxListBytes {
+			return Faults{{File: file.Name, Detail: fmt.Sprintf("the files up to this one have %d bytes, the limit is %d", size, MaxListBytes)}}
+		}
+		for _, mark := range []byte(yamlMarks) {
+			marks += bytes.Count(file.Data, []byte{mark})
+		}
+		if marks > maxMarks {
+			return Faults{{File: file.Name, Detail: "the files up to this one hold too many values; are they lists?"}}
+		}
+	}
+	return nil
+}
+
 type parser struct {
 	*collector
 	config Config
@@ -199,7 +221,11 @@
 		}
 		faults = append(faults, fault)
 	}
-	return faults.errorOrNil()
+	if len(faults) == 0 {
+		return nil
+	}
+	faults.sort()
+	return faults
 }
 
 // CheckMoves is Lists.CheckMoves for a configuration without positions.
--- a/pkg/config/dynamic/lists_test.go
+++ b/pkg/config/dynamic/lists_test.go
@@ -188,6 +188,15 @@
 	blank := dynamic.File{Name: "big.yaml", Data: make([]byte, dynamic.MaxListBytes/2+1)}
 	_, err := dynamic.Parse(blank, blank)
 	assert.ErrorContains(t, err, "big.yaml: the files up to this one have")
+	nested := dynamic.File{Name: "nested.yaml", Data: []byte(strings.Repeat("- - - x\n", 500_000))}
+	_, err = dynamic.Parse(nested)
+	assert.ErrorContains(t, err, "nested.yaml: the files up to this one hold too many values")
+	other := "apiVersion: azurespring/v1\nkind: CustomerList\ncustomers:\n" + strings.Repeat("  - 1\n", 2000)
+	_, err = dynamic.Parse(dynamic.File{Name: "o.yaml", Data: []byte(other)})
+	var faults dynamic.Faults
+	assert.Assert(t, errors.As(err, &faults))
+	assert.Equal(t, len(faults), 1001)
+	assert.Equal(t, faults[1000].Detail, "1000 more faults are not shown")
 	keys := strings.Repeat("x, ", dynamic.MaxKeys)
 	_, err = dynamic.Parse(files(strings.Replace(customers, "[2c", "["+keys+"2c", 1), entitlements)...)
 	assert.ErrorContains(t, err, "c.yaml:6: customers[acme].keyDigests: has 17 elements, the limit is 16")
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -27,6 +27,8 @@
 type node struct {
 	*httptest.Server
 	mu sync.Mutex
+	// refuse is the number of questions for moves that fail.
+	refuse int
 	// loseReplies is the number of applies that take effect but whose answer is lost.
 	loseReplies int
 	// behind is the number of status requests for which the node has no version yet.
@@ -83,6 +85,10 @@
 func (n *node) States() []move.State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.refuse > 0 {
+		n.refuse--
+		panic(http.ErrAbortHandler)
+	}
 	states := n.moves[0]
 	if len(n.moves) > 1 {
 		n.moves = n.moves[1:]
@@ -222,7 +228,7 @@
 	run(nodes(n.URL), "get", "nothing").check(t, ctl.ExitUsage)
 }
 
-// Guards against a watch that ends too early, misses a change or hides that a
+// Guards against a watch that ends too early or with one lost answer, misses a change or hides that a
 // move was taken back.
 func TestMovesWatch(t *testing.T) {
 	running := move.State{Service: "stock", From: "1", To: "2", Phase: move.Running, Share: 100}
@@ -242,6 +248,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			n := startNode(t)
 			n.moves = test.moves
+			n.refuse = 2
 			run(nodes(n.URL), "moves", "-watch", "-interval", "1ms", "stock").check(t, test.code, test.want...)
 		})
 	}
--- a/pkg/ctl/moves.go
+++ b/pkg/ctl/moves.go
@@ -127,19 +127,28 @@
 	return strings.TrimSuffix(strings.TrimRight(text, "0"), ".") + "%"
 }
 
+// maxWatchGap is how long moves -watch goes on without an answer of any node.
+const maxWatchGap = time.Minute
+
 // follow prints each change of the moves until all have ended.
 func (m *moves) follow(ctx context.Context, s *session, c *client, services []string) error {
 	last := make(map[string]string)
+	answered := time.Now()
 	for {
 		shown, err := fetchMoves(ctx, c, services)
-		if err != nil {
-			return err
-		}
-		if err := m.printChanged(s, shown, last); err != nil {
+		switch {
+		case err == nil:
+			answered = time.Now()
+			if err := m.printChanged(s, shown, last); err != nil {
+				return err
+			}
+			if allEnded(shown, services) {
+				return takenBack(shown)
+			}
+		case explain(err).Code != ExitUnavailable || time.Since(answered) > maxWatchGap:
 			return err
-		}
-		if allEnded(shown, services) {
-			return takenBack(shown)
+		default:
+			s.progress("%v; asking again", err)
 		}
 		if !pause(ctx, m.interval) {
 			return ctx.Err()
