Show departments' reports with their findings

Cause: the adapter in the node turned the finding 'too few calls' into a broken promise and dropped limited calls. OpenAPI schema names carry the package, as pkg/move and pkg/report both have a type Counts. Conclusion: admin.Period is no longer used by pkg/admin and can go together with the adapter in pkg/node.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -5,6 +5,9 @@
 import (
 	"context"
 	"net/http"
+	"path"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/danielgtaylor/huma/v2"
@@ -13,6 +16,7 @@
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/report"
 	"github.com/azurespring/azurespring/pkg/timeline"
 )
 
@@ -39,9 +43,9 @@
 
 // Reports answers what departments ask.
 type Reports interface {
-	// Report returns the periods of a department that begin at or after since,
-	// oldest first.
-	Report(ctx context.Context, department string, since time.Time) ([]Period, error)
+	// Periods returns the reports of a department's periods that begin at or after
+	// since, oldest first; a zero since leaves the choice to the implementation.
+	Periods(ctx context.Context, department string, since time.Time) ([]report.Report, error)
 }
 
 // Events holds the newest events of this node, oldest first.
@@ -91,6 +95,7 @@
 	// The documentation page would load scripts from outside; /openapi.yaml suffices.
 	config.DocsPath = ""
 	config.CreateHooks = nil
+	config.Components.Schemas = huma.NewMapRegistry("#/components/schemas/", schemaName)
 	config.Components.SecuritySchemes = map[string]*huma.SecurityScheme{"bearer": {Type: "http", Scheme: "bearer"}}
 	s.api = humago.New(s.mux, config)
 	s.registerConfiguration()
@@ -99,6 +104,16 @@
 	return s
 }
 
+// schemaName names a type in the OpenAPI description. Types of other packages
+// get the package's name as prefix, as several have types of the same name.
+func schemaName(t reflect.Type, hint string) string {
+	name := huma.DefaultSchemaNamer(t, hint)
+	if prefix := path.Base(t.PkgPath()); t.Name() != "" && t.PkgPath() != "" && prefix != "admin" {
+		return strings.ToUpper(prefix[:1]) + prefix[1:] + name
+	}
+	return name
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
--- a/pkg/admin/views.go
+++ b/pkg/admin/views.go
@@ -11,6 +11,7 @@
 
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/report"
 	"github.com/azurespring/azurespring/pkg/timeline"
 	"github.com/azurespring/azurespring/pkg/transport"
 )
@@ -132,8 +133,8 @@
 
 // Report holds the periods of one department.
 type Report struct {
-	Department string   `json:"department"`
-	Periods    []Period `json:"periods"`
+	Department string          `json:"department"`
+	Periods    []report.Report `json:"periods"`
 }
 
 var (
@@ -242,7 +243,7 @@
 
 type reportRequest struct {
 	Department string    `path:"department"`
-	Since      time.Time `query:"since" doc:"Only periods that begin at or after this time; default: all that are kept"`
+	Since      time.Time `query:"since" doc:"Only periods that begin at or after this time; default: the newest few"`
 }
 
 func (s *Server) report(ctx context.Context, in *reportRequest) (*body[Report], error) {
@@ -253,13 +254,13 @@
 		return nil, problem(http.StatusNotFound, CodeNotFound, "there is no department "+in.Department,
 			"See the departments of the entitlement list in force.")
 	}
-	periods, err := s.options.Reports.Report(ctx, in.Department, in.Since)
+	periods, err := s.options.Reports.Periods(ctx, in.Department, in.Since)
 	if err != nil {
 		return nil, problem(http.StatusServiceUnavailable, CodeUnavailable, "the report cannot be read: "+err.Error(),
 			"Reports are kept in the platform; try again when it answers.")
 	}
 	if periods == nil {
-		periods = []Period{}
+		periods = []report.Report{}
 	}
 	return &body[Report]{Report{Department: in.Department, Periods: periods}}, nil
 }
