--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -20,8 +20,10 @@
 
 	"github.com/azurespring/azurespring/pkg/admin"
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/distribution"
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/report"
 	"github.com/azurespring/azurespring/pkg/timeline"
 )
 
@@ -49,7 +51,7 @@
 	return states
 }
 func (f *fake) Events() []timeline.Event { return events }
-func (f *fake) Report(context.Context, string, time.Time) ([]admin.Period, error) {
+func (f *fake) Periods(context.Context, string, time.Time) ([]report.Report, error) {
 	return nil, errors.New("platform is down")
 }
 
@@ -142,7 +144,7 @@
 	bad := lists(t)
 	bad[1].Content = strings.Replace(bad[1].Content, "period: 24h", "period: 24", 1)
 	conflict := &admin.ConflictError{BaseVersion: 5, CurrentVersion: 6, Entries: []string{
-		"service/stock", dynamic.PartOf("customer/cennik-portal"),
+		"service/stock", dynamic.PartOf("customer/cennik-portal"), dynamic.PartOf("customer/nobody"),
 	}}
 	for _, test := range []struct {
 		name   string
@@ -154,6 +156,8 @@
 	}{
 		{"conflict", conflict, lists(t), 409, admin.CodeConflict, "service/stock"},
 		{"conflict names customers", conflict, lists(t), 409, admin.CodeConflict, "customer/cennik-portal"},
+		{"conflict names a group", conflict, lists(t), 409, admin.CodeConflict, "customers/"},
+		{"invalid for distribution", &distribution.InvalidError{Cause: errors.New("too large")}, lists(t), 422, admin.CodeInvalidLists, "too large"},
 		{"unknown outcome", &admin.OutcomeUnknownError{ChangeID: "change-1", Cause: io.EOF}, lists(t), 503, admin.CodeOutcomeUnknown, "same change id"},
 		{"platform down", errors.New("no route"), lists(t), 503, admin.CodeUnavailable, "Nothing was changed"},
 		{"faulty lists", nil, bad, 422, admin.CodeInvalidLists, `"file":"entitlements.yaml","line":33`},
@@ -209,6 +213,8 @@
 		{"/readyz", 503, "joining"},
 		{"/metrics", 200, "go_goroutines"},
 		{"/openapi.json", 200, `"apply-configuration"`},
+		{"/openapi.json", 200, `"MoveCounts"`},
+		{"/openapi.json", 200, `"ReportCounts"`},
 	} {
 		t.Run(test.path, func(t *testing.T) {
 			recorder := httptest.NewRecorder()
--- a/pkg/admin/views.go
+++ b/pkg/admin/views.go
@@ -11,6 +11,7 @@
 
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/report"
 	"github.com/azurespring/azurespring/pkg/timeline"
 	"github.com/azurespring/azurespring/pkg/transport"
 )
@@ -57,6 +58,7 @@
 	NotReady      string `json:"notReady,omitempty" doc:"Reason why the node is not ready"`
 	ConfigVersion uint64 `json:"configVersion" doc:"Version in force; 0 if none"`
 	ConfigDigest  string `json:"configDigest,omitempty"`
+	Members       int    `json:"members" doc:"Number of nodes that this node knows, itself included"`
 }
 
 // Member is one node as its peers know it.
@@ -131,8 +133,8 @@
 
 // Report holds the periods of one department.
 type Report struct {
-	Department string   `json:"department"`
-	Periods    []Period `json:"periods"`
+	Department string          `json:"department"`
+	Periods    []report.Report `json:"periods"`
 }
 
 var (
@@ -165,6 +167,9 @@
 			status.Ready, status.NotReady = false, err.Error()
 		}
 	}
+	if s.options.Members != nil {
+		status.Members = len(s.options.Members.View().Members)
+	}
 	if s.options.Configurations != nil {
 		if current := s.options.Configurations.Current(); current != nil {
 			status.ConfigVersion, status.ConfigDigest = current.Version(), current.Manifest().Digest
@@ -238,7 +243,7 @@
 
 type reportRequest struct {
 	Department string    `path:"department"`
-	Since      time.Time `query:"since" doc:"Only periods that begin at or after this time; default: all that are kept"`
+	Since      time.Time `query:"since" doc:"Only periods that begin at or after this time; default: the newest few"`
 }
 
 func (s *Server) report(ctx context.Context, in *reportRequest) (*body[Report], error) {
@@ -249,13 +254,13 @@
 		return nil, problem(http.StatusNotFound, CodeNotFound, "there is no department "+in.Department,
 			"See the departments of the entitlement list in force.")
 	}
-	periods, err := s.options.Reports.Report(ctx, in.Department, in.Since)
+	periods, err := s.options.Reports.Periods(ctx, in.Department, in.Since)
 	if err != nil {
 		return nil, problem(http.StatusServiceUnavailable, CodeUnavailable, "the report cannot be read: "+err.Error(),
 			"Reports are kept in the platform; try again when it answers.")
 	}
 	if periods == nil {
-		periods = []Period{}
+		periods = []report.Report{}
 	}
 	return &body[Report]{Report{Department: in.Department, Periods: periods}}, nil
 }
