--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -19,11 +19,12 @@
 
 // Line is one JSON line that a process logged.
 type Line struct {
-	Event   string            `json:"event"`
-	Message string            `json:"msg"`
-	Fields  map[string]string `json:"fields"`
-	Address string            `json:"address"`
-	Raw     string            `json:"-"`
+	Event         string            `json:"event"`
+	Message       string            `json:"msg"`
+	Fields        map[string]string `json:"fields"`
+	Address       string            `json:"address"`
+	ConfigVersion uint64            `json:"configVersion"`
+	Raw           string            `json:"-"`
 }
 
 // Process is one started program. All methods are safe for concurrent use.
