--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -25,7 +25,7 @@
 	o := stock("1")
 	o.Delay = 20 * time.Millisecond
 	c.target(staying, o)
-	c.target(leaving, o)
+	beside := c.target(leaving, o)
 	c.apply(entry, 0, lists{version: "1"})
 	c.await("stock", entry, staying, leaving)
 
@@ -38,7 +38,7 @@
 			Key: customerKey, Count: 600, Workers: 8, Rate: 200, Timeout: 10 * time.Second,
 		})
 	})
-	time.Sleep(500 * time.Millisecond) // lets calls be in flight when the stop begins
+	c.awaitCalls(beside, 20) // calls are in flight when the stop begins
 	started := time.Now()
 	// The limit is the drain timeout, which a stop without long calls must not need.
 	assert.NilError(t, leaving.Stop(25*time.Second))
@@ -61,7 +61,7 @@
 	o := stock("1")
 	o.Delay = 20 * time.Millisecond
 	target := c.target(other, o)
-	c.target(leaving, o)
+	beside := c.target(leaving, o)
 	c.apply(other, 0, lists{version: "1"})
 	c.await("stock", other, leaving)
 
@@ -73,7 +73,7 @@
 			Key: customerKey, Count: 600, Workers: 8, Rate: 200, Timeout: 10 * time.Second, Resend: 1,
 		})
 	})
-	time.Sleep(500 * time.Millisecond) // lets calls be in flight when the stop begins
+	c.awaitCalls(beside, 20) // calls are in flight when the stop begins
 	started := time.Now()
 	assert.NilError(t, leaving.Stop(25*time.Second))
 	t.Logf("stopped after %s", time.Since(started))
