--- /dev/null
+++ b/pkg/idempotency/wire.go
@@ -0,0 +1,131 @@
+package idempotency
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// keyHash is the truncated SHA-256 of a key with its scope.
+type keyHash [16]byte
+
+// claimID identifies one Claim call, so that its repeated requests and writes
+// are recognised as its own.
+type claimID [8]byte
+
+// entryKind says what an entry of a segment records.
+type entryKind uint8
+
+const (
+	entryClaim entryKind = iota + 1
+	// entryRelease takes a claim back whose call did not run.
+	entryRelease
+	// entryAnswer records the answer of a claimed call.
+	entryAnswer
+)
+
+// entry is one record of a segment. Segments are logs: an entry is never changed.
+type entry struct {
+	_           struct{} `cbor:",toarray"`
+	Kind        entryKind
+	Key         keyHash
+	ID          claimID
+	Fingerprint uint64
+	// At is the time of the claim in Unix seconds by the owner's clock.
+	At     int64
+	Answer []byte
+}
+
+// entryBytes is the encoded size of an entry without its answer, at most.
+const entryBytes = 56
+
+func (e entry) size() int { return entryBytes + len(e.Answer) }
+
+// segment is the value of an IdempotencySegment object.
+type segment struct {
+	Sequence uint64  `cbor:"1,keyasint"`
+	Entries  []entry `cbor:"2,keyasint"`
+	// Closed means that entries go to the next segment.
+	Closed bool `cbor:"3,keyasint"`
+}
+
+func (s segment) newest() time.Time {
+	var newest int64
+	for _, e := range s.Entries {
+		newest = max(newest, e.At)
+	}
+	return time.Unix(newest, 0)
+}
+
+// index is a hint where the open segment of a shard is.
+type index struct {
+	Open uint64 `cbor:"1,keyasint"`
+}
+
+type operation uint8
+
+const (
+	opClaim operation = iota + 1
+	opComplete
+)
+
+// request is a message of transport.KindIdempotency.
+type request struct {
+	Op          operation `cbor:"1,keyasint"`
+	Shard       int       `cbor:"2,keyasint"`
+	Key         keyHash   `cbor:"3,keyasint"`
+	ID          claimID   `cbor:"4,keyasint"`
+	Fingerprint uint64    `cbor:"5,keyasint"`
+	// WaitMillis is the time for which the claimant waits.
+	WaitMillis int64  `cbor:"6,keyasint"`
+	NotRun     bool   `cbor:"7,keyasint"`
+	Answer     []byte `cbor:"8,keyasint"`
+}
+
+// Result is the owner's answer to a claim.
+type Result uint8
+
+// The results of a claim.
+const (
+	// Granted means that the claim is stored and no other call holds the key.
+	Granted Result = iota + 1
+	// InUse means that another call claimed the key.
+	InUse
+	// Recorded means the same, and that its answer is known.
+	Recorded
+	// Mismatch means that the key was claimed with another fingerprint.
+	Mismatch
+	// Unavailable means that the claim could not be stored in time.
+	Unavailable
+	// NotOwner means that the node does not own the shard.
+	NotOwner
+)
+
+type reply struct {
+	Result Result `cbor:"1,keyasint"`
+	Answer []byte `cbor:"2,keyasint"`
+}
+
+func encode(value any) []byte {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		// All wire types encode; only a programming error can get here.
+		panic(err)
+	}
+	return data
+}
+
+func decode[T any](data []byte) (T, error) {
+	var value T
+	err := cbor.Unmarshal(data, &value)
+	return value, eris.Wrap(err, "decode idempotency record")
+}
+
+func decodeRequest(data []byte) (request, error) {
+	r, err := decode[request](data)
+	if err == nil && (r.Shard < 0 || r.Shard >= Shards || len(r.Answer) > MaxAnswerBytes) {
+		err = eris.New("idempotency request with unknown shard or too long answer")
+	}
+	return r, err
+}
