--- a/pkg/proxy/remote.go
+++ b/pkg/proxy/remote.go
@@ -33,9 +33,9 @@
 	failure := x.run()
 	stop()
 	x.reader.release()
-	if failure != nil || !x.sent {
-		stream.Cancel()
-	}
+	// Nothing more is read, even if the peer's end of the stream is still on its
+	// way; a stream left open would hold up the shutdown of this node.
+	stream.Cancel()
 	return failure
 }
 
@@ -44,8 +44,6 @@
 	call   *call
 	stream transport.Stream
 	reader *frameReader
-	// sent is set if the request went out whole before the answer.
-	sent bool
 }
 
 func (x *exchange) run() *verdict.Error {
@@ -98,8 +96,10 @@
 	if err := buffer.flush(x.stream); err != nil {
 		return err
 	}
-	x.sent = true
-	return x.stream.CloseWrite()
+	// The target node has the end frame. It may even have answered and released the
+	// stream by now, in which case closing fails.
+	_ = x.stream.CloseWrite()
+	return nil
 }
 
 // sendBody streams a body. If the caller's side breaks, the stream is cancelled,
@@ -114,7 +114,8 @@
 		buffer.body(chunk[:n])
 		if err == io.EOF {
 			err = buffer.encode(frameEnd, end{Total: reader.offset, Trailers: body.trailers()})
-			if err == nil && buffer.flush(stream) == nil && stream.CloseWrite() == nil {
+			if err == nil && buffer.flush(stream) == nil {
+				_ = stream.CloseWrite()
 				return
 			}
 		}
@@ -209,6 +210,9 @@
 	if failure := asVerdict(err); failure != nil {
 		return failure
 	}
+	if transport.IsRefused(err) {
+		return verdict.Refuse(verdict.NoTarget, "the target's node takes no calls")
+	}
 	if c.ctx.Err() != nil {
 		return c.ended(verdict.MayHaveRun)
 	}
