--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -26,7 +26,7 @@
 	if head.ContentLength >= 0 {
 		header["Content-Length"] = []string{strconv.FormatInt(head.ContentLength, 10)}
 	}
-	a.status, a.headSent = head.Status, true
+	a.status, a.headSent, a.answered = head.Status, true, a.entry.deps.Now()
 	a.recording.start(head)
 	a.w.WriteHeader(head.Status)
 	return nil
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -41,6 +41,9 @@
 	body       *requestBody
 	head       callHead
 
+	// tryStarted and answered bound the time that the target took to answer.
+	tryStarted time.Time
+	answered   time.Time
 	// headSent is set once the status is on its way to the caller.
 	headSent bool
 	status   int
@@ -152,7 +155,8 @@
 func (c *call) try(endpoint *routing.Endpoint) *verdict.Error {
 	c.version, c.load, c.status = endpoint.Version, nil, 0
 	c.head.TargetID, c.head.Version, c.head.Retries = endpoint.ID, endpoint.Version, c.retries
-	c.head.Remaining = c.deadline.Sub(c.entry.deps.Now())
+	c.tryStarted = c.entry.deps.Now()
+	c.head.Remaining = c.deadline.Sub(c.tryStarted)
 	endpoint.Begin()
 	var err *verdict.Error
 	if endpoint.Local && c.entry.target != nil {
@@ -174,6 +178,7 @@
 	switch {
 	case err == nil:
 		outcome.ServerError = c.status >= http.StatusInternalServerError
+		outcome.Latency = c.answered.Sub(c.tryStarted)
 	case c.load != nil && err.Verdict == verdict.NotRun && err.Code != verdict.TargetFailed:
 		outcome.Neutral = true
 	case err.Code == verdict.TargetFailed, err.Code == verdict.TargetCrashed, err.Code == verdict.AnswerCut,
--- /dev/null
+++ b/pkg/proxy/fault_test.go
@@ -0,0 +1,234 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/internal/testtarget"
+	"github.com/azurespring/azurespring/pkg/routing"
+	"github.com/azurespring/azurespring/pkg/transport"
+	"github.com/azurespring/azurespring/pkg/verdict"
+)
+
+func targetLoad(inFlight int) routing.Load { return routing.Load{InFlight: inFlight} }
+
+// breakingStream fails after a number of bytes in one direction and cancels the
+// other, as a lost connection would.
+type breakingStream struct {
+	transport.Stream
+	reads, writes *atomic.Int64
+}
+
+var errBroken = errors.New("connection lost")
+
+func take(left *atomic.Int64, n int) int {
+	if left == nil {
+		return n
+	}
+	return int(max(0, min(int64(n), left.Add(-int64(n))+int64(n))))
+}
+
+func (s *breakingStream) Read(p []byte) (int, error) {
+	n, err := s.Stream.Read(p)
+	if allowed := take(s.reads, n); allowed < n {
+		s.Cancel()
+		return allowed, errBroken
+	}
+	return n, err
+}
+
+func (s *breakingStream) Write(p []byte) (int, error) {
+	if allowed := take(s.writes, len(p)); allowed < len(p) {
+		n, _ := s.Stream.Write(p[:allowed])
+		s.Cancel()
+		return n, errBroken
+	}
+	return s.Stream.Write(p)
+}
+
+func limit(n int) *atomic.Int64 {
+	left := new(atomic.Int64)
+	left.Store(int64(n))
+	return left
+}
+
+// Guards, for a connection between nodes that breaks at any byte, against
+// answers that pass as whole, false not-run verdicts, and second runs of calls
+// that must not be repeated.
+func TestConnectionBetweenNodesBreaksAnywhere(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	target := f.nodes[0].target(testtarget.Options{}, testtarget.Behavior{})
+	number := 0
+	for _, size := range []int{100, 100_000} {
+		for _, at := range []int{0, 1, 4, 50, 200, 500, 1_000, 40_000} {
+			for _, direction := range []string{"read", "write"} {
+				f.wrap = func(s transport.Stream) transport.Stream {
+					broken := &breakingStream{Stream: s}
+					if direction == "read" {
+						broken.reads = limit(at)
+					} else {
+						broken.writes = limit(at)
+					}
+					return broken
+				}
+				number++
+				id := "id" + strconv.Itoa(number)
+				r := f.nodes[1].do("POST", "/pay", strings.NewReader("amount=1"), headerRequestID, id,
+					testtarget.HeaderSize, strconv.Itoa(size))
+				whole := r.err == nil && r.StatusCode == http.StatusOK
+				assert.Assert(t, !whole || len(r.body) == size, "%s cut at %d passed as whole", direction, at)
+				waitFor(t, "no call is left", func() bool { return f.nodes[0].side.InFlight() == 0 })
+				assert.Assert(t, target.Runs(id) <= 1, "%s cut at %d: run twice", direction, at)
+				if r.err == nil && !whole && r.Header.Get(headerVerdict) == verdict.NotRun.String() {
+					assert.Equal(t, target.Runs(id), 0, "%s cut at %d: false not-run: %s", direction, at, r)
+				}
+			}
+		}
+	}
+}
+
+// claims is a store of idempotency keys in memory.
+type claims struct {
+	mu   sync.Mutex
+	keys map[string]*Completion
+	err  error
+}
+
+func (c *claims) Claim(_ context.Context, key string) (Claim, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return Claim{}, c.err
+	}
+	if known, ok := c.keys[key]; ok {
+		if known == nil {
+			return Claim{}, nil
+		}
+		return Claim{Answer: known.Answer}, nil
+	}
+	c.keys[key] = nil
+	return Claim{First: true}, nil
+}
+
+func (c *claims) Complete(_ context.Context, key string, completion Completion) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if completion.NotRun {
+		delete(c.keys, key)
+		return
+	}
+	c.keys[key] = &completion
+}
+
+// Guards against a keyed call that runs twice, a key that stays blocked although
+// its call did not run, and a store's outage that lets calls through.
+func TestKeyedCallsRunAtMostOnce(t *testing.T) {
+	f := newFleet(t)
+	store := &claims{keys: make(map[string]*Completion)}
+	f.claimer = store
+	f.add("a")
+	f.add("b")
+	f.rebuild()
+	target := f.nodes[0].target(testtarget.Options{}, testtarget.Behavior{})
+	send := func(n int, key string, headers ...string) reply {
+		return f.nodes[n].do("POST", "/pay", strings.NewReader("x"),
+			append(headers, headerKey, key, headerRequestID, key)...)
+	}
+	first, again := send(0, "k"), send(1, "k")
+	assert.Equal(t, first.StatusCode, 200, "%s", first)
+	assert.Equal(t, again.StatusCode, 200, "%s", again)
+	assert.Equal(t, again.body, first.body)
+	assert.Equal(t, again.Header.Get(headerVersion), "v1")
+	assert.Equal(t, target.Runs("k"), 1)
+
+	r := send(1, "cut", testtarget.HeaderSize, "1000", testtarget.HeaderCut, "5")
+	checkProblem(t, r, verdict.AnswerCut, verdict.MayHaveRun)
+	checkProblem(t, send(0, "cut"), verdict.KeyInUse, verdict.MayHaveRun)
+	assert.Equal(t, target.Runs("cut"), 1)
+
+	checkProblem(t, send(1, "shed", testtarget.HeaderShed, "1"), verdict.TargetShed, verdict.NotRun)
+	assert.Equal(t, send(0, "shed").StatusCode, 200)
+
+	store.err = errBroken
+	checkProblem(t, send(0, "down"), verdict.KeyStoreUnavailable, verdict.NotRun)
+	assert.Equal(t, target.Runs("down"), 0)
+}
+
+// Guards against a request that takes down target after target, and against
+// harm to calls that ran beside it in one crash.
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	one := f.nodes[0].target(testtarget.Options{ID: "one"}, testtarget.Behavior{})
+	neighbour := make(chan reply, 1)
+	go func() { neighbour <- f.nodes[0].do("GET", "/pay?n", nil, testtarget.HeaderDelay, "1m") }()
+	waitFor(t, "the neighbour runs", func() bool { return one.InFlight() == 1 })
+	poison := func() reply {
+		return f.nodes[0].do("POST", "/pay?p", strings.NewReader("p"), testtarget.HeaderCrash, "1")
+	}
+	checkProblem(t, poison(), verdict.TargetCrashed, verdict.MayHaveRun)
+	checkProblem(t, <-neighbour, verdict.TargetCrashed, verdict.MayHaveRun)
+	f.nodes[0].target(testtarget.Options{ID: "two"}, testtarget.Behavior{})
+	checkProblem(t, poison(), verdict.TargetCrashed, verdict.MayHaveRun)
+	three := f.nodes[0].target(testtarget.Options{ID: "three"}, testtarget.Behavior{})
+	checkProblem(t, poison(), verdict.Quarantined, verdict.NotRun)
+	// The target node refuses it, too, if the entry node does not know yet.
+	checkProblem(t, f.nodes[1].do("POST", "/pay?p", strings.NewReader("p"), testtarget.HeaderCrash, "1"),
+		verdict.Quarantined, verdict.NotRun)
+	r := f.nodes[0].do("GET", "/pay?n", nil)
+	assert.Equal(t, r.StatusCode, 200, "%s", r)
+	assert.Equal(t, three.InFlight(), 0)
+}
+
+// Guards against answers that stand still holding a slot until a long deadline.
+func TestAnswerThatStandsStillIsEnded(t *testing.T) {
+	for entry := range 2 {
+		f := newFleet(t, "a", "b")
+		target := f.nodes[0].target(testtarget.Options{}, testtarget.Behavior{})
+		f.nodes[0].side.progress = 50 * time.Millisecond
+		r := f.nodes[entry].do("GET", "/look", nil, testtarget.HeaderChunks, "2", testtarget.HeaderGap, "1m")
+		assert.Assert(t, r.err != nil, "a cut answer passed as whole: %s", r)
+		waitFor(t, "the target is idle", func() bool { return target.InFlight() == 0 })
+	}
+}
+
+// Guards against calls that outlive their time in the queue of a target that
+// never answers, and against a false verdict for them.
+func TestQueuedCallsEndAtTheirDeadlineNotRun(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	target := f.nodes[0].target(testtarget.Options{Slots: 1}, testtarget.Behavior{})
+	done := make(chan reply, 1)
+	go func() {
+		done <- f.nodes[0].do("POST", "/pay", nil, testtarget.HeaderSilent, "1", headerTimeout, "1500")
+	}()
+	waitFor(t, "the slot is taken", func() bool { return target.InFlight() == 1 })
+	for entry := range 2 {
+		r := f.nodes[entry].do("POST", "/pay", nil, headerRequestID, "queued", headerTimeout, "100")
+		checkProblem(t, r, verdict.DeadlineExceeded, verdict.NotRun)
+	}
+	checkProblem(t, <-done, verdict.DeadlineExceeded, verdict.MayHaveRun)
+	assert.Equal(t, target.Runs("queued"), 0)
+}
+
+// Guards against retries of calls that shed targets did not run, beyond the call
+// tree's budget.
+func TestShedCallsAreRetriedWithinTheTree(t *testing.T) {
+	f := newFleet(t, "a", "b", "c", "d")
+	var all []*testtarget.Target
+	for _, n := range f.nodes[:3] {
+		all = append(all, n.target(testtarget.Options{}, testtarget.Behavior{ShedAbove: -1, ShedEvery: 1}))
+	}
+	checkProblem(t, f.nodes[3].do("POST", "/pay", nil), verdict.TargetShed, verdict.NotRun)
+	all[1].Set(testtarget.Behavior{})
+	r := f.nodes[3].do("POST", "/pay", nil, headerRequestID, "id")
+	assert.Equal(t, r.StatusCode, 200, "%s", r)
+	assert.Equal(t, all[0].Runs("id")+all[1].Runs("id")+all[2].Runs("id"), 1)
+}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -158,13 +158,13 @@
 // watch starts the progress timeout.
 func (f *forwarding) watch() {
 	if f.stall == nil {
-		f.stall = time.AfterFunc(progressTimeout, func() { f.cancel(errStalled) })
+		f.stall = time.AfterFunc(f.side.progress, func() { f.cancel(errStalled) })
 	}
 }
 
 func (f *forwarding) progress() {
 	if f.stall != nil {
-		f.stall.Reset(progressTimeout)
+		f.stall.Reset(f.side.progress)
 	}
 }
 
--- a/pkg/proxy/target.go
+++ b/pkg/proxy/target.go
@@ -28,6 +28,8 @@
 	calls    sync.Map // of call id to *inFlight
 	draining atomic.Bool
 	running  atomic.Int64
+	// progress is progressTimeout but in tests.
+	progress time.Duration
 
 	announcer atomic.Pointer[Announcer]
 	// announcing orders changes of targets.
@@ -35,7 +37,9 @@
 }
 
 // NewTargetSide returns a target side without targets.
-func NewTargetSide(deps Deps) *TargetSide { return &TargetSide{deps: deps.withDefaults()} }
+func NewTargetSide(deps Deps) *TargetSide {
+	return &TargetSide{deps: deps.withDefaults(), progress: progressTimeout}
+}
 
 // Drain refuses new calls; calls in flight go on.
 func (s *TargetSide) Drain() { s.draining.Store(true) }
@@ -199,7 +203,7 @@
 	s.calls.Delete(call.id)
 	target.leave(call, err == nil)
 	if err == nil && !s.deps.Quarantine.Empty() {
-		s.deps.Quarantine.Completed(request.fingerprint(), call.started)
+		s.deps.Quarantine.Completed(request.fingerprint())
 	}
 	s.report(request, f, err)
 	return target.load(), err
--- a/pkg/proxy/verdict_test.go
+++ b/pkg/proxy/verdict_test.go
@@ -75,6 +75,8 @@
 	if method == "" {
 		method = http.MethodGet
 	}
+	// net/http repeats some requests only on connections that were used before.
+	assert.Equal(t, n.do("GET", "/look", nil).StatusCode, http.StatusOK)
 	r := n.do(method, c.path, nil, append(c.headers, headerRequestID, "id")...)
 	if r.Response == nil {
 		t.Fatalf("no answer: %v", r.err)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -92,7 +92,7 @@
 type Record struct {
 	// Crashes are the newest ones, newest first, each process once.
 	Crashes []Crash `cbor:"1,keyasint"`
-	// Cleared is the start of the newest call that ended well. Crashes up to it
+	// Cleared is the end of the newest call that ran through. Crashes up to it
 	// are no evidence: a request that runs through does not crash its target. In
 	// microseconds since the Unix epoch.
 	Cleared int64 `cbor:"2,keyasint"`
--- a/pkg/quarantine/state.go
+++ b/pkg/quarantine/state.go
@@ -22,10 +22,7 @@
 }
 
 // Completed reports that a suspected request ran through.
-type Completed struct {
-	Fingerprint Fingerprint
-	Started     time.Time
-}
+type Completed struct{ Fingerprint Fingerprint }
 
 // Received is the merged record that gossip delivered.
 type Received struct {
@@ -67,7 +64,7 @@
 		return effects
 	case Completed:
 		if record, ok := s.records[e.Fingerprint]; ok && len(record.Crashes) > 0 {
-			return s.add(e.Fingerprint, Record{Cleared: e.Started.UnixMicro()})
+			return s.add(e.Fingerprint, Record{Cleared: now.UnixMicro()})
 		}
 	case Received:
 		s.add(e.Fingerprint, e.Record)
@@ -136,14 +133,14 @@
 	}
 }
 
-// Completed clears a suspected fingerprint whose call began at started.
-func (r *Registry) Completed(f Fingerprint, started time.Time) {
+// Completed clears a suspected fingerprint whose call just ran through.
+func (r *Registry) Completed(f Fingerprint) {
 	records := r.records.Load()
 	if records == nil {
 		return
 	}
-	if record, ok := (*records)[f]; ok && len(record.Crashes) > 0 && started.UnixMicro() > record.Crashes[0].At {
-		r.step(Completed{Fingerprint: f, Started: started})
+	if record, ok := (*records)[f]; ok && len(record.Crashes) > 0 {
+		r.step(Completed{Fingerprint: f})
 	}
 }
 
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -109,11 +109,22 @@
 		j++
 	}
 	first, second := eligible[i], eligible[j]
-	a, b := first.score(now), second.score(now)
-	if b < a {
-		return second, b
+	if second.cost(now, first) < first.cost(now, second) {
+		first = second
 	}
-	return first, a
+	return first, first.score(now)
+}
+
+// cost is the load per slot that the call would make, times the latency as seen
+// from here. The latency finds targets that are slow, or that announce more
+// slots than they have, which the load per slot cannot show. It counts only if
+// that of the other is known, too.
+func (e *Endpoint) cost(now int64, other *Endpoint) float64 {
+	cost := (e.load(now) + 1) / e.capacity(now)
+	if latency := e.latency.Load(); latency > 0 && other.latency.Load() > 0 {
+		cost *= float64(latency)
+	}
+	return cost
 }
 
 // score is the load per slot; 1 and above means that the call would queue.
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -35,6 +35,8 @@
 	Unreachable bool
 	// ServerError is set if the target answered with a 5xx status.
 	ServerError bool
+	// Latency is the time to the start of the target's answer; 0 if it gave none.
+	Latency time.Duration
 	// Neutral is set if the try ended before it could show anything.
 	Neutral bool
 }
@@ -47,7 +49,9 @@
 	ejectedUntil atomic.Int64
 	failures     atomic.Int64
 	statuses     atomic.Int64
-	lastSeen     time.Time
+	// latency is a running mean in nanoseconds, 0 if unknown.
+	latency  atomic.Int64
+	lastSeen time.Time
 }
 
 // Begin counts a try as outstanding.
@@ -71,9 +75,27 @@
 		}
 	default:
 		s.clearFailures()
+		s.learn(outcome.Latency)
 	}
 }
 
+// latencyWeight is the inverse weight of a new latency in the running mean.
+const latencyWeight = 8
+
+// learn takes in the latency of a good answer; errors may be fast and would make
+// their target look attractive. A lost update of a race does no harm.
+func (s *Stats) learn(latency time.Duration) {
+	if latency <= 0 {
+		return
+	}
+	mean := s.latency.Load()
+	if mean == 0 {
+		s.latency.Store(int64(latency))
+		return
+	}
+	s.latency.Store(mean + (int64(latency)-mean)/latencyWeight)
+}
+
 // clearFailures avoids a write to a shared cache line in the common case.
 func (s *Stats) clearFailures() {
 	if s.failures.Load() != 0 {
