--- a/pkg/admin/views.go
+++ b/pkg/admin/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/report"
 	"github.com/azurespring/azurespring/pkg/timeline"
 	"github.com/azurespring/azurespring/pkg/transport"
 )
@@ -56,6 +58,7 @@
 	NotReady      string `json:"notReady,omitempty" doc:"Reason why the node is not ready"`
 	ConfigVersion uint64 `json:"configVersion" doc:"Version in force; 0 if none"`
 	ConfigDigest  string `json:"configDigest,omitempty"`
+	Members       int    `json:"members" doc:"Number of nodes that this node knows, itself included"`
 }
 
 // Member is one node as its peers know it.
@@ -86,10 +89,30 @@
 
 // Move is the state of one move with its evidence.
 type Move struct {
-	Phase string  `json:"phase" enum:"running,done,taken-back"`
-	Share float64 `json:"share" doc:"Share of traffic on the new version, 0 to 1"`
-	// State is the state as the deciders exchange it; State.Share counts 1/10,000.
-	State move.State `json:"state"`
+	Service  string    `json:"service"`
+	From     string    `json:"from"`
+	To       string    `json:"to"`
+	FinishBy time.Time `json:"finishBy"`
+	Phase    string    `json:"phase" enum:"running,done,taken-back"`
+	Share    float64   `json:"share" doc:"Share of traffic on the new version, 0 to 1"`
+	// Held is set while the step lasts longer than planned; Reason says why.
+	Held     bool       `json:"held"`
+	Reason   string     `json:"reason,omitempty"`
+	Started  time.Time  `json:"started"`
+	Entered  time.Time  `json:"entered" doc:"When the share was set"`
+	Decider  string     `json:"decider,omitempty" doc:"Instance that decided last"`
+	Evidence []Evidence `json:"evidence"`
+}
+
+// Evidence is what is known of one route in a move, since the move began.
+type Evidence struct {
+	Route      string      `json:"route" doc:"Empty for all routes of the service together"`
+	Department string      `json:"department,omitempty"`
+	Old        move.Counts `json:"old"`
+	New        move.Counts `json:"new"`
+	// Ratio and Rate are the log likelihood ratios of the two sequential tests.
+	Ratio float64 `json:"ratio"`
+	Rate  float64 `json:"rate"`
 }
 
 // Period is what became of a department's promise in one period.
@@ -110,8 +133,8 @@
 
 // Report holds the periods of one department.
 type Report struct {
-	Department string   `json:"department"`
-	Periods    []Period `json:"periods"`
+	Department string          `json:"department"`
+	Periods    []report.Report `json:"periods"`
 }
 
 var (
@@ -144,6 +167,9 @@
 			status.Ready, status.NotReady = false, err.Error()
 		}
 	}
+	if s.options.Members != nil {
+		status.Members = len(s.options.Members.View().Members)
+	}
 	if s.options.Configurations != nil {
 		if current := s.options.Configurations.Current(); current != nil {
 			status.ConfigVersion, status.ConfigDigest = current.Version(), current.Manifest().Digest
@@ -190,14 +216,34 @@
 	if s.options.Moves == nil {
 		return nil, missing("moves")
 	}
-	return &body[[]Move]{lo.Map(s.options.Moves.States(), func(state move.State, _ int) Move {
-		return Move{Phase: phases[state.Phase], Share: float64(state.Share) / move.ShareUnit, State: state}
-	})}, nil
+	return &body[[]Move]{lo.Map(s.options.Moves.States(), func(state move.State, _ int) Move { return viewOf(state) })}, nil
+}
+
+func viewOf(s move.State) Move {
+	return Move{
+		Service: s.Service, From: s.From, To: s.To, FinishBy: s.FinishBy, Phase: phases[s.Phase],
+		Share: float64(s.Share) / move.ShareUnit, Held: s.Held, Reason: s.Reason,
+		Started: s.Started, Entered: s.Entered, Decider: s.Decider,
+		Evidence: lo.Map(s.Routes, func(e move.RouteEvidence, _ int) Evidence {
+			return Evidence{
+				Route: e.Route, Department: e.Department, Old: e.Old, New: e.New,
+				Ratio: finite(e.Ratio), Rate: finite(e.Rate),
+			}
+		}),
+	}
+}
+
+// finite bounds a number so that JSON can hold it.
+func finite(n float64) float64 {
+	if math.IsNaN(n) {
+		return 0
+	}
+	return max(-math.MaxFloat64, min(math.MaxFloat64, n))
 }
 
 type reportRequest struct {
 	Department string    `path:"department"`
-	Since      time.Time `query:"since" doc:"Only periods that begin at or after this time; default: all that are kept"`
+	Since      time.Time `query:"since" doc:"Only periods that begin at or after this time; default: the newest few"`
 }
 
 func (s *Server) report(ctx context.Context, in *reportRequest) (*body[Report], error) {
@@ -208,13 +254,13 @@
 		return nil, problem(http.StatusNotFound, CodeNotFound, "there is no department "+in.Department,
 			"See the departments of the entitlement list in force.")
 	}
-	periods, err := s.options.Reports.Report(ctx, in.Department, in.Since)
+	periods, err := s.options.Reports.Periods(ctx, in.Department, in.Since)
 	if err != nil {
 		return nil, problem(http.StatusServiceUnavailable, CodeUnavailable, "the report cannot be read: "+err.Error(),
 			"Reports are kept in the platform; try again when it answers.")
 	}
 	if periods == nil {
-		periods = []Period{}
+		periods = []report.Report{}
 	}
 	return &body[Report]{Report{Department: in.Department, Periods: periods}}, nil
 }
--- /dev/null
+++ b/pkg/node/leases.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/azurespring/azurespring/pkg/lease"
+	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/platform"
+)
+
+// newLeaseFactory returns leases for deciders of moves.
+func newLeaseFactory(store platform.Store, holder string, logger *logrus.Logger) move.LeaseFactory {
+	return func(name string, candidate func() bool, minFence func() uint64) move.Lease {
+		l, err := lease.New(lease.Options{
+			Store: store, Name: name, Holder: holder, Candidate: candidate, MinFence: minFence, Logger: logger,
+		})
+		if err != nil {
+			logger.WithError(err).WithField("lease", name).Error("lease cannot be used")
+			return nil
+		}
+		return l
+	}
+}
--- a/pkg/proxy/remote.go
+++ b/pkg/proxy/remote.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 
 	"github.com/azurespring/azurespring/pkg/routing"
 	"github.com/azurespring/azurespring/pkg/transport"
@@ -33,25 +32,11 @@
 	x := &exchange{call: c, stream: stream, reader: newFrameReader(stream)}
 	failure := x.run()
 	stop()
-	defer x.reader.release()
-	if failure != nil || !x.sent {
-		stream.Cancel()
-		return failure
-	}
-	x.drain()
-	return nil
-}
-
-// drain reads the end of the stream, which releases it. The caller gets its
-// answer before, because the end may come in a later packet.
-func (x *exchange) drain() {
-	if x.call.ctx.Err() == nil {
-		_ = http.NewResponseController(x.call.w).Flush()
-	}
-	var rest [1]byte
-	if _, err := x.reader.in.Read(rest[:]); err != io.EOF {
-		x.stream.Cancel()
-	}
+	x.reader.release()
+	// Nothing more is read, even if the peer's end of the stream is still on its
+	// way; a stream left open would hold up the shutdown of this node.
+	stream.Cancel()
+	return failure
 }
 
 // exchange is one try over a stream.
@@ -59,8 +44,6 @@
 	call   *call
 	stream transport.Stream
 	reader *frameReader
-	// sent is set if the request went out whole before the answer.
-	sent bool
 }
 
 func (x *exchange) run() *verdict.Error {
@@ -113,7 +96,6 @@
 	if err := buffer.flush(x.stream); err != nil {
 		return err
 	}
-	x.sent = true
 	// The target node has the end frame. It may even have answered and released the
 	// stream by now, in which case closing fails.
 	_ = x.stream.CloseWrite()
