Bound shares by measured load and test moves

Cause: a new version with fewer slots than the old one could never finish, although its slots sufficed for the load; the guard counted good calls of the last minute and so missed badness that comes late.

--- a/pkg/move/decide.go
+++ b/pkg/move/decide.go
@@ -5,7 +5,11 @@
 	"time"
 )
 
-const reasonPaused = "paused by an operator"
+// Parts of reasons.
+const (
+	reasonPaused = "paused by an operator"
+	reasonSlots  = "ready slots"
+)
 
 // decide takes the version back, changes its share, or holds the step.
 func (d *Decider) decide(now time.Time) []Effect {
@@ -14,8 +18,8 @@
 	if f.bad {
 		return d.condemn(now, f, last)
 	}
-	if share := d.share(s.Step); share < s.Share || share > s.Share && now.Sub(d.published) >= minDwell {
-		s.Share, s.Reason = share, fmt.Sprintf("ready slots: %d new, %d old", d.capacity.NewSlots, d.capacity.OldSlots)
+	if share := d.share(s.Step); d.differs(now, share) {
+		s.Share, s.Reason = share, d.slots()
 		d.mark(mark{period: d.cur.through, last: last})
 		return d.publish(now, s, EventStep)
 	}
@@ -43,6 +47,17 @@
 	return d.move(now, s, s.Step+1, EventStep, describe(d.cur.pool.evidence))
 }
 
+// differs reports whether the share must follow the slots. Small changes of the
+// measured load are left alone.
+func (d *Decider) differs(now time.Time, share int) bool {
+	s := d.state
+	if share < s.Share {
+		return float64(share) < (1-limitSlack)*float64(s.Share)
+	}
+	grown := share == Steps[s.Step] || float64(share) > (1+limitSlack)*float64(s.Share)
+	return share > s.Share && grown && now.Sub(d.published) >= minDwell
+}
+
 // condemn takes the version back. On the last step no calls run on the old
 // version, so that a common outage looks like badness: the share goes back one
 // step to compare both. A version that is bad again soon after is taken back,
@@ -67,6 +82,11 @@
 		badRate(old) >= 2*badRate(d.entryOld)
 }
 
+func (d *Decider) slots() string {
+	return fmt.Sprintf("%s: %d on the new version, %d on the old, %.1f occupied",
+		reasonSlots, d.capacity.NewSlots, d.capacity.OldSlots, d.cur.busy)
+}
+
 // lacking returns what evidence the step lacks, or "".
 func (d *Decider) lacking(now time.Time, s State, f finding) string {
 	pool := d.cur.pool.evidence
@@ -78,7 +98,7 @@
 		return "the new version refuses more calls than the old"
 	}
 	if s.Share < Steps[s.Step] {
-		return "the new version has too few ready slots"
+		return "too few " + reasonSlots
 	}
 	if !now.Before(lastCall(s, s.Step)) && pool.New.Calls() >= minCalls {
 		return ""
--- a/pkg/move/decider.go
+++ b/pkg/move/decider.go
@@ -259,7 +259,7 @@
 	return d.publish(now, s, kind)
 }
 
-func (d *Decider) share(step int) int { return min(Steps[step], limit(d.capacity)) }
+func (d *Decider) share(step int) int { return min(Steps[step], limit(d.capacity, d.cur.busy)) }
 
 // publish stamps s with this decider's term and makes it the state.
 func (d *Decider) publish(now time.Time, s State, kind timeline.Kind) []Effect {
@@ -270,7 +270,7 @@
 	}
 	s.Decider, s.Definition = d.self, d.wanted.Definition
 	s.Sequence++
-	s.Through, s.Routes = d.cur.through, d.cur.evidence()
+	s.Through, s.Routes, s.BusySlots = d.cur.through, d.cur.evidence(), d.cur.busy
 	d.state, d.states[s.To], d.published = s, s, now
 	effects := []Effect{{Publish: &s}}
 	if kind != "" {
--- /dev/null
+++ b/pkg/move/decider_test.go
@@ -0,0 +1,498 @@
+package move
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/azurespring/azurespring/pkg/reducer"
+)
+
+// trial drives one decider in virtual time. Every second each route gets its
+// calls, divided by the share of the state; bad says which of them fail.
+type trial struct {
+	t       *testing.T
+	now     time.Time
+	d       *Decider
+	wanted  Wanted
+	slots   Capacity
+	rates   map[string]float64
+	carry   map[string]float64
+	bad     func(x *trial, version, route string) float64
+	deliver func(x *trial, reports []Report)
+	effects []Effect
+	peak    int
+	// busy is the time that each call takes at its target in milliseconds.
+	busy uint64
+}
+
+const span = 10 * time.Minute
+
+func newTrial(t *testing.T) *trial {
+	x := &trial{
+		t: t, now: epoch, d: NewDecider("n1", "stock"), carry: map[string]float64{},
+		wanted: Wanted{From: "v1", To: "v2", FinishBy: epoch.Add(span)},
+		slots:  Capacity{OldSlots: 12, NewSlots: 12, Reporters: []string{"old", "new"}},
+		rates:  map[string]float64{"check": 40, "draw": 5},
+	}
+	x.begin(1)
+	return x
+}
+
+// begin hands the role to the decider, with an answer of the platform.
+func (x *trial) begin(fence uint64) {
+	x.step(Event{Wanted: &x.wanted})
+	x.step(Event{Capacity: &x.slots})
+	x.step(Event{Role: &Role{Deciding: true, Fence: fence}})
+	x.step(Event{Restored: &Restored{Known: true}})
+}
+
+func (x *trial) step(event Event) {
+	event.Service = "stock"
+	x.effects = append(x.effects, x.d.Step(x.now, event)...)
+}
+
+func (x *trial) want(change func(w *Wanted)) {
+	change(&x.wanted)
+	w := x.wanted
+	x.step(Event{Wanted: &w})
+}
+
+func (x *trial) state() State { s, _ := x.d.State(); return s }
+
+func (x *trial) since() time.Duration { return x.now.Sub(epoch) }
+
+// draw rounds a rate so that the sum over time is exact.
+func (x *trial) draw(key string, rate float64) uint64 {
+	x.carry[key] += rate
+	n := uint64(x.carry[key])
+	x.carry[key] -= float64(n)
+	return n
+}
+
+func (x *trial) run(length time.Duration) *trial {
+	for end := x.now.Add(length); x.now.Before(end); {
+		period := periodOf(x.now)
+		reports := []Report{
+			{Service: "stock", Reporter: "old", Incarnation: 1, Through: period},
+			{Service: "stock", Reporter: "new", Incarnation: 1, Through: period},
+		}
+		share := float64(x.state().Share) / ShareUnit
+		for route, rate := range x.rates {
+			for i, part := range []float64{1 - share, share} {
+				version, odds := []string{"v1", x.wanted.To}[i], 0.0
+				if x.bad != nil {
+					odds = x.bad(x, version, route)
+				}
+				counts := Counts{
+					Good:   x.draw(route+version+"good", rate*part*(1-odds)),
+					Failed: x.draw(route+version+"bad", rate*part*odds),
+				}
+				if counts.BusyMillis = x.busy * counts.Calls(); counts != (Counts{}) {
+					line := Line{Period: period, Route: route, Department: "sales", Version: version, Counts: counts}
+					reports[i].Lines = append(reports[i].Lines, line)
+				}
+			}
+		}
+		x.now = x.now.Add(Period)
+		if x.deliver != nil {
+			x.deliver(x, reports)
+		} else {
+			x.receive(reports...)
+		}
+		x.step(Event{Tick: true})
+		x.peak = max(x.peak, x.state().Share)
+	}
+	return x
+}
+
+func (x *trial) receive(reports ...Report) {
+	for i := range reports {
+		x.step(Event{Report: &reports[i]})
+	}
+}
+
+// newCalls is the number of calls that the new version got.
+func (x *trial) newCalls() uint64 { return x.d.cur.pool.evidence.New.Calls() }
+
+func fails(version string, odds float64, when func(x *trial) bool) func(*trial, string, string) float64 {
+	return func(x *trial, v, _ string) float64 {
+		if (version == "" || v == version) && (when == nil || when(x)) {
+			return odds
+		}
+		return 0
+	}
+}
+
+func TestDeciderCarriesOutMoves(t *testing.T) {
+	for _, test := range []struct {
+		guards string
+		setup  func(x *trial)
+		phase  Phase
+		reason string
+		// peak bounds the highest share.
+		peak int
+	}{
+		{"a good version that is not done in time", func(x *trial) { x.run(span) }, Done, "soak", ShareUnit},
+		{"a bad version that gets more than the first share", func(x *trial) {
+			x.bad = fails("v2", 1, nil)
+			x.run(span)
+		}, TakenBack, "bad", 100},
+		{"a version that is bad only later", func(x *trial) {
+			x.bad = fails("v2", 0.3, func(x *trial) bool { return x.since() > span/2 })
+			x.run(span)
+		}, TakenBack, "bad", 5000},
+		{"a version that is bad only while it takes all calls", func(x *trial) {
+			x.bad = fails("v2", 0.3, func(x *trial) bool { return x.state().Share == ShareUnit })
+			x.run(span)
+			assert.Equal(x.t, x.state().Rechecks, 1)
+		}, TakenBack, "bad", ShareUnit},
+		{"a version that is bad on one quiet route", func(x *trial) {
+			x.bad = func(_ *trial, version, route string) float64 {
+				if version == "v2" && route == "draw" {
+					return 1
+				}
+				return 0
+			}
+			x.run(span)
+		}, TakenBack, "route draw", 500},
+		{"a common outage that takes a good version back", func(x *trial) {
+			x.bad = fails("", 0.7, func(x *trial) bool { return x.since()%(3*time.Minute) > 170*time.Second })
+			x.run(span)
+		}, Done, "soak", ShareUnit},
+		{"a common outage in the soak that takes a good version back", func(x *trial) {
+			x.bad = fails("", 1, func(x *trial) bool { return x.since() > 7*time.Minute && x.since() < 7*time.Minute+20*time.Second })
+			x.run(span)
+		}, Done, "soak", ShareUnit},
+		{"a quiet service that never finishes", func(x *trial) {
+			x.rates = map[string]float64{"check": 0.4, "draw": 0.02}
+			x.run(span)
+		}, Done, "soak", ShareUnit},
+		{"a version that is done on hardly any calls", func(x *trial) {
+			x.rates = map[string]float64{"check": 0.04}
+			x.run(span + time.Minute)
+		}, TakenBack, "only", 5000},
+		{"a step without any call", func(x *trial) {
+			x.rates = nil
+			x.run(span - time.Second)
+		}, Running, "no calls", 100},
+		{"a finishing time in the past that skips the steps", func(x *trial) {
+			x.want(func(w *Wanted) { w.FinishBy = epoch.Add(-time.Hour) })
+			x.run(30 * time.Second)
+			assert.Assert(x.t, x.state().Share < ShareUnit)
+			x.run(2 * time.Minute)
+		}, Done, "soak", ShareUnit},
+		{"more calls than the new version has slots for", func(x *trial) {
+			x.step(Event{Capacity: &Capacity{OldSlots: 12, NewSlots: 4, Reporters: x.slots.Reporters}})
+			x.run(span)
+		}, Running, "slots", 3300},
+		{"fewer but sufficient slots that hold a move", func(x *trial) {
+			x.step(Event{Capacity: &Capacity{OldSlots: 12, NewSlots: 4, Reporters: x.slots.Reporters}})
+			x.busy = 50
+			x.run(span)
+		}, Done, "soak", ShareUnit},
+		{"a load that is too much for the new version's slots", func(x *trial) {
+			x.step(Event{Capacity: &Capacity{OldSlots: 12, NewSlots: 4, Reporters: x.slots.Reporters}})
+			x.busy = 90
+			x.run(span)
+		}, Running, "slots", 7500},
+		{"a share that stays when targets of the new version leave", func(x *trial) {
+			x.run(span / 2)
+			x.step(Event{Capacity: &Capacity{OldSlots: 12, NewSlots: 1, Reporters: x.slots.Reporters}})
+			x.run(time.Second)
+			assert.Assert(x.t, x.state().Share <= 800, "share %d", x.state().Share)
+		}, Running, "slots", 5000},
+		{"a paused move that goes on", func(x *trial) {
+			x.run(time.Minute)
+			x.want(func(w *Wanted) { w.Paused = true })
+			x.run(span)
+		}, Running, "paused", 500},
+		{"a paused move whose badness is overlooked", func(x *trial) {
+			x.bad = fails("v2", 1, func(x *trial) bool { return x.wanted.Paused })
+			x.run(time.Minute)
+			x.want(func(w *Wanted) { w.Paused = true })
+			x.run(time.Minute)
+		}, TakenBack, "bad", 500},
+		{"a resumed move that stays held", func(x *trial) {
+			x.want(func(w *Wanted) { w.Paused = true })
+			x.run(time.Minute)
+			x.want(func(w *Wanted) { w.Paused = false })
+			x.run(span)
+		}, Done, "soak", ShareUnit},
+		{"a canceled move that keeps traffic, and a resume that revives it", func(x *trial) {
+			x.run(span / 2)
+			x.want(func(w *Wanted) { w.Canceled = true })
+			x.run(time.Second)
+			x.want(func(w *Wanted) { w.Canceled = false })
+			x.run(span)
+		}, TakenBack, "canceled", 5000},
+		{"a changed old version that is compared with evidence of the former one", func(x *trial) {
+			x.run(span / 2)
+			x.want(func(w *Wanted) { w.From = "v0" })
+			x.run(time.Second)
+			assert.Equal(x.t, x.state().Share, 100)
+			assert.Equal(x.t, x.newCalls(), uint64(0))
+		}, Running, "ready", 5000},
+		{"evidence by a former definition of success", func(x *trial) {
+			x.run(span / 2)
+			x.want(func(w *Wanted) { w.Definition++ })
+			assert.Equal(x.t, x.newCalls(), uint64(0))
+			x.run(span / 2)
+		}, Done, "soak", ShareUnit},
+		{"an earlier finishing time that is not heeded", func(x *trial) {
+			x.run(time.Minute)
+			x.want(func(w *Wanted) { w.FinishBy = epoch.Add(3 * time.Minute) })
+			x.run(2 * time.Minute)
+		}, Done, "soak", ShareUnit},
+		{"crashes that hide among few failures", func(x *trial) {
+			x.deliver = func(x *trial, reports []Report) {
+				if x.since()%(20*time.Second) == 0 {
+					reports[1].Lines = append(reports[1].Lines, Line{
+						Period: reports[1].Through, Route: "pay", Version: "v2", Counts: Counts{Crashed: 3, Crashes: 1},
+					})
+				}
+				x.receive(reports...)
+			}
+			x.run(span)
+		}, TakenBack, "crashes", 500},
+		{"one crash that takes a good version back", func(x *trial) {
+			x.deliver = func(x *trial, reports []Report) {
+				if x.since() == time.Minute {
+					reports[1].Lines = append(reports[1].Lines, Line{
+						Period: reports[1].Through, Route: "pay", Version: "v2", Counts: Counts{Crashed: 18, Crashes: 1},
+					})
+				}
+				x.receive(reports...)
+			}
+			x.run(span)
+		}, Done, "soak", ShareUnit},
+	} {
+		t.Run(test.guards, func(t *testing.T) {
+			x := newTrial(t)
+			test.setup(x)
+			s := x.state()
+			assert.Equal(t, s.Phase, test.phase, "%+v", s)
+			assert.Assert(t, strings.Contains(s.Reason, test.reason), s.Reason)
+			assert.Assert(t, x.peak <= test.peak, "peak %d", x.peak)
+		})
+	}
+}
+
+// Guards against counts that depend on how often, how late and in which order
+// reports arrive.
+func TestEvidenceCountsOnce(t *testing.T) {
+	var kept []Report
+	random := rand.New(rand.NewPCG(1, 2))
+	for name, deliver := range map[string]func(x *trial, reports []Report){
+		"in order": nil,
+		"doubled":  func(x *trial, reports []Report) { x.receive(reports...); x.receive(reports...) },
+		"late and crossed": func(x *trial, reports []Report) {
+			kept = append(kept, reports...)
+			if len(kept) >= 16 {
+				random.Shuffle(len(kept), func(i, j int) { kept[i], kept[j] = kept[j], kept[i] })
+				x.receive(kept...)
+				kept = nil
+			}
+		},
+		"grown on resending": func(x *trial, reports []Report) {
+			lesser := reports[0]
+			lesser.Lines = append([]Line{}, lesser.Lines...)
+			for i := range lesser.Lines {
+				lesser.Lines[i].Counts.Good /= 2
+			}
+			x.receive(lesser, reports[0], reports[1], lesser)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newTrial(t)
+			x.rates = map[string]float64{"check": 100}
+			x.want(func(w *Wanted) { w.Paused = true })
+			x.deliver = deliver
+			x.run(64 * time.Second)
+			x.deliver = nil
+			x.run(4 * time.Second)
+			assert.Equal(t, x.d.cur.pool.evidence.Old.Calls(), uint64(6800))
+		})
+	}
+}
+
+// Guards against evidence from before a pause of the process, and from clocks
+// that are wrong, which must not carry a step.
+func TestStaleEvidenceHolds(t *testing.T) {
+	x := newTrial(t).run(time.Minute)
+	before := x.state()
+	x.now = x.now.Add(span / 2)
+	x.step(Event{Tick: true})
+	assert.Equal(t, x.state().Step, before.Step)
+	ahead := periodOf(x.now) + 1000
+	x.receive(Report{Reporter: "new", Through: ahead, Lines: []Line{{Period: ahead, Version: "v2", Counts: Counts{Failed: 500}}}})
+	x.receive(Report{Reporter: "old", Through: periodOf(x.now), Lines: []Line{
+		{Period: periodOf(x.now) - ringPeriods - 1, Version: "v2", Counts: Counts{Failed: 500}},
+	}})
+	assert.Equal(t, len(x.d.ledger.periods[ahead]), 0)
+	x.run(time.Second)
+	assert.Equal(t, x.state().Phase, Running)
+}
+
+// Guards against a next decider that begins anew, loses what is known, or
+// revives a version that was taken back.
+func TestNextDeciderContinues(t *testing.T) {
+	first := newTrial(t).run(span / 2)
+	for _, test := range []struct {
+		guards          string
+		state           State
+		restored        []State
+		fence, takeover uint64
+		phase           Phase
+	}{
+		{"a takeover without the platform", first.state(), nil, 0, 1, Done},
+		{"a takeover with a new lease", first.state(), nil, 7, 0, Done},
+		{"a version revived after all nodes were replaced", State{}, []State{{
+			Service: "stock", From: "v1", To: "v2", Phase: TakenBack, Reason: "crashes", Fence: 3,
+		}}, 9, 0, TakenBack},
+	} {
+		t.Run(test.guards, func(t *testing.T) {
+			x := newTrial(t)
+			x.now, x.carry = first.now, map[string]float64{}
+			x.d = NewDecider("n2", "stock")
+			x.step(Event{Wanted: &x.wanted})
+			if test.state.Service != "" {
+				x.step(Event{Merged: &test.state})
+			}
+			x.step(Event{Capacity: &x.slots})
+			x.step(Event{Role: &Role{Deciding: true, Fence: test.fence}})
+			x.step(Event{Restored: &Restored{Known: true, States: test.restored}})
+			assert.Equal(t, x.newCalls(), pooledNew(test.state))
+			x.run(time.Second)
+			assert.Equal(t, x.state().Step, test.state.Step)
+			x.run(span / 2)
+			assert.Equal(t, x.state().Phase, test.phase, x.state().Reason)
+			if test.phase == Done {
+				assert.Equal(t, x.state().Takeover, test.takeover)
+				assert.Assert(t, Compare(x.state(), test.state) > 0)
+			}
+		})
+	}
+}
+
+func pooledNew(s State) uint64 {
+	if len(s.Routes) == 0 {
+		return 0
+	}
+	return s.Routes[0].New.Calls()
+}
+
+// Guards against a decider that was paused, or cut off, and overrides its
+// successor when it returns, and against two deciders that never agree.
+func TestDecidersRace(t *testing.T) {
+	a := newTrial(t).run(span / 2)
+	b := newTrial(t)
+	b.d, b.now = NewDecider("n2", "stock"), a.now
+	old := a.state()
+	b.step(Event{Wanted: &b.wanted})
+	b.step(Event{Merged: &old})
+	b.begin(0)
+	b.bad = fails("v2", 1, nil)
+	b.run(20 * time.Second)
+	a.run(20 * time.Second)
+	assert.Equal(t, b.state().Phase, TakenBack, b.state().Reason)
+	assert.Equal(t, a.state().Phase, Running)
+	fromA, fromB := a.state(), b.state()
+	a.step(Event{Merged: &fromB})
+	b.step(Event{Merged: &fromA})
+	a.run(span)
+	b.run(span)
+	assert.Equal(t, a.state().Phase, TakenBack)
+	assert.DeepEqual(t, a.state(), b.state())
+}
+
+// Guards against a version that keeps its traffic when a newer one replaces it.
+func TestNewerVersionReplacesMove(t *testing.T) {
+	x := newTrial(t).run(span / 2)
+	x.want(func(w *Wanted) { w.To, w.FinishBy = "v3", x.now.Add(span) })
+	assert.Equal(t, x.d.states["v2"].Phase, TakenBack)
+	assert.Equal(t, x.d.states["v2"].Reason, "replaced by version v3")
+	x.run(time.Second)
+	assert.Equal(t, x.state().To, "v3")
+	assert.Equal(t, x.state().Share, Steps[0])
+	x.run(span)
+	assert.Equal(t, x.state().Phase, Done, x.state().Reason)
+}
+
+// Guards against moves at the same time that share evidence or a verdict.
+func TestMovesAtOnce(t *testing.T) {
+	g, now := NewGroup("n1"), epoch
+	for _, service := range []string{"stock", "draw"} {
+		g.Step(now, Event{Service: service, Wanted: &Wanted{From: "v1", To: "v2", FinishBy: epoch.Add(span)}})
+		g.Step(now, Event{Service: service, Capacity: &Capacity{OldSlots: 6, NewSlots: 6, Reporters: []string{"n1"}}})
+		g.Step(now, Event{Service: service, Role: &Role{Deciding: true, Fence: 1}})
+		g.Step(now, Event{Service: service, Restored: &Restored{Known: true}})
+	}
+	for range int(span / Period) {
+		period := periodOf(now)
+		now = now.Add(Period)
+		for service, counts := range map[string]Counts{"stock": {Good: 20}, "draw": {Failed: 20}} {
+			g.Step(now, Event{Service: service, Report: &Report{Reporter: "n1", Through: period, Lines: []Line{
+				{Period: period, Route: "r", Version: "v1", Counts: Counts{Good: 20}},
+				{Period: period, Route: "r", Version: "v2", Counts: counts},
+			}}})
+		}
+		g.Step(now, Event{Tick: true})
+	}
+	assert.Equal(t, g.deciders["stock"].state.Phase, Done)
+	assert.Equal(t, g.deciders["draw"].state.Phase, TakenBack)
+}
+
+// Guards against a good version that random failures on many routes take back.
+func TestChanceFailuresDoNotTakeBack(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		x := newTrial(t)
+		for i := range 8 {
+			x.rates[fmt.Sprintf("r%d", i)] = 0.5
+		}
+		x.bad = func(*trial, string, string) float64 { return random.ExpFloat64() * 0.02 }
+		x.run(span)
+		assert.Assert(t, x.state().Phase != TakenBack, "seed %d: %s", seed, x.state().Reason)
+	}
+}
+
+// Guards against a reducer that depends on more than its events: a recorded
+// log must replay to the same effects and state.
+func TestGroupReplays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []reducer.Entry[Event]
+		now := epoch
+		for i := range rapid.IntRange(1, 150).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			period := periodOf(now) - rapid.Int64Range(1, 5).Draw(t, "late")
+			line := func(version string) Line {
+				return Line{Period: period, Route: fmt.Sprint("r", i%3), Version: version, Counts: Counts{
+					Good: rapid.Uint64Range(0, 30).Draw(t, "good"), Failed: rapid.Uint64Range(0, 3).Draw(t, "failed"),
+				}}
+			}
+			event := rapid.SampledFrom([]Event{
+				{Tick: true},
+				{Tick: true},
+				{Wanted: &Wanted{From: "v1", To: "v2", FinishBy: epoch.Add(span), Paused: i%7 == 0}},
+				{Capacity: &Capacity{OldSlots: 6, NewSlots: 1 + i%6, Reporters: []string{"old"}}},
+				{Role: &Role{Deciding: i%9 != 0, Fence: uint64(i % 2)}},
+				{Restored: &Restored{Known: true}},
+				{Report: &Report{Reporter: "old", Through: period, Lines: []Line{line("v1"), line("v2")}}},
+				{Merged: &State{Service: "stock", From: "v1", To: "v2", Phase: Running, Takeover: uint64(i), Share: 500, Step: 1}},
+			}).Draw(t, "event")
+			event.Service = "stock"
+			log = append(log, reducer.Entry[Event]{At: now, Event: event})
+		}
+		first, second := NewGroup("n1"), NewGroup("n1")
+		if !reflect.DeepEqual(reducer.Replay(first, log), reducer.Replay(second, log)) || !reflect.DeepEqual(first, second) {
+			t.Fatal("a replay differs")
+		}
+	})
+}
--- a/pkg/move/evidence.go
+++ b/pkg/move/evidence.go
@@ -32,6 +32,8 @@
 	Crashes uint64 `cbor:"5,keyasint,omitempty" json:"crashes"`
 	// Crashed are the calls that ended with a crash; they are not in Failed.
 	Crashed uint64 `cbor:"6,keyasint,omitempty" json:"crashed"`
+	// BusyMillis is the sum of the calls' times at the target in milliseconds.
+	BusyMillis uint64 `cbor:"7,keyasint,omitempty" json:"busyMillis"`
 }
 
 // Calls is the number of calls that ran.
@@ -47,6 +49,7 @@
 	return Counts{
 		Good: c.Good + d.Good, Failed: c.Failed + d.Failed, Slow: c.Slow + d.Slow,
 		Refused: c.Refused + d.Refused, Crashes: c.Crashes + d.Crashes, Crashed: c.Crashed + d.Crashed,
+		BusyMillis: c.BusyMillis + d.BusyMillis,
 	}
 }
 
@@ -54,6 +57,7 @@
 	return Counts{
 		Good: c.Good - d.Good, Failed: c.Failed - d.Failed, Slow: c.Slow - d.Slow,
 		Refused: c.Refused - d.Refused, Crashes: c.Crashes - d.Crashes, Crashed: c.Crashed - d.Crashed,
+		BusyMillis: c.BusyMillis - d.BusyMillis,
 	}
 }
 
@@ -61,6 +65,7 @@
 	return Counts{
 		Good: max(c.Good, d.Good), Failed: max(c.Failed, d.Failed), Slow: max(c.Slow, d.Slow),
 		Refused: max(c.Refused, d.Refused), Crashes: max(c.Crashes, d.Crashes), Crashed: max(c.Crashed, d.Crashed),
+		BusyMillis: max(c.BusyMillis, d.BusyMillis),
 	}
 }
 
--- a/pkg/move/guard.go
+++ b/pkg/move/guard.go
@@ -9,7 +9,11 @@
 // a common outage from badness; it leaves failures to the decider while that
 // answers, and needs far stronger evidence than the decider.
 const (
+	// guardPeriods is the span in which crashes are counted, guardRecent the one
+	// for failures: shorter, so that good calls before them do not hide badness
+	// that comes late.
 	guardPeriods = 60
+	guardRecent  = 10
 	// guardSilence is how long the decider must be silent before failures count.
 	guardSilence = 5 * time.Second
 	// guardCalls and guardRate are the bad calls and their rate that are strong
@@ -57,9 +61,13 @@
 		g.answered = now
 	}
 	var sum Counts
+	var crashes uint64
 	spread := 0
 	for _, p := range g.periods {
-		if p.number <= periodOf(now)-guardPeriods {
+		if p.number > periodOf(now)-guardPeriods {
+			crashes += p.counts.Crashes
+		}
+		if p.number <= periodOf(now)-guardRecent-1 {
 			continue
 		}
 		sum = sum.plus(p.counts)
@@ -67,8 +75,8 @@
 			spread++
 		}
 	}
-	if sum.Crashes >= guardCrashes {
-		return fmt.Sprintf("%d crashes beside one node", sum.Crashes)
+	if crashes >= guardCrashes {
+		return fmt.Sprintf("%d crashes beside one node", crashes)
 	}
 	silent := now.Sub(g.answered)
 	oldBad := len(s.Routes) > 0 && badRate(s.Routes[0].Old) > guardOldRate
--- a/pkg/move/reporter.go
+++ b/pkg/move/reporter.go
@@ -21,9 +21,11 @@
 // a second, so that plain atomics are cheap enough.
 type cell struct {
 	good, failed, slow, refused, crashed atomic.Uint64
+	busyMicros                           atomic.Uint64
 }
 
-func (c *cell) count(o Outcome, crash bool) {
+func (c *cell) count(o Outcome, crash bool, busy time.Duration) {
+	c.busyMicros.Add(uint64(max(busy, 0).Microseconds()))
 	switch {
 	case crash:
 		c.crashed.Add(1)
@@ -41,7 +43,7 @@
 func (c *cell) load() Counts {
 	return Counts{
 		Good: c.good.Load(), Failed: c.failed.Load(), Slow: c.slow.Load(),
-		Refused: c.refused.Load(), Crashed: c.crashed.Load(),
+		Refused: c.refused.Load(), Crashed: c.crashed.Load(), BusyMillis: c.busyMicros.Load() / 1000,
 	}
 }
 
@@ -88,7 +90,7 @@
 	if counters == nil {
 		counters = r.addCell(key)
 	}
-	counters.count(outcome, call.TargetCrashed)
+	counters.count(outcome, call.TargetCrashed, call.Latency)
 }
 
 func (r *reporter) addCell(key cellKey) *cell {
--- a/pkg/move/schedule.go
+++ b/pkg/move/schedule.go
@@ -124,13 +124,26 @@
 // go do not change the share all the time.
 const limitUnit = ShareUnit / 100
 
-// limit is the share that the new version's slots can take.
-func limit(c Capacity) int {
-	switch {
-	case c.NewSlots == 0:
+// limitSlack is the relative change of the limit that the share does not follow.
+// It is well below the spare slots.
+const limitSlack = 0.1
+
+// spareSlots is the part of the new version's slots that its share may occupy.
+const spareSlots = 0.7
+
+// limit is the share that the new version's slots can take: that of the old
+// version's slots which it has as well, or, if more, the share of the calls'
+// measured load that fits into its slots.
+func limit(c Capacity, busy float64) int {
+	if c.NewSlots == 0 {
 		return 0
-	case c.NewSlots >= c.OldSlots:
+	}
+	if c.NewSlots >= c.OldSlots {
 		return ShareUnit
 	}
-	return ShareUnit * c.NewSlots / c.OldSlots / limitUnit * limitUnit
+	part := float64(c.NewSlots) / float64(c.OldSlots)
+	if busy > 0 {
+		part = min(1, max(part, spareSlots*float64(c.NewSlots)/busy))
+	}
+	return int(part*ShareUnit) / limitUnit * limitUnit
 }
--- a/pkg/move/sequential.go
+++ b/pkg/move/sequential.go
@@ -42,6 +42,8 @@
 	crashExcess = 3
 	// crashPeriods is the span in which crashes are counted together.
 	crashPeriods = 600
+	// busyPeriods is the span of the moving average of occupied slots.
+	busyPeriods = 30
 	// testsPerRoute are the ratio test and the rate test.
 	testsPerRoute = 2
 )
@@ -189,6 +191,8 @@
 	crashes []crash
 	// last is set while the new version takes all calls.
 	last bool
+	// busy is the moving average of occupied slots.
+	busy float64
 }
 
 // mark changes the tests after a period.
@@ -201,7 +205,7 @@
 }
 
 func newAssessment(s State) *assessment {
-	a := &assessment{through: s.Through, routes: map[string]*tracker{}, last: s.Step == len(Steps)-1}
+	a := &assessment{through: s.Through, routes: map[string]*tracker{}, last: s.Step == len(Steps)-1, busy: s.BusySlots}
 	for _, evidence := range s.Routes {
 		if evidence.Route == "" {
 			a.pool.evidence = evidence
@@ -250,12 +254,20 @@
 		t.add(by[route], pooled.old, a.kinds(), a.last)
 	}
 	a.pool.add(pooled, pooled.old, a.kinds(), a.last)
+	a.average(float64(pooled.old.BusyMillis+pooled.new.BusyMillis) / float64(Period.Milliseconds()))
 	if ofOld, ofNew := l.crashes(a.through, from, to); ofOld+ofNew > 0 {
 		a.crashes = append(a.crashes, crash{a.through, ofOld, ofNew})
 	}
 	a.crashes = slices.DeleteFunc(a.crashes, func(c crash) bool { return c.period <= a.through-crashPeriods })
 }
 
+func (a *assessment) average(busy float64) {
+	if a.busy == 0 {
+		a.busy = busy
+	}
+	a.busy += (busy - a.busy) / busyPeriods
+}
+
 func (a *assessment) apply(m mark) {
 	for _, t := range a.all() {
 		if m.restart {
--- a/pkg/move/state.go
+++ b/pkg/move/state.go
@@ -53,6 +53,8 @@
 	Started time.Time `cbor:"18,keyasint" json:"started"`
 	// Definition identifies the definitions of success behind Routes.
 	Definition uint64 `cbor:"19,keyasint" json:"definition"`
+	// BusySlots is the mean number of slots that calls of both versions occupy.
+	BusySlots float64 `cbor:"20,keyasint" json:"busySlots"`
 }
 
 // RouteEvidence sums up what is known of one route in a move.
