--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,8 +20,10 @@
 
 	"github.com/azurespring/azurespring/pkg/admin"
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
+	"github.com/azurespring/azurespring/pkg/distribution"
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
+	"github.com/azurespring/azurespring/pkg/report"
 	"github.com/azurespring/azurespring/pkg/timeline"
 )
 
@@ -45,14 +48,17 @@
 func (f *fake) Ready() error               { return f.notReady }
 func (f *fake) View() *membership.View     { return &membership.View{Members: members} }
 func (f *fake) States() []move.State {
-	return []move.State{{Service: "stock", Phase: move.TakenBack, Share: 500}}
+	return states
 }
 func (f *fake) Events() []timeline.Event { return events }
-func (f *fake) Report(context.Context, string, time.Time) ([]admin.Period, error) {
+func (f *fake) Periods(context.Context, string, time.Time) ([]report.Report, error) {
 	return nil, errors.New("platform is down")
 }
 
 var (
+	states = []move.State{{Service: "stock", Phase: move.TakenBack, Share: 500, Routes: []move.RouteEvidence{
+		{Route: "check", New: move.Counts{Good: 3, Slow: 2}, Ratio: math.Inf(1), Rate: math.NaN()},
+	}}}
 	members = []membership.Member{{
 		Instance: "a", State: membership.Suspect,
 		Targets: []membership.Target{{ID: "t", Service: "stock", State: membership.Draining}},
@@ -138,7 +144,7 @@
 	bad := lists(t)
 	bad[1].Content = strings.Replace(bad[1].Content, "period: 24h", "period: 24", 1)
 	conflict := &admin.ConflictError{BaseVersion: 5, CurrentVersion: 6, Entries: []string{
-		"service/stock", dynamic.PartOf("customer/cennik-portal"),
+		"service/stock", dynamic.PartOf("customer/cennik-portal"), dynamic.PartOf("customer/nobody"),
 	}}
 	for _, test := range []struct {
 		name   string
@@ -150,6 +156,8 @@
 	}{
 		{"conflict", conflict, lists(t), 409, admin.CodeConflict, "service/stock"},
 		{"conflict names customers", conflict, lists(t), 409, admin.CodeConflict, "customer/cennik-portal"},
+		{"conflict names a group", conflict, lists(t), 409, admin.CodeConflict, "customers/"},
+		{"invalid for distribution", &distribution.InvalidError{Cause: errors.New("too large")}, lists(t), 422, admin.CodeInvalidLists, "too large"},
 		{"unknown outcome", &admin.OutcomeUnknownError{ChangeID: "change-1", Cause: io.EOF}, lists(t), 503, admin.CodeOutcomeUnknown, "same change id"},
 		{"platform down", errors.New("no route"), lists(t), 503, admin.CodeUnavailable, "Nothing was changed"},
 		{"faulty lists", nil, bad, 422, admin.CodeInvalidLists, `"file":"entitlements.yaml","line":33`},
@@ -195,6 +203,7 @@
 		{"/v1/targets", 200, `"state":"draining"`},
 		{"/v1/targets?service=hires", 200, `[]`},
 		{"/v1/moves", 200, `"phase":"taken-back","share":0.05`},
+		{"/v1/moves", 200, `"new":{"good":3,"failed":0,"slow":2,`},
 		{"/v1/status", 200, `"notReady":"joining","configVersion":5`},
 		{"/v1/timeline?configVersion=7&limit=1", 200, `"event":"second"`},
 		{"/v1/timeline?limit=0", 422, `"field":"query.limit"`},
@@ -204,6 +213,8 @@
 		{"/readyz", 503, "joining"},
 		{"/metrics", 200, "go_goroutines"},
 		{"/openapi.json", 200, `"apply-configuration"`},
+		{"/openapi.json", 200, `"MoveCounts"`},
+		{"/openapi.json", 200, `"ReportCounts"`},
 	} {
 		t.Run(test.path, func(t *testing.T) {
 			recorder := httptest.NewRecorder()
--- a/pkg/config/dynamic/entries.go
+++ b/pkg/config/dynamic/entries.go
@@ -129,6 +129,9 @@
 	if v, ok := o.require("version"); ok {
 		service.Version = v.matching(versionPattern, versionRule)
 	}
+	if v, ok := o.field("sticky"); ok {
+		service.Sticky = v.boolean()
+	}
 	if v, ok := o.field("move"); ok {
 		if move := v.object(); move != nil {
 			service.Move = readMove(move, service.Version)
@@ -155,6 +158,7 @@
 	}
 	if v, ok := o.require("finishBy"); ok {
 		move.FinishBy = v.time()
+		v.places[v.at.field] = v.at
 	}
 	if v, ok := o.field("paused"); ok {
 		move.Paused = v.boolean()
--- a/pkg/config/dynamic/lists_test.go
+++ b/pkg/config/dynamic/lists_test.go
@@ -37,6 +37,7 @@
 services:
   - name: stock
     version: 1.10
+    sticky: true
     move: {to: "1.11", finishBy: "2026-06-01T18:00:00+02:00"}
     routes:
       - {name: check, methods: [GET], pathPrefix: /v1/stock, deadline: 1s, department: warehouse}
@@ -59,6 +60,7 @@
 	assert.DeepEqual(t, config.Plans[0].Limits, dynamic.Limits{RatePerSecond: 2.5, Burst: 3, Share: 3})
 	stock := config.Services[0]
 	assert.Equal(t, stock.Version, "1.10")
+	assert.Assert(t, stock.Sticky)
 	assert.Equal(t, stock.Move.FinishBy, time.Date(2026, 6, 1, 16, 0, 0, 0, time.UTC))
 	assert.Equal(t, stock.Routes[0].Deadline, time.Second)
 }
@@ -84,7 +86,7 @@
 		{"key not a digest", "2c26b46b", "secret", `must be a SHA-256 digest`},
 		{"empty key", "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae", dynamic.DigestOf(nil), `digest of an empty key`},
 		{"no key", "keyDigests: [2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae]", "keyDigests: []", `at least one digest`},
-		{"move to itself", `to: "1.11"`, `to: "1.10"`, `e.yaml:15: services[stock].move.to: must differ from version "1.10"`},
+		{"move to itself", `to: "1.11"`, `to: "1.10"`, `e.yaml:16: services[stock].move.to: must differ from version "1.10"`},
 		{"finishBy without to", `to: "1.11", `, ``, `services[stock].move.to: is required`},
 		{"time without zone", "18:00:00+02:00", "18:00:00", `must be a time with a zone`},
 		{"paused and canceled", `to: "1.11",`, `to: "1.11", paused: true, canceled: true,`, `both paused and canceled`},
@@ -149,7 +151,7 @@
 		want    string
 	}{
 		{"in time", now, dynamic.Config{}, ""},
-		{"passed", now.AddDate(0, 0, 2), dynamic.Config{}, "e.yaml:15: services[stock].move.finishBy: 2026-06-01T16:00:00Z has passed"},
+		{"passed", now.AddDate(0, 0, 2), dynamic.Config{}, "e.yaml:16: services[stock].move.finishBy: 2026-06-01T16:00:00Z has passed"},
 		{"passed, but in force", now.AddDate(0, 0, 2), lists.Config, ""},
 		{"too far ahead", now.AddDate(-2, 0, 0), dynamic.Config{}, "more than a year ahead"},
 	} {
@@ -183,6 +185,64 @@
 	assert.Equal(t, parts[0].Name, dynamic.PartOf("customer/acme"))
 }
 
+// Guards against lists that take a node's memory.
+func TestParseRefusesTooMuch(t *testing.T) {
+	blank := dynamic.File{Name: "big.yaml", Data: make([]byte, dynamic.MaxListBytes/2+1)}
+	_, err := dynamic.Parse(blank, blank)
+	assert.ErrorContains(t, err, "big.yaml: the files up to this one have")
+	nested := dynamic.File{Name: "nested.yaml", Data: []byte(strings.Repeat("- - - x\n", 500_000))}
+	_, err = dynamic.Parse(nested)
+	assert.ErrorContains(t, err, "nested.yaml: the files up to this one hold too many values")
+	other := "apiVersion: azurespring/v1\nkind: CustomerList\ncustomers:\n" + strings.Repeat("  - 1\n", 2000)
+	_, err = dynamic.Parse(dynamic.File{Name: "o.yaml", Data: []byte(other)})
+	var faults dynamic.Faults
+	assert.Assert(t, errors.As(err, &faults))
+	assert.Equal(t, len(faults), 1001)
+	assert.Equal(t, faults[1000].Detail, "1000 more faults are not shown")
+	keys := strings.Repeat("x, ", dynamic.MaxKeys)
+	_, err = dynamic.Parse(files(strings.Replace(customers, "[2c", "["+keys+"2c", 1), entitlements)...)
+	assert.ErrorContains(t, err, "c.yaml:6: customers[acme].keyDigests: has 17 elements, the limit is 16")
+}
+
+// Guards against parts that were not made by Split and that look-ups would
+// answer in two ways.
+func TestCompileRefuses(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*dynamic.Config)
+	}{
+		{"customer twice", func(c *dynamic.Config) {
+			c.Customers = append(c.Customers, dynamic.Customer{Name: "acme", Plan: "basic"})
+		}},
+		{"key twice", func(c *dynamic.Config) {
+			c.Customers = append(c.Customers, dynamic.Customer{Name: "b", Plan: "basic", KeyDigests: c.Customers[0].KeyDigests})
+		}},
+		{"unknown plan", func(c *dynamic.Config) { c.Customers[0].Plan = "gold" }},
+		{"plan twice", func(c *dynamic.Config) { c.Plans = append(c.Plans, c.Plans[0]) }},
+		{"entitlement twice", func(c *dynamic.Config) {
+			c.Plans[0].Services = append(c.Plans[0].Services, dynamic.Entitlement{Service: "stock"})
+		}},
+		{"unknown service", func(c *dynamic.Config) { c.Plans[0].Services[0].Service = "hires" }},
+		{"unknown route", func(c *dynamic.Config) { c.Plans[0].Services[0].Routes[0] = "chek" }},
+		{"service twice", func(c *dynamic.Config) { c.Services = append(c.Services, c.Services[0]) }},
+		{"route twice", func(c *dynamic.Config) {
+			c.Services[0].Routes = append(c.Services[0].Routes, c.Services[0].Routes[0])
+		}},
+		{"unknown department", func(c *dynamic.Config) { c.Departments = nil }},
+		{"department twice", func(c *dynamic.Config) { c.Departments = append(c.Departments, c.Departments[0]) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			config, err := dynamic.Parse(files(customers, entitlements)...)
+			assert.NilError(t, err)
+			_, err = dynamic.Compile(dynamic.Manifest{}, config)
+			assert.NilError(t, err)
+			test.change(&config)
+			_, err = dynamic.Compile(dynamic.Manifest{}, config)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
 // Guards against examples and documentation that the parser refuses.
 func TestExamplesAndDocumentationParse(t *testing.T) {
 	for _, user := range []string{"tatrasoft", "council"} {
