Let a node give up an apply before its client does

Cause: in a trial with the platform down, azurespringctl apply ended with 'outcome unknown', because a node tries for 60 s and the client waits 10 s. Change: the request carries the time that the node may try, 80% of -timeout; a base version ahead of the one in force is named as such. Conclusion: exit code 5 is left for outcomes that are really unknown.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -33,9 +33,15 @@
 	applied  []string
 	current  *dynamic.Snapshot
 	notReady error
+	// hang makes Apply wait for the end of its context.
+	hang bool
 }
 
-func (f *fake) Apply(_ context.Context, config dynamic.Config, changeID string, base uint64) (uint64, bool, error) {
+func (f *fake) Apply(ctx context.Context, config dynamic.Config, changeID string, base uint64) (uint64, bool, error) {
+	if f.hang {
+		<-ctx.Done()
+		return 0, false, ctx.Err()
+	}
 	if f.applyErr != nil {
 		return 0, false, f.applyErr
 	}
@@ -156,6 +162,7 @@
 	}{
 		{"conflict", conflict, lists(t), 409, admin.CodeConflict, "service/stock"},
 		{"conflict names customers", conflict, lists(t), 409, admin.CodeConflict, "customer/cennik-portal"},
+		{"base ahead", &admin.ConflictError{BaseVersion: 9, CurrentVersion: 6}, lists(t), 409, admin.CodeConflict, "version 9, which does not exist"},
 		{"conflict names a group", conflict, lists(t), 409, admin.CodeConflict, "customers/"},
 		{"invalid for distribution", &distribution.InvalidError{Cause: errors.New("too large")}, lists(t), 422, admin.CodeInvalidLists, "too large"},
 		{"unknown outcome", &admin.OutcomeUnknownError{ChangeID: "change-1", Cause: io.EOF}, lists(t), 503, admin.CodeOutcomeUnknown, "same change id"},
@@ -178,6 +185,16 @@
 	}
 }
 
+// Guards against a node that tries longer than its client waits, so that the
+// outcome is unknown although the platform was never reached.
+func TestApplyGivesUpBeforeItsClient(t *testing.T) {
+	var problem admin.Problem
+	request := admin.ApplyRequest{ChangeID: "change-1", Files: lists(t), TimeoutMillis: 20}
+	response := call(t, newServer(&fake{hang: true}, ""), "POST", "/v1/configuration", "", request, &problem)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, problem.Code, admin.CodeUnavailable)
+}
+
 // Guards against lists that cannot be edited and applied again.
 func TestConfigurationCanBeAppliedAgain(t *testing.T) {
 	f := &fake{current: snapshot(t)}
--- a/pkg/admin/configuration.go
+++ b/pkg/admin/configuration.go
@@ -15,8 +15,8 @@
 // escapes of JSON.
 const maxListsBytes = 2*dynamic.MaxListBytes + 1<<20
 
-// applyTimeout bounds an apply. It goes on when its client leaves, so that a
-// lost connection does not leave the outcome open.
+// applyTimeout bounds an apply whose request names no shorter time. It goes on
+// when its client leaves, so that a lost connection does not leave the outcome open.
 const applyTimeout = time.Minute
 
 // ListFile is one file of lists.
@@ -30,6 +30,9 @@
 	ChangeID    string     `json:"changeId" minLength:"8" maxLength:"128" pattern:"^[A-Za-z0-9._-]+$" doc:"Identifies the change over retries"`
 	BaseVersion uint64     `json:"baseVersion" doc:"Version that the change is based on; 0 if none is in force"`
 	Files       []ListFile `json:"files" minItems:"1" maxItems:"1000"`
+	// TimeoutMillis makes the node give up before its client does, so that the
+	// client learns whether the platform or only the answer is missing.
+	TimeoutMillis int64 `json:"timeoutMs,omitempty" minimum:"1" doc:"Longest time to try; at most and by default 60000"`
 }
 
 // ApplyResult says what became of a change.
@@ -78,7 +81,11 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
+	timeout := applyTimeout
+	if asked := in.Body.TimeoutMillis; asked > 0 && asked < timeout.Milliseconds() {
+		timeout = time.Duration(asked) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	version, already, err := s.options.Configurations.Apply(ctx, config, in.Body.ChangeID, in.Body.BaseVersion)
 	if err != nil {
--- a/pkg/admin/problem.go
+++ b/pkg/admin/problem.go
@@ -95,6 +95,10 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
+	if e.BaseVersion > e.CurrentVersion {
+		return fmt.Sprintf("the change was based on version %d, which does not exist; version %d is in force",
+			e.BaseVersion, e.CurrentVersion)
+	}
 	return fmt.Sprintf("the change was based on version %d, but version %d is in force", e.BaseVersion, e.CurrentVersion)
 }
 
@@ -121,7 +125,9 @@
 	case errors.As(err, &conflict):
 		p := problem(http.StatusConflict, CodeConflict, conflict.Error(),
 			"Read the lists in force, bring your change into them and apply it with their version as the base.")
-		p.ChangedEntries = namedEntries(conflict.Entries, requested, current)
+		if conflict.BaseVersion <= conflict.CurrentVersion {
+			p.ChangedEntries = namedEntries(conflict.Entries, requested, current)
+		}
 		p.CurrentVersion = conflict.CurrentVersion
 		return p
 	case errors.As(err, &unknown):
--- a/pkg/ctl/apply.go
+++ b/pkg/ctl/apply.go
@@ -44,6 +44,10 @@
 	maxRoundDelay = 5 * time.Second
 )
 
+// nodeTimePercent is the part of -timeout for which a node may try to reach the
+// platform, so that its answer comes before the request is given up.
+const nodeTimePercent = 80
+
 type apply struct {
 	base     int64
 	changeID string
@@ -147,13 +151,16 @@
 
 // send offers the change to the nodes until one accepts or refuses it.
 func (a *apply) send(ctx context.Context, s *session, c *client, files []dynamic.File) (admin.ApplyResult, error) {
-	request := admin.ApplyRequest{ChangeID: a.changeID, BaseVersion: uint64(a.base), Files: listFiles(files)}
+	request := admin.ApplyRequest{
+		ChangeID: a.changeID, BaseVersion: uint64(a.base), Files: listFiles(files),
+		TimeoutMillis: max(1, c.timeout.Milliseconds()*nodeTimePercent/100),
+	}
 	// The end of the retries cuts off no request, whose outcome would then be unknown.
 	retries, cancel := context.WithTimeout(ctx, a.retryFor)
 	defer cancel()
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minRoundDelay, maxRoundDelay
-	t := &trial{}
+	t := &attempts{}
 	for {
 		for _, node := range c.nodes {
 			var result admin.ApplyResult
@@ -187,8 +194,8 @@
 	}
 }
 
-// trial gathers what the attempts to send one change have shown.
-type trial struct {
+// attempts gathers what the attempts to send one change have shown.
+type attempts struct {
 	// unknown is set once an attempt may have taken effect.
 	unknown bool
 	errs    []error
@@ -198,7 +205,7 @@
 const maxKeptErrors = 5
 
 // note takes in a failed attempt and returns an error if trying again is of no use.
-func (t *trial) note(node string, err error) error {
+func (t *attempts) note(node string, err error) error {
 	var p *admin.Problem
 	var unanswered *unansweredError
 	switch {
@@ -227,14 +234,19 @@
 	return nil
 }
 
-func (t *trial) last() error { return t.errs[len(t.errs)-1] }
+func (t *attempts) last() error { return t.errs[len(t.errs)-1] }
 
 // giveUp returns the error for a change that no node accepted in time.
-func (t *trial) giveUp(a *apply) error {
+func (t *attempts) giveUp(a *apply) error {
+	cause := errors.Join(t.errs...)
 	if !t.unknown {
-		return unavailable(t.errs)
+		return &failure{
+			Code:    ExitUnavailable,
+			Message: "the change was not accepted:\n  " + strings.ReplaceAll(cause.Error(), "\n", "\n  "),
+			Advice:  "Nothing was changed. Try again when the platform answers, or name other nodes in -nodes.",
+			cause:   cause,
+		}
 	}
-	cause := errors.Join(t.errs...)
 	return &failure{
 		Code:    ExitOutcomeUnknown,
 		Message: "it is not known whether the change was accepted:\n  " + strings.ReplaceAll(cause.Error(), "\n", "\n  "),
--- a/pkg/ctl/await.go
+++ b/pkg/ctl/await.go
@@ -24,9 +24,9 @@
 	maxShownNodes = 5
 )
 
-// census gathers the members that any asked node knows and which of them have
+// memberPoll gathers the members that any asked node knows and which of them have
 // a version in force.
-type census struct {
+type memberPoll struct {
 	c       *client
 	version uint64
 
@@ -44,17 +44,17 @@
 func (a *apply) await(ctx context.Context, s *session, c *client, version uint64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.waitFor)
 	defer cancel()
-	n := &census{c: c, version: version, confirmed: make(map[string]bool)}
+	p := &memberPoll{c: c, version: version, confirmed: make(map[string]bool)}
 	shown := ""
 	for {
-		missing := n.round(ctx)
+		missing := p.round(ctx)
 		if len(missing) == 0 {
-			return len(n.members), nil
+			return len(p.members), nil
 		}
 		if text := nodeNames(missing); text != shown {
 			shown = text
 			s.progress("version %d is in force on %d of %d nodes; missing: %s",
-				version, max(0, len(n.members)-len(missing)), len(n.members), text)
+				version, max(0, len(p.members)-len(missing)), len(p.members), text)
 		}
 		if !pause(ctx, awaitInterval) {
 			return 0, &failure{
@@ -69,49 +69,49 @@
 }
 
 // round asks for members and versions and returns the names of what is missing.
-func (n *census) round(ctx context.Context) []string {
-	n.members = make(map[string]string)
-	sources := slices.Concat(n.c.nodes, n.sources)
-	n.sources = nil
+func (p *memberPoll) round(ctx context.Context) []string {
+	p.members = make(map[string]string)
+	sources := slices.Concat(p.c.nodes, p.sources)
+	p.sources = nil
 	parallel(sources, func(node string) {
 		var members []admin.Member
-		if n.c.call(ctx, node, "GET", "/v1/members", nil, &members) != nil {
+		if p.c.call(ctx, node, "GET", "/v1/members", nil, &members) != nil {
 			return
 		}
-		n.mu.Lock()
-		defer n.mu.Unlock()
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		for _, member := range members {
-			n.members[member.Instance] = member.AdminAddress
+			p.members[member.Instance] = member.AdminAddress
 		}
 	})
-	if len(n.members) == 0 {
+	if len(p.members) == 0 {
 		return []string{"the list of members"}
 	}
-	parallel(sortedKeys(n.members), func(instance string) { n.confirm(ctx, instance) })
-	missing := lo.Reject(sortedKeys(n.members), func(instance string, _ int) bool { return n.confirmed[instance] })
-	if len(missing) == 0 && len(n.sources) > 0 {
+	parallel(sortedKeys(p.members), func(instance string) { p.confirm(ctx, instance) })
+	missing := lo.Reject(sortedKeys(p.members), func(instance string, _ int) bool { return p.confirmed[instance] })
+	if len(missing) == 0 && len(p.sources) > 0 {
 		return []string{"nodes that are not known yet"}
 	}
 	return missing
 }
 
 // confirm asks one member unless it has the version already.
-func (n *census) confirm(ctx context.Context, instance string) {
-	n.mu.Lock()
-	address, done := n.members[instance], n.confirmed[instance]
-	n.mu.Unlock()
+func (p *memberPoll) confirm(ctx context.Context, instance string) {
+	p.mu.Lock()
+	address, done := p.members[instance], p.confirmed[instance]
+	p.mu.Unlock()
 	if done {
 		return
 	}
 	var status admin.Status
-	if n.c.call(ctx, address, "GET", "/v1/status", nil, &status) != nil {
+	if p.c.call(ctx, address, "GET", "/v1/status", nil, &status) != nil {
 		return
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.confirmed[instance] = status.ConfigVersion >= n.version
-	if status.Members > len(n.members) {
-		n.sources = append(n.sources, address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.confirmed[instance] = status.ConfigVersion >= p.version
+	if status.Members > len(p.members) {
+		p.sources = append(p.sources, address)
 	}
 }
 
--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -35,8 +35,7 @@
 	output    string
 }
 
-// defaultTimeout bounds one request to one node. An apply may take as long as
-// the node tries to reach the platform.
+// defaultTimeout bounds one request to one node.
 const defaultTimeout = 10 * time.Second
 
 func (o *options) define(flags *flag.FlagSet, c command) {
