Keep events of calls apart from other events

Cause: every failing call is an event, so an outage pushes configuration and move events out of the 4,096 that a node keeps, when they are needed most. Change: timeline.Log keeps one ring for events with a request id and one for all others; Events merges them. Figures: in the new test 10,000 call events after one configuration event left none of the latter before the change by construction, and keep it now. Conclusion: a node's time line keeps the cause beside the failing calls.

--- a/pkg/ctl/docs_test.go
+++ b/pkg/ctl/docs_test.go
@@ -19,6 +19,7 @@
 	codeSpan    = regexp.MustCompile("`([^`]+)`")
 	flagInCode  = regexp.MustCompile(`(?:^| )-([a-z][a-z-]*)`)
 	settingsRow = regexp.MustCompile("(?m)^\\| `-([a-z-]+)` \\| `([A-Z_]+)` \\| ([^|]+) \\|")
+	kindRow     = regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\|")
 	defaultText = regexp.MustCompile(`\(default ([^)]+)\)`)
 )
 
@@ -112,3 +113,20 @@
 		}
 	}
 }
+
+// Guards against a page of events that names kinds that no program records.
+func TestEventsPage(t *testing.T) {
+	sources, err := filepath.Glob("../*/*.go")
+	assert.NilError(t, err)
+	var code strings.Builder
+	for _, source := range sources {
+		data, err := os.ReadFile(source)
+		assert.NilError(t, err)
+		code.Write(data)
+	}
+	rows := kindRow.FindAllStringSubmatch(page(t, "events.md"), -1)
+	assert.Assert(t, len(rows) > 10)
+	for _, row := range rows {
+		assert.Assert(t, strings.Contains(code.String(), "timeline.Kind = \""+row[1]+"\""), row[1])
+	}
+}
--- a/pkg/timeline/merge_test.go
+++ b/pkg/timeline/merge_test.go
@@ -106,3 +106,15 @@
 		"failureDomain": "f", "region": "other", "configVersion": 9.0,
 	})
 }
+
+// Guards against failing calls that push out what caused their failure.
+func TestLogKeepsOtherEventsBesideCalls(t *testing.T) {
+	log := timeline.NewLog(timeline.NewClock(time.Now), timeline.Origin{Instance: "a"}, nil)
+	log.Record(timeline.Event{Kind: "config-activated", ConfigVersion: 2})
+	for range 10_000 {
+		log.Record(timeline.Event{Kind: "call-verdict", RequestID: "r"})
+	}
+	events := log.Events()
+	assert.Equal(t, events[0].Kind, timeline.Kind("config-activated"))
+	assert.Equal(t, events[len(events)-1].Kind, timeline.Kind("call-verdict"))
+}
--- a/pkg/timeline/timeline.go
+++ b/pkg/timeline/timeline.go
@@ -51,18 +51,37 @@
 	origin Origin
 	logger *logrus.Logger
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// calls and others are kept apart, so that many failing calls do not push out
+	// what happened to the configuration and to moves.
+	calls, others ring
+}
+
+// ringSize is the number of events of calls, and of other events, that a
+// process keeps for azurespringctl timeline.
+const ringSize = 4096
+
+// ring keeps the newest events.
+type ring struct {
 	events []Event
 	next   int
 }
 
-// ringSize is the number of events that a process keeps for azurespringctl timeline.
-const ringSize = 4096
+func (r *ring) add(event Event) {
+	if len(r.events) < ringSize {
+		r.events = append(r.events, event)
+		return
+	}
+	r.events[r.next] = event
+	r.next = (r.next + 1) % ringSize
+}
+
+func (r *ring) ordered() []Event { return slices.Concat(r.events[r.next:], r.events[:r.next]) }
 
 // NewLog returns a log that stamps events with clock and origin. A nil logger
 // writes no lines.
 func NewLog(clock *Clock, origin Origin, logger *logrus.Logger) *Log {
-	return &Log{clock: clock, origin: origin, logger: logger, events: make([]Event, 0, ringSize)}
+	return &Log{clock: clock, origin: origin, logger: logger}
 }
 
 // Record implements Recorder.
@@ -80,19 +99,19 @@
 func (l *Log) append(event Event) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.events) < ringSize {
-		l.events = append(l.events, event)
-		return
+	if event.RequestID != "" {
+		l.calls.add(event)
+	} else {
+		l.others.add(event)
 	}
-	l.events[l.next] = event
-	l.next = (l.next + 1) % ringSize
 }
 
 // Events returns the kept events, oldest first.
 func (l *Log) Events() []Event {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Concat(l.events[l.next:], l.events[:l.next])
+	calls, others := l.calls.ordered(), l.others.ordered()
+	l.mu.Unlock()
+	return Merge(calls, others)
 }
 
 func logFields(event Event) logrus.Fields {
