Claim idempotency keys in the node; use the platform's CA setting

Change: the node runs pkg/idempotency; the proxy passes a structured key with the request's fingerprint; claims have their own write rate of 20/s per owner; -platform-ca and the configuration version on log lines take effect.

--- a/cmd/azurespring-node/main.go
+++ b/cmd/azurespring-node/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/azurespring/azurespring/pkg/config/static"
@@ -33,16 +34,27 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	var running atomic.Pointer[node.Node]
 	logger := timeline.NewLogger(timeline.LoggerOptions{
 		Output: os.Stderr, Level: settings.LogLevel,
 		Origin: timeline.Origin{
 			Instance: settings.Instance, FailureDomain: settings.FailureDomain, Region: settings.Region,
 		},
+		ConfigVersion: func() uint64 {
+			if n := running.Load(); n != nil {
+				return n.ConfigVersion()
+			}
+			return 0
+		},
 	})
+	if len(settings.UnknownVariables) > 0 {
+		logger.WithField("variables", settings.UnknownVariables).Warn("environment variables match no setting")
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	n, err := node.New(settings, static.Version(), logger)
 	if err == nil {
+		running.Store(n)
 		err = n.Run(ctx)
 	}
 	if err != nil {
--- a/pkg/admin/views.go
+++ b/pkg/admin/views.go
@@ -115,22 +115,6 @@
 	Rate  float64 `json:"rate"`
 }
 
-// Period is what became of a department's promise in one period.
-type Period struct {
-	Start time.Time `json:"start"`
-	End   time.Time `json:"end"`
-	// Good, Bad and Refused count calls; refused calls did not run.
-	Good    uint64 `json:"good"`
-	Bad     uint64 `json:"bad"`
-	Refused uint64 `json:"refused"`
-	// Share is the share of good calls, 1 if there were none.
-	Share    float64 `json:"share"`
-	Promised float64 `json:"promised"`
-	Held     bool    `json:"held"`
-	// Complete is false while the period lasts or if reporters are missing.
-	Complete bool `json:"complete"`
-}
-
 // Report holds the periods of one department.
 type Report struct {
 	Department string          `json:"department"`
--- a/pkg/node/adapters.go
+++ b/pkg/node/adapters.go
@@ -1,7 +1,12 @@
 package node
 
 import (
+	"context"
+	"sync"
+
+	"github.com/azurespring/azurespring/pkg/idempotency"
 	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/proxy"
 )
 
 // announcer spreads targets of this node through the member table. The target's
@@ -15,3 +20,33 @@
 
 // RemoveTarget implements proxy.Announcer.
 func (a announcer) RemoveTarget(id string) { a.members.RemoveTarget(id) }
+
+// claimer gives claims of idempotency keys the form of the request path.
+type claimer struct {
+	service *idempotency.Service
+	// claims holds the first claims whose calls have not ended, by proxy.ClaimKey.
+	claims sync.Map
+}
+
+// Claim implements proxy.IdempotencyClaimer.
+func (c *claimer) Claim(ctx context.Context, key proxy.ClaimKey) (proxy.Claim, error) {
+	claim, err := c.service.Claim(ctx, idempotency.Key{
+		Customer: key.Customer, Service: key.Service, Route: key.Route, Key: key.Key, Fingerprint: key.Fingerprint,
+	})
+	if err != nil {
+		return proxy.Claim{}, err
+	}
+	if claim.First {
+		c.claims.Store(key, claim)
+	}
+	return proxy.Claim{First: claim.First, Answer: claim.Answer}, nil
+}
+
+// Complete implements proxy.IdempotencyClaimer.
+func (c *claimer) Complete(ctx context.Context, key proxy.ClaimKey, completion proxy.Completion) {
+	if claim, ok := c.claims.LoadAndDelete(key); ok {
+		c.service.Complete(ctx, claim.(idempotency.Claim), idempotency.Completion{
+			NotRun: completion.NotRun, Answer: completion.Answer,
+		})
+	}
+}
--- a/pkg/node/admin.go
+++ b/pkg/node/admin.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/samber/do/v2"
-	"github.com/samber/lo"
 
 	"github.com/azurespring/azurespring/pkg/admin"
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
@@ -23,7 +21,7 @@
 		Configurations: configurations{do.MustInvoke[*distribution.Service](i)},
 		Members:        do.MustInvoke[*membership.Service](i),
 		Moves:          do.MustInvoke[*move.Service](i),
-		Reports:        reports{do.MustInvoke[*report.Service](i)},
+		Reports:        do.MustInvoke[*report.Service](i),
 		Events:         do.MustInvoke[*timeline.Log](i),
 		Node:           n,
 		Metrics:        do.MustInvoke[*metrics](i).handler,
@@ -44,20 +42,6 @@
 	return status
 }
 
-// reports gives the reports of departments the form of the administration API.
-type reports struct{ *report.Service }
-
-// Report implements admin.Reports.
-func (r reports) Report(ctx context.Context, department string, since time.Time) ([]admin.Period, error) {
-	periods, err := r.Periods(ctx, department, since)
-	return lo.Map(periods, func(p report.Report, _ int) admin.Period {
-		return admin.Period{
-			Start: p.From, End: p.To, Good: p.Counts.Good, Bad: p.Counts.Bad, Refused: p.Counts.Refused,
-			Share: p.Share, Promised: p.Promised, Held: p.Finding == report.Held, Complete: p.Complete,
-		}
-	}), err
-}
-
 // configurations gives the errors of distribution the form of the administration API.
 type configurations struct{ *distribution.Service }
 
--- a/pkg/node/compose.go
+++ b/pkg/node/compose.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -16,6 +18,7 @@
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
 	"github.com/azurespring/azurespring/pkg/distribution"
 	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/idempotency"
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
 	"github.com/azurespring/azurespring/pkg/observation"
@@ -41,6 +44,7 @@
 	do.Provide(n.injector, n.newDistribution)
 	do.Provide(n.injector, n.newMoves)
 	do.Provide(n.injector, n.newReports)
+	do.Provide(n.injector, n.newIdempotency)
 	do.Provide(n.injector, n.newQuarantine)
 	do.Provide(n.injector, n.newTarget)
 	do.Provide(n.injector, n.newEntry)
@@ -48,7 +52,7 @@
 
 	steps := []func() error{
 		invoke(n, &n.timeline), invoke(n, &n.transport), invoke(n, &n.store), invoke(n, &n.gossip),
-		invoke(n, &n.membership), invoke(n, &n.distribution), invoke(n, &n.moves), invoke(n, &n.reports),
+		invoke(n, &n.membership), invoke(n, &n.distribution), invoke(n, &n.moves), invoke(n, &n.reports), invoke(n, &n.idempotency),
 		invoke(n, &n.quarantine), invoke(n, &n.target), invoke(n, &n.entry), invoke(n, &n.admin),
 	}
 	for _, step := range steps {
@@ -78,6 +82,7 @@
 	n.transport.HandleMessage(transport.KindDistribution, n.distribution.HandleMessage)
 	n.transport.HandleMessage(transport.KindMove, n.moves.HandleMessage)
 	n.transport.HandleMessage(transport.KindReport, n.reports.HandleMessage)
+	n.transport.HandleMessage(transport.KindIdempotency, n.idempotency.HandleMessage)
 	n.transport.HandleCalls(n.target.ServeCall)
 }
 
@@ -132,6 +137,13 @@
 		}
 		options.Token = strings.TrimSpace(string(token))
 	}
+	if settings.CAFile != "" {
+		client, err := clientTrusting(settings.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		options.Client = client
+	}
 	client, err := objectapi.New(options)
 	if err != nil {
 		return nil, err
@@ -139,12 +151,34 @@
 	return platform.NewCounted(client, do.MustInvoke[*metrics](i).scope), nil
 }
 
+// clientTrusting returns an HTTP client that accepts certificates of the
+// authorities in a PEM file.
+func clientTrusting(caFile string) (*http.Client, error) {
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the platform's authorities")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no certificate", caFile)
+	}
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+	return &http.Client{Transport: base}, nil
+}
+
+// segmentRates are the rates of writes of claims by an owner of shards. A caller
+// waits for each write; 16 owners together stay within the several hundred
+// writes per second that the platform takes.
+var segmentRates = platform.Rates{WritesPerSecond: 20, ReadsPerSecond: 20, WriteBurst: 40, ReadBurst: 40}
+
 // budgeted returns the platform as the roles of this node may use it.
 func (n *Node) budgeted(store platform.Store) platform.Store {
 	budget := platform.DefaultBudget()
 	budget.Default.WritesPerSecond = n.settings.Platform.WritesPerSecond
 	budget.Default.ReadsPerSecond = n.settings.Platform.ReadsPerSecond
 	budget.Watches = n.settings.Platform.Watches
+	budget.Kinds = map[platform.Kind]platform.Rates{platform.IdempotencySegment: segmentRates}
 	return platform.NewBudgeted(store, budget)
 }
 
@@ -194,6 +228,13 @@
 	}), nil
 }
 
+func (n *Node) newIdempotency(i do.Injector) (*idempotency.Service, error) {
+	return idempotency.New(idempotency.Options{
+		Store: n.budgeted(do.MustInvoke[*platform.Counted](i)), Requester: do.MustInvoke[*transport.Transport](i),
+		Owners: n.shardOwner, Logger: n.logger,
+	})
+}
+
 func (n *Node) newQuarantine(i do.Injector) (*quarantine.Registry, error) {
 	return quarantine.New(nil, do.MustInvoke[*gossip.Service](i), nil), nil
 }
@@ -204,6 +245,7 @@
 		Observer:   observation.Observers{do.MustInvoke[*move.Service](i), do.MustInvoke[*report.Service](i)},
 		Timeline:   do.MustInvoke[*timeline.Log](i),
 		Quarantine: do.MustInvoke[*quarantine.Registry](i),
+		Claimer:    &claimer{service: do.MustInvoke[*idempotency.Service](i)},
 	}
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/azurespring/azurespring/pkg/config/static"
 	"github.com/azurespring/azurespring/pkg/distribution"
 	"github.com/azurespring/azurespring/pkg/gossip"
+	"github.com/azurespring/azurespring/pkg/idempotency"
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/move"
 	"github.com/azurespring/azurespring/pkg/platform"
@@ -52,6 +53,7 @@
 	membership   *membership.Service
 	store        *platform.Counted
 	distribution *distribution.Service
+	idempotency  *idempotency.Service
 	moves        *move.Service
 	reports      *report.Service
 	quarantine   *quarantine.Registry
@@ -100,6 +102,9 @@
 // Addresses returns the addresses that were bound.
 func (n *Node) Addresses() Addresses { return n.addresses }
 
+// ConfigVersion returns the configuration version in force, 0 before the first.
+func (n *Node) ConfigVersion() uint64 { return n.distribution.Version() }
+
 // Ready returns nil if the node serves callers.
 func (n *Node) Ready() error {
 	switch {
@@ -160,6 +165,7 @@
 	run(n.membership.Run)
 	run(n.distribution.Run)
 	run(n.quarantine.Run)
+	run(n.idempotency.Run)
 	run(func(ctx context.Context) { _ = n.moves.Run(ctx) })
 	run(n.rebuildPeriodically)
 }
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -73,6 +75,27 @@
 	return first(names, "reader-"+n.settings.Region) == n.settings.Instance
 }
 
+// shardOwner returns the owner of a shard of idempotency keys: the first choice
+// among the live members of the platform's region, or of all regions while none
+// of them is known.
+func (n *Node) shardOwner(shard int) (address string, self bool) {
+	candidates := make(map[string]string)
+	inRegion := false
+	for _, member := range n.membership.View().Members {
+		here := member.Region == n.settings.Platform.Region
+		if member.State != membership.Alive || (inRegion && !here) {
+			continue
+		}
+		if here && !inRegion {
+			clear(candidates)
+			inRegion = true
+		}
+		candidates[member.Instance] = member.Address
+	}
+	owner := first(slices.Sorted(maps.Keys(candidates)), fmt.Sprintf("idempotency-%d", shard))
+	return candidates[owner], owner == n.settings.Instance
+}
+
 // first returns the name with the highest rendezvous hash for key, "" if there
 // are none.
 func first(names []string, key string) string {
--- a/pkg/proxy/deps.go
+++ b/pkg/proxy/deps.go
@@ -48,6 +48,13 @@
 	return d
 }
 
+// ClaimKey identifies a keyed call.
+type ClaimKey struct {
+	Customer, Service, Route, Key string
+	// Fingerprint identifies the request's content; empty if it is not known yet.
+	Fingerprint string
+}
+
 // Claim is the answer to a claim of an idempotency key.
 type Claim struct {
 	// First is set if no call with this key was let through before. The claimant
@@ -68,12 +75,11 @@
 // IdempotencyClaimer lets each key through once. Implementations are safe for
 // concurrent use.
 type IdempotencyClaimer interface {
-	// Claim claims key, which is scoped by customer and service. A *verdict.Error
-	// reaches the caller as it is; any other error refuses the call with
-	// key-store-unavailable.
-	Claim(ctx context.Context, key string) (Claim, error)
+	// Claim claims key. A *verdict.Error reaches the caller as it is; any other
+	// error refuses the call with key-store-unavailable.
+	Claim(ctx context.Context, key ClaimKey) (Claim, error)
 	// Complete ends a claim that was First. It must not wait for the platform.
-	Complete(ctx context.Context, key string, completion Completion)
+	Complete(ctx context.Context, key ClaimKey, completion Completion)
 }
 
 // Bounds of calls.
--- a/pkg/proxy/fault_test.go
+++ b/pkg/proxy/fault_test.go
@@ -99,11 +99,11 @@
 // claims is a store of idempotency keys in memory.
 type claims struct {
 	mu   sync.Mutex
-	keys map[string]*Completion
+	keys map[ClaimKey]*Completion
 	err  error
 }
 
-func (c *claims) Claim(_ context.Context, key string) (Claim, error) {
+func (c *claims) Claim(_ context.Context, key ClaimKey) (Claim, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
@@ -119,7 +119,7 @@
 	return Claim{First: true}, nil
 }
 
-func (c *claims) Complete(_ context.Context, key string, completion Completion) {
+func (c *claims) Complete(_ context.Context, key ClaimKey, completion Completion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if completion.NotRun {
@@ -133,7 +133,7 @@
 // its call did not run, and a store's outage that lets calls through.
 func TestKeyedCallsRunAtMostOnce(t *testing.T) {
 	f := newFleet(t)
-	store := &claims{keys: make(map[string]*Completion)}
+	store := &claims{keys: make(map[ClaimKey]*Completion)}
 	f.claimer = store
 	f.add("a")
 	f.add("b")
--- a/pkg/proxy/keyed.go
+++ b/pkg/proxy/keyed.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/azurespring/azurespring/pkg/quarantine"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -58,8 +59,8 @@
 		return verdict.Refuse(verdict.BadRequest, "%s exceeds %d bytes", headerKey, maxKeyBytes)
 	}
 	c.keyed = true
-	scoped := c.customer.Name + "\x00" + c.service.Name + "\x00" + key
-	claim, err := claimer.Claim(c.ctx, scoped)
+	claimed := c.claimKey(key)
+	claim, err := claimer.Claim(c.ctx, claimed)
 	if err != nil {
 		return c.claimFailed(err)
 	}
@@ -73,10 +74,25 @@
 		c.recording.Version = c.version
 		completion.Answer = c.recording.encode()
 	}
-	claimer.Complete(c.ctx, scoped, completion)
+	claimer.Complete(c.ctx, claimed, completion)
 	return failure
 }
 
+// claimKey fingerprints the request if its body is known, so that a key that is
+// reused for another request is refused.
+func (c *call) claimKey(key string) ClaimKey {
+	claimed := ClaimKey{Customer: c.customer.Name, Service: c.service.Name, Route: c.route.Name, Key: key}
+	if c.body == nil {
+		return claimed
+	}
+	if whole, ok := c.body.whole(); ok {
+		hasher := quarantine.NewHasher(c.service.Name, c.route.Name, c.r.Method, c.r.URL.RequestURI())
+		_, _ = hasher.Write(whole)
+		claimed.Fingerprint = hasher.Sum().String()
+	}
+	return claimed
+}
+
 func (c *call) claimFailed(err error) *verdict.Error {
 	if c.ctx.Err() != nil {
 		return c.ended(verdict.NotRun)
