Let early answers reach callers that still send

Cause: when a handler answered and returned before it had read the end of the request, the caller's CloseWrite or Write failed, and callers took the call for broken although its answer was complete. Change: after the answer's end the rest of the request is declined with a code of its own, and writes against it count as done. Conclusion: an early refusal is read by its caller.

--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -22,6 +22,8 @@
 	streamCanceled quic.StreamErrorCode = iota + 1
 	// streamRefused means that no handler saw the stream.
 	streamRefused
+	// streamUnneeded means that the handler answered without reading the rest.
+	streamUnneeded
 )
 
 // conn is one QUIC connection. Both ends may open streams on it.
--- a/pkg/transport/fault_test.go
+++ b/pkg/transport/fault_test.go
@@ -195,6 +195,27 @@
 	assert.Assert(t, !IsRefused(err))
 }
 
+// Guards against callers that miss an answer because it came before the end of
+// their request, as early refusals do.
+func TestAnswerBeforeEndOfRequest(t *testing.T) {
+	a, b := pair(t)
+	b.HandleCalls(func(_ context.Context, _ Peer, stream Stream) {
+		_, _ = io.ReadFull(stream, make([]byte, 1))
+		_, _ = stream.Write([]byte("refused"))
+		_ = stream.CloseWrite()
+	})
+	for _, size := range []int{1, 16 << 20} {
+		stream, err := a.OpenCall(testContext(t), b.Address())
+		assert.NilError(t, err)
+		_, err = stream.Write(make([]byte, size))
+		assert.NilError(t, err)
+		assert.NilError(t, stream.CloseWrite())
+		answer, err := io.ReadAll(stream)
+		assert.NilError(t, err)
+		assert.Equal(t, string(answer), "refused")
+	}
+}
+
 // Guards against a planned stop that cuts off calls: an open one ends whole, and
 // the peer opens no new one on the old connection.
 func TestCloseLetsCallsEnd(t *testing.T) {
--- a/pkg/transport/stream.go
+++ b/pkg/transport/stream.go
@@ -40,6 +40,9 @@
 	n, err := s.Stream.Write(p)
 	if err != nil && !isTimeout(err) {
 		s.end(writeEnded)
+		if isUnneeded(err) {
+			return len(p), nil
+		}
 	}
 	return n, err
 }
@@ -47,7 +50,10 @@
 // CloseWrite implements Stream.
 func (s *openedStream) CloseWrite() error {
 	defer s.end(writeEnded)
-	return s.Close()
+	if err := s.Close(); err != nil && !isUnneeded(context.Cause(s.Stream.Context())) {
+		return err
+	}
+	return nil
 }
 
 // Cancel implements Stream.
@@ -94,16 +100,26 @@
 func (s *acceptedStream) refuse() { s.cancel(streamRefused) }
 
 func (s *acceptedStream) cancel(code quic.StreamErrorCode) {
-	s.CancelRead(code)
-	if !s.closed.Swap(true) {
-		s.CancelWrite(code)
+	if s.closed.Swap(true) {
+		// The answer is on its way; the peer need not send the rest.
+		s.CancelRead(streamUnneeded)
+		return
 	}
+	s.CancelRead(code)
+	s.CancelWrite(code)
 }
 
 // finish releases what the handler left open, so that a handler that returns
 // early does not leak the stream.
 func (s *acceptedStream) finish() { s.cancel(streamCanceled) }
 
+// isUnneeded reports whether err says that the peer answered without reading the
+// rest of the request. Writes then count as done, as the answer is what matters.
+func isUnneeded(err error) bool {
+	var e *quic.StreamError
+	return errors.As(err, &e) && e.Remote && e.ErrorCode == streamUnneeded
+}
+
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
 	var idle *quic.IdleTimeoutError
