--- a/internal/teststore/store.go
+++ b/internal/teststore/store.go
@@ -75,7 +75,9 @@
 	wake   chan struct{}
 	faults Faults
 	counts map[string]int
-	saved  Copy
+	// watching is the number of watches that wait.
+	watching int
+	saved    Copy
 }
 
 // New returns an empty, healthy store.
@@ -115,6 +117,13 @@
 	return maps.Clone(s.counts)
 }
 
+// Watching returns the number of watches that wait.
+func (s *Store) Watching() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watching
+}
+
 // ExpireWatches ends all watches with 410 and forgets the history, so that a
 // new watch from an old version is refused.
 func (s *Store) ExpireWatches() {
--- a/internal/teststore/watch.go
+++ b/internal/teststore/watch.go
@@ -22,6 +22,8 @@
 		fail(w, http.StatusGone, "Expired", "too old resource version")
 		return
 	}
+	s.countWatch(1)
+	defer s.countWatch(-1)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusOK)
 	stream := stream{encoder: json.NewEncoder(w), controller: http.NewResponseController(w)}
@@ -54,6 +56,12 @@
 	}
 }
 
+func (s *Store) countWatch(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watching += change
+}
+
 func (s *Store) endWatch(stream stream) {
 	if s.Faults().Down {
 		panic(http.ErrAbortHandler)
--- a/pkg/distribution/bootstrap.go
+++ b/pkg/distribution/bootstrap.go
@@ -71,7 +71,7 @@
 }
 
 func (s *Service) take(ctx context.Context, peer string) error {
-	c, err := s.pullFrom(ctx, peer, 0)
+	c, err := s.pullFrom(ctx, peer)
 	if err != nil {
 		return err
 	}
--- a/pkg/distribution/export_test.go
+++ b/pkg/distribution/export_test.go
@@ -1,8 +1,47 @@
 package distribution
 
+import (
+	"context"
+
+	"github.com/azurespring/azurespring/pkg/platform"
+)
+
 // WithLowerFence returns an announcement with its fencing number lowered by one.
 func WithLowerFence(payload []byte) ([]byte, error) {
 	a, err := decodeAnnouncement(payload)
 	a.Fence--
 	return encode(a), err
 }
+
+// FollowPlatform is the plain way of distribution, for comparison: it watches
+// the head itself, reads the parts that changed, and reports each version.
+func FollowPlatform(ctx context.Context, store platform.Store, seen func(version uint64)) error {
+	known := make(map[string]bool)
+	take := func(o platform.Object) error {
+		h, err := decodeHead(o.Value)
+		if err != nil {
+			return err
+		}
+		for _, ref := range h.Manifest.Parts {
+			if known[ref.Digest] {
+				continue
+			}
+			if _, err := store.Get(ctx, platform.ConfigPart, partPrefix+ref.Digest); err != nil {
+				return err
+			}
+			known[ref.Digest] = true
+		}
+		seen(h.Manifest.Version)
+		return nil
+	}
+	objects, version, err := store.List(ctx, platform.ConfigHead)
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		if err := take(o); err != nil {
+			return err
+		}
+	}
+	return store.Watch(ctx, platform.ConfigHead, version, func(e platform.Event) error { return take(e.Object) })
+}
--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	nodes []*node
 	// cut holds addresses that cannot be reached.
 	cut map[string]bool
+	// bytes counts the payloads of messages between nodes, before compression.
+	bytes atomic.Int64
 }
 
 type node struct {
@@ -134,7 +137,9 @@
 	}
 	n := f.nodes[i]
 	f.mu.Unlock()
-	return n.HandleMessage(ctx, transport.Peer{}, payload)
+	reply, err := n.HandleMessage(ctx, transport.Peer{}, payload)
+	f.bytes.Add(int64(len(payload) + len(reply)))
+	return reply, err
 }
 
 // Publish implements gossip.Publisher.
--- a/pkg/distribution/pull.go
+++ b/pkg/distribution/pull.go
@@ -20,36 +20,61 @@
 	requestTimeout = 5 * time.Second
 	// maxInlineBytes bounds the contents in one reply, below transport.MaxMessageBytes.
 	maxInlineBytes = 3 << 20
-	// pullPeers is the number of peers that one pull tries.
+	// pullPeers is the number of peers that one pull asks.
 	pullPeers = 3
 	// maxPartRounds bounds the requests for contents in one pull; a full
 	// configuration of 512 KB parts fits 5 parts in a round.
 	maxPartRounds = 256
 )
 
-// pull asks random peers for a version above base and submits what it gets.
+// pull waits until one of some random peers has a version above the one in
+// force and takes it from there. It asks several at once, because peers may be
+// waiting for one another: with one peer at a time, most changes took the whole
+// of maxWait.
 func (s *Service) pull(ctx context.Context) {
 	peers := s.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range lo.Slice(peers, 0, pullPeers) {
-		c, err := s.pullFrom(ctx, peer, maxWait)
-		if err != nil {
-			s.logger.WithError(err).WithField("peer", peer).Debug("pull failed")
-			continue
-		}
-		if c != nil {
-			s.versions.prepare(c)
-			s.loop.Submit(ctx, Prepared{Version: versionOf(c.manifest), Source: Pulled})
+	peers = lo.Slice(peers, 0, pullPeers)
+	base, _ := s.versions.contents()
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ahead := make(chan string, len(peers))
+	for _, peer := range peers {
+		go func() {
+			r := request{Op: opStatus, Base: versionOf(base), WaitMillis: int(maxWait.Milliseconds())}
+			answer, err := s.ask(waiting, peer, r)
+			if err != nil || answer.Version.Number <= base.Version {
+				peer = ""
+			}
+			ahead <- peer
+		}()
+	}
+	for range peers {
+		if peer := <-ahead; peer != "" && s.pullTo(ctx, peer) {
 			return
 		}
 	}
 	s.loop.Submit(ctx, PullEnded{})
 }
 
+// pullTo takes the peer's version and reports whether it ended the pull.
+func (s *Service) pullTo(ctx context.Context, peer string) bool {
+	c, err := s.pullFrom(ctx, peer)
+	if err != nil {
+		s.logger.WithError(err).WithField("peer", peer).Debug("pull failed")
+	}
+	if err != nil || c == nil {
+		return false
+	}
+	s.versions.prepare(c)
+	s.loop.Submit(ctx, Prepared{Version: versionOf(c.manifest), Source: Pulled})
+	return true
+}
+
 // pullFrom returns the peer's version, or nil if it is not above the version in force.
-func (s *Service) pullFrom(ctx context.Context, peer string, wait time.Duration) (*candidate, error) {
+func (s *Service) pullFrom(ctx context.Context, peer string) (*candidate, error) {
 	base, known := s.versions.contents()
-	answer, err := s.ask(ctx, peer, request{Op: opPull, Base: versionOf(base), WaitMillis: int(wait.Milliseconds())})
+	answer, err := s.ask(ctx, peer, request{Op: opPull, Base: versionOf(base)})
 	if err != nil {
 		return nil, err
 	}
@@ -122,10 +147,9 @@
 	}
 	switch r.Op {
 	case opStatus:
-		manifest, _ := s.versions.contents()
-		return encode(reply{Version: versionOf(manifest)}), nil
+		return encode(s.answerStatus(ctx, r)), nil
 	case opPull:
-		return encode(s.answerPull(ctx, r)), nil
+		return encode(s.answerPull(r)), nil
 	case opParts:
 		_, contents := s.versions.contents()
 		return encode(reply{Parts: inline(r.Digests, contents)}), nil
@@ -133,9 +157,16 @@
 	return nil, eris.Errorf("unknown operation %d", r.Op)
 }
 
-func (s *Service) answerPull(ctx context.Context, r request) reply {
+func (s *Service) answerStatus(ctx context.Context, r request) reply {
 	wait := min(max(time.Duration(r.WaitMillis)*time.Millisecond, 0), maxWait)
-	active := s.awaitAbove(ctx, r.Base.Number, wait)
+	if active := s.awaitAbove(ctx, r.Base.Number, wait); active != nil {
+		return reply{Version: versionOf(active.manifest)}
+	}
+	return reply{}
+}
+
+func (s *Service) answerPull(r request) reply {
+	active, _ := s.versions.current()
 	if active == nil {
 		return reply{}
 	}
--- a/pkg/distribution/wire.go
+++ b/pkg/distribution/wire.go
@@ -65,7 +65,7 @@
 type operation uint8
 
 const (
-	// opStatus asks for the version in force.
+	// opStatus asks for the version in force, or waits until it is above the base.
 	opStatus operation = iota + 1
 	// opPull asks for a manifest above the base, with the parts that changed.
 	opPull
