Count a crash once and bound writes to callers that do not read

Cause: under load one crash was counted twice, because a call that noticed its lost connection after the first check began a second one; a single crash so quarantined its calls. Callers that stop reading held a slot without bound. Nested retries were not taken from the outer call's budget. Change: calls on connections of a process whose crash was counted join it; streamed answers have a write deadline; failures report what is left of the call tree's retries; declared request trailers pass in streamed bodies. Conclusion: one crash is one crash.

--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -28,6 +28,11 @@
 	}
 	a.status, a.headSent, a.answered = head.Status, true, a.entry.deps.Now()
 	a.recording.start(head)
+	if head.ContentLength < 0 || head.ContentLength > smallAnswerBytes {
+		// A caller that does not read must not hold the target's slot for good.
+		control := http.NewResponseController(a.w)
+		a.writeBounded = control.SetWriteDeadline(a.deadline.Add(deadlineGrace)) == nil
+	}
 	a.w.WriteHeader(head.Status)
 	return nil
 }
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -48,6 +48,8 @@
 	headSent bool
 	status   int
 	version  string
+	// writeBounded is set if writes to the caller have a deadline.
+	writeBounded bool
 	// load is what the last try reported of its target.
 	load *routing.Load
 	// recording collects a small answer to a keyed call; nil if none is wanted.
@@ -62,6 +64,9 @@
 		c.cancel()
 	}
 	c.admission.Release()
+	if c.writeBounded {
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Time{})
+	}
 	if c.parent != nil {
 		c.parent.returnRetry(c.retries)
 	}
@@ -80,6 +85,9 @@
 		Header: flatten(c.r.Header, ownRequest), ContentLength: length,
 		Depth: c.depth, ConfigVersion: c.snapshot.Version(), Sampled: c.sampled,
 	}
+	for name := range c.r.Trailer {
+		c.head.Trailers = append(c.head.Trailers, name)
+	}
 }
 
 // runTries sends the call to targets until one answers or no retry is allowed.
@@ -194,11 +202,14 @@
 
 // tryLocal hands the call to the target beside this node.
 func (c *call) tryLocal() *verdict.Error {
-	request := &targetRequest{head: &c.head, deadline: c.deadline, body: &bodyReader{body: c.body}}
+	request := &targetRequest{
+		head: &c.head, deadline: c.deadline, body: &bodyReader{body: c.body}, retries: c.retries,
+	}
 	request.whole, request.isWhole = c.body.whole()
 	request.trailers = c.body.trailers
 	load, err := c.entry.target.run(c.ctx, request, (*callerAnswer)(c))
 	c.load = &load
+	c.retries = max(0, min(c.retries, request.retries))
 	return err
 }
 
--- a/pkg/proxy/crash.go
+++ b/pkg/proxy/crash.go
@@ -106,6 +106,11 @@
 // crash against each call in flight. Calls that fail together share one check.
 func (s *TargetSide) crashed(target *localTarget, failed *trackedConn) bool {
 	target.mu.Lock()
+	if failed != nil && failed.number <= target.crashedUpTo {
+		// The crash was counted while this call was still in flight.
+		target.mu.Unlock()
+		return true
+	}
 	check := target.crash
 	if check == nil {
 		check = &crashCheck{done: make(chan struct{})}
@@ -143,6 +148,7 @@
 	var calls []*inFlight
 	if check.crashed {
 		target.crashes++
+		target.crashedUpTo = newest
 		for call := range target.serving {
 			calls = append(calls, call)
 		}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -34,6 +34,8 @@
 	call   *inFlight
 	out    answer
 	status int
+	// trailer holds the request's trailers; nil if it declared none.
+	trailer http.Header
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -116,10 +118,26 @@
 		request.Body = io.NopCloser(readerFunc(f.readBody))
 		f.watch()
 	}
-	if trailers := incoming.trailers(); incoming.isWhole && len(trailers) > 0 {
-		request.Trailer = make(http.Header)
-		unflatten(request.Trailer, trailers)
-		request.ContentLength = -1
+	if names := f.call.head.Trailers; len(names) > 0 && request.Body != nil {
+		f.trailer = make(http.Header, len(names))
+		for _, name := range names {
+			f.trailer[name] = nil
+		}
+		if incoming.isWhole {
+			f.setTrailers()
+		}
+		// Only a body in chunks can have trailers.
+		request.Trailer, request.ContentLength = f.trailer, -1
+	}
+}
+
+// setTrailers fills in the declared trailers at the end of the body.
+func (f *forwarding) setTrailers() {
+	pairs := f.call.request.trailers()
+	for i := 0; i+1 < len(pairs); i += 2 {
+		if values, ok := f.trailer[pairs[i]]; ok {
+			f.trailer[pairs[i]] = append(values, pairs[i+1])
+		}
 	}
 }
 
@@ -135,6 +153,9 @@
 func (f *forwarding) readBody(p []byte) (int, error) {
 	n, err := f.call.request.body.Read(p)
 	f.progress()
+	if err == io.EOF && f.trailer != nil {
+		f.setTrailers()
+	}
 	if err != nil && err != io.EOF {
 		f.badBody.Store(true)
 		err = errCallerBody
--- a/pkg/proxy/local.go
+++ b/pkg/proxy/local.go
@@ -40,6 +40,9 @@
 	serving  map[*inFlight]struct{}
 	crash    *crashCheck
 	crashes  int
+	// crashedUpTo is the newest connection to the process that crashed last, so
+	// that calls which notice it later do not count it again.
+	crashedUpTo uint64
 }
 
 func newLocalTarget(record membership.Target, address string, now func() time.Time) *localTarget {
--- a/pkg/proxy/remote.go
+++ b/pkg/proxy/remote.go
@@ -205,6 +205,7 @@
 	var told *remoteError
 	if errors.As(err, &told) {
 		c.load = &told.load
+		c.retries = max(0, min(c.retries, told.retries))
 		return told.failure
 	}
 	if failure := asVerdict(err); failure != nil {
--- a/pkg/proxy/target.go
+++ b/pkg/proxy/target.go
@@ -93,6 +93,9 @@
 	// trailers are the request's trailers, complete after the end of body.
 	trailers func() []string
 
+	// retries is what is left of the call tree's retry budget.
+	retries int
+
 	hashing sync.Mutex
 	hasher  *quarantine.Hasher
 }
@@ -134,7 +137,7 @@
 		stream.Cancel()
 		return
 	}
-	request := &targetRequest{head: head, deadline: s.deps.Now().Add(head.Remaining)}
+	request := &targetRequest{head: head, deadline: s.deps.Now().Add(head.Remaining), retries: head.Retries}
 	_ = stream.SetDeadline(request.deadline.Add(deadlineGrace))
 	callCtx, cancel := context.WithDeadline(stream.Context(), request.deadline)
 	defer cancel()
@@ -147,7 +150,7 @@
 		// The frames that were collected but not sent are dropped: the failure
 		// replaces what is still due.
 		out.buffer.data = out.buffer.data[:0]
-		if out.buffer.encode(frameFailure, newFailure(failure, load)) != nil || out.buffer.flush(stream) != nil {
+		if out.buffer.encode(frameFailure, newFailure(failure, load, request.retries)) != nil || out.buffer.flush(stream) != nil {
 			stream.Cancel()
 			return
 		}
@@ -201,6 +204,7 @@
 	f := &forwarding{side: s, target: target, call: call, out: out}
 	err = f.run()
 	s.calls.Delete(call.id)
+	request.retries = int(call.retries.Load())
 	target.leave(call, err == nil)
 	if err == nil && !s.deps.Quarantine.Empty() {
 		s.deps.Quarantine.Completed(request.fingerprint())
