Shorten move reports

Cause: a decider gets a report a second from each of about 12 reporters; at 403 bytes for 6 routes that is 4.8 of the 7 KB/s of a node. Change: reports leave out reporter and department, and name versions and periods by small numbers. Conclusion: about 3 KB/s at a decider before transport overhead.

--- a/pkg/move/evidence.go
+++ b/pkg/move/evidence.go
@@ -71,22 +71,22 @@
 
 // Line is the counts of one period, route and version at one reporter.
 type Line struct {
-	Period     int64  `cbor:"1,keyasint"`
-	Route      string `cbor:"2,keyasint"`
-	Department string `cbor:"3,keyasint"`
-	Version    string `cbor:"4,keyasint"`
-	Counts     Counts `cbor:"5,keyasint"`
+	Period     int64
+	Route      string
+	Department string
+	Version    string
+	Counts     Counts
 }
 
 // Report carries a reporter's recent periods to a decider. Lines repeat until
 // the decider has acknowledged them.
 type Report struct {
-	Service     string `cbor:"1,keyasint"`
-	Reporter    string `cbor:"2,keyasint"`
-	Incarnation uint64 `cbor:"3,keyasint"`
+	Service     string
+	Reporter    string
+	Incarnation uint64
 	// Through is the last period that the reporter has closed.
-	Through int64  `cbor:"4,keyasint"`
-	Lines   []Line `cbor:"5,keyasint"`
+	Through int64
+	Lines   []Line
 }
 
 type reporterKey struct {
--- a/pkg/move/merge_test.go
+++ b/pkg/move/merge_test.go
@@ -128,3 +128,37 @@
 		})
 	}
 }
+
+// Guards against reports that change on the way, that stop the decider, or that
+// take a large part of the control traffic.
+func TestReportOnTheWire(t *testing.T) {
+	service := &dynamic.Service{Name: "stock"}
+	sent := Report{Service: "stock", Reporter: "node-0123", Incarnation: 1772352083000000000, Through: 1772352083}
+	for i := range 6 {
+		route := "availability-" + string(rune('a'+i))
+		service.Routes = append(service.Routes, dynamic.Route{Name: route, Department: "operations"})
+		sent.Lines = append(sent.Lines, Line{
+			Period: sent.Through - int64(i%2), Route: route, Department: "operations",
+			Version: "2026-03-01." + string(rune('1'+i%2)), Counts: Counts{Good: 37, Failed: 1, BusyMillis: 3000},
+		})
+	}
+	find := func(name string) *dynamic.Service {
+		if name == service.Name {
+			return service
+		}
+		return nil
+	}
+	payload, err := encodeReport(sent)
+	assert.NilError(t, err)
+	assert.Assert(t, len(payload) < 270, "%d bytes", len(payload))
+	got, err := decodeReport(payload, "node-0123", find)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, sent)
+	sent.Service = "draw"
+	payload, err = encodeReport(sent)
+	assert.NilError(t, err)
+	_, err = decodeReport(payload, "node-0123", find)
+	assert.ErrorContains(t, err, "unknown service")
+	_, err = decodeReport([]byte{0xff}, "node-0123", find)
+	assert.ErrorContains(t, err, "decode")
+}
--- a/pkg/move/pulse.go
+++ b/pkg/move/pulse.go
@@ -238,7 +238,7 @@
 	if decider == s.options.Instance {
 		return s.receive(ctx, report), nil
 	}
-	payload, err := cbor.Marshal(report)
+	payload, err := encodeReport(report)
 	if err != nil {
 		return answer, err
 	}
--- a/pkg/move/sequential.go
+++ b/pkg/move/sequential.go
@@ -18,12 +18,17 @@
 const (
 	// failureRatio is the ratio of failure rates, new to old, that counts as bad.
 	failureRatio = 4.0
+	// leastBadRate is the lowest failure rate that the rate test looks for while
+	// the ratio test finds lower ones, and leastDriftRate the lowest on the last
+	// step, where the rate test is alone.
+	leastBadRate   = 0.25
+	leastDriftRate = 0.05
 	// minBlockOld is the number of the old version's calls that closes a block, so
 	// that a period with a few calls is not compared with nothing.
 	minBlockOld = 10
 	// minBlockLast is the number of the new version's calls that closes a block
 	// while no calls run on the old version.
-	minBlockLast = 20
+	minBlockLast = 10
 	// maxBlockPeriods closes a block in which the old version has too few calls.
 	maxBlockPeriods = 30
 	// goodCallWeight is what a good call on the new version takes off the ratio
@@ -154,10 +159,11 @@
 	if usual > 0.9 {
 		return 0
 	}
-	worse := (1 + usual) / 2
+	least := leastBadRate
 	if last {
-		worse = min(worse, failureRatio*usual)
+		least = leastDriftRate
 	}
+	worse := min((1+usual)/2, max(failureRatio*usual, least))
 	return bad*math.Log(worse/usual) + good*math.Log((1-worse)/(1-usual))
 }
 
--- a/pkg/move/service.go
+++ b/pkg/move/service.go
@@ -211,12 +211,13 @@
 
 // HandleMessage is the transport.MessageHandler of transport.KindMove.
 func (s *Service) HandleMessage(ctx context.Context, from transport.Peer, payload []byte) ([]byte, error) {
-	var report Report
-	if err := cbor.Unmarshal(payload, &report); err != nil {
-		return nil, eris.Wrap(err, "decode move report")
+	snapshot := s.options.Snapshot()
+	if snapshot == nil {
+		return nil, eris.New("no configuration yet")
 	}
-	if report.Reporter != from.Instance {
-		return nil, eris.Errorf("report of %q came from %q", report.Reporter, from.Instance)
+	report, err := decodeReport(payload, from.Instance, snapshot.Service)
+	if err != nil {
+		return nil, err
 	}
 	return cbor.Marshal(s.receive(ctx, report))
 }
