Keep moves whose decider loses its target

Cause: a decider whose last target left submitted an empty wish and so took the move back; reasons with changing figures were published each second; a cancel after the end left the state done. Change: only a changed configuration ends a move; reasons of held steps carry no figures and are published at most every 5 s; a cancel also takes back a move that is done; only live members count as new slots. Conclusion: replaced nodes do not end moves.

--- a/pkg/move/decide.go
+++ b/pkg/move/decide.go
@@ -92,7 +92,7 @@
 	pool := d.cur.pool.evidence
 	step := pool.New.minus(d.entry)
 	if f.weight > suspicion {
-		return "suspect: " + f.reason
+		return "failures that may be chance: " + f.where
 	}
 	if ratio := refusedShare(step); step.Refused >= minShed && ratio > refusedShare(pool.Old)+shedMargin {
 		return "the new version refuses more calls than the old"
--- a/pkg/move/decider.go
+++ b/pkg/move/decider.go
@@ -220,10 +220,12 @@
 	switch {
 	case d.state.Service == "":
 		return d.start(now)
-	case d.state.Phase != Running:
+	case d.state.Phase == TakenBack:
 		return nil
 	case w.Canceled:
 		return d.takeBack(now, "canceled by an operator")
+	case d.state.Phase == Done:
+		return nil
 	case d.state.From != w.From:
 		return d.restartMove(now)
 	}
@@ -297,10 +299,11 @@
 	return d.publish(now, s, EventTakenBack)
 }
 
-// hold publishes that the step lasts longer, once per reason.
+// hold publishes that the step lasts longer, once per reason. Reasons that
+// alternate are not published each time.
 func (d *Decider) hold(now time.Time, reason string) []Effect {
 	s := d.state
-	if s.Held && s.Reason == reason {
+	if s.Held && (s.Reason == reason || now.Sub(d.published) < minDwell) {
 		return d.keep(now)
 	}
 	s.Held, s.Reason = true, reason
--- a/pkg/move/decider_test.go
+++ b/pkg/move/decider_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -232,6 +233,31 @@
 			x.want(func(w *Wanted) { w.Canceled = false })
 			x.run(span)
 		}, TakenBack, "canceled", 5000},
+		{"a cancel after the end that leaves the state done", func(x *trial) {
+			x.run(span)
+			x.want(func(w *Wanted) { w.Canceled = true })
+			x.run(time.Second)
+		}, TakenBack, "canceled", ShareUnit},
+		{"a version that becomes the only one and is taken back", func(x *trial) {
+			x.run(span / 2)
+			x.step(Event{Wanted: &Wanted{From: "v2"}})
+			assert.Equal(x.t, x.d.states["v2"].Phase, Running)
+			x.want(func(*Wanted) {})
+		}, Running, "", 5000},
+		{"a move that outlives its removal from the configuration", func(x *trial) {
+			x.run(span / 2)
+			x.step(Event{Wanted: &Wanted{From: "v1"}})
+			x.want(func(*Wanted) {})
+		}, TakenBack, "no move", 5000},
+		{"a held step that is published over and over", func(x *trial) {
+			x.rates = map[string]float64{"check": 40}
+			x.bad = fails("v2", 0.02, nil)
+			x.run(span / 2)
+			published := len(lo.Filter(x.effects, func(e Effect, _ int) bool { return e.Publish != nil }))
+			assert.Assert(x.t, published < 30, "%d states published", published)
+			x.bad = fails("v2", 1, nil)
+			x.run(time.Minute)
+		}, TakenBack, "bad", 5000},
 		{"a changed old version that is compared with evidence of the former one", func(x *trial) {
 			x.run(span / 2)
 			x.want(func(w *Wanted) { w.From = "v0" })
--- a/pkg/move/describe.go
+++ b/pkg/move/describe.go
@@ -4,13 +4,16 @@
 
 // Kinds of Reason that operators see; the texts carry the figures.
 
-func describe(e RouteEvidence) string {
-	where := "all routes"
-	if e.Route != "" {
-		where = fmt.Sprintf("route %s (%s)", e.Route, e.Department)
+func where(e RouteEvidence) string {
+	if e.Route == "" {
+		return "all routes"
 	}
+	return fmt.Sprintf("route %s (%s)", e.Route, e.Department)
+}
+
+func describe(e RouteEvidence) string {
 	return fmt.Sprintf("%s: %d of %d calls bad (%d slow) on the new version, %d of %d on the old",
-		where, e.New.Bad(), e.New.Calls(), e.New.Slow, e.Old.Bad(), e.Old.Calls())
+		where(e), e.New.Bad(), e.New.Calls(), e.New.Slow, e.Old.Bad(), e.Old.Calls())
 }
 
 // crashFinding returns why crashes judge the version bad, or "".
--- a/pkg/move/pulse.go
+++ b/pkg/move/pulse.go
@@ -68,7 +68,9 @@
 			case service.Version:
 				c.OldSlots += target.Slots
 			case service.Move.To:
-				c.NewSlots += target.Slots
+				if member.State == membership.Alive {
+					c.NewSlots += target.Slots
+				}
 			}
 		}
 	}
@@ -92,12 +94,12 @@
 	s.updateShares()
 	s.submitMerged(ctx)
 	var reports sync.WaitGroup
-	wanted := map[string]bool{}
+	kept := map[string]bool{}
 	for _, service := range moving(snapshot) {
 		if !serves(view.Self, service.Name) {
 			continue
 		}
-		wanted[service.Name] = true
+		kept[service.Name] = true
 		s.guard(service, now)
 		c, addresses := capacity(view, service)
 		decider := choose(service.Name, c.Reporters)
@@ -106,7 +108,7 @@
 			reports.Go(func() { s.send(ctx, service.Name, decider, addresses[decider]) })
 		}
 	}
-	s.endUnwanted(ctx, wanted)
+	s.leave(ctx, snapshot, kept)
 	reports.Wait()
 	s.loop.Submit(ctx, Event{Tick: true})
 }
@@ -128,14 +130,22 @@
 	}
 }
 
-// endUnwanted leaves the roles of services whose move is no longer wanted.
-func (s *Service) endUnwanted(ctx context.Context, wanted map[string]bool) {
-	for _, service := range s.roles.others(wanted) {
-		s.loop.Submit(ctx, Event{Service: service, Wanted: &Wanted{}})
-		role, _ := s.roles.set(service, false)
-		s.loop.Submit(ctx, Event{Service: service, Role: &role})
-		s.roles.accept(service)
-		delete(s.guards, service)
+// leave gives up the roles of services that this node does not serve any more
+// or whose move is no longer wanted. Only the latter ends the move.
+func (s *Service) leave(ctx context.Context, snapshot *dynamic.Snapshot, kept map[string]bool) {
+	for _, name := range s.roles.others(kept) {
+		service := snapshot.Service(name)
+		if service == nil || service.Move == nil || service.Move.To == service.Version {
+			w := &Wanted{}
+			if service != nil {
+				w.From = service.Version
+			}
+			s.loop.Submit(ctx, Event{Service: name, Wanted: w})
+		}
+		role, _ := s.roles.set(name, false)
+		s.loop.Submit(ctx, Event{Service: name, Role: &role})
+		s.roles.accept(name)
+		delete(s.guards, name)
 	}
 }
 
--- a/pkg/move/sequential.go
+++ b/pkg/move/sequential.go
@@ -308,7 +308,8 @@
 	bad bool
 	// weight is the highest log likelihood ratio as a part of its threshold.
 	weight float64
-	reason string
+	// where names the route, and reason gives the figures as well.
+	where, reason string
 }
 
 // judge evaluates all tests.
@@ -323,7 +324,7 @@
 			{rate, threshold(a.kinds(), t.evidence.RateTests)},
 		} {
 			if weight := test.value / test.bound; weight > worst.weight {
-				worst = finding{bad: weight >= 1, weight: weight, reason: describe(t.evidence)}
+				worst = finding{bad: weight >= 1, weight: weight, where: where(t.evidence), reason: describe(t.evidence)}
 			}
 		}
 	}
--- a/pkg/move/service_test.go
+++ b/pkg/move/service_test.go
@@ -247,6 +247,16 @@
 			}
 			c.traffic(60, always(200))
 		}, TakenBack, 0},
+		{"a decider whose target leaves and that takes the move back", func(c *cluster) {
+			c.traffic(60, always(200))
+			for i, m := range c.members {
+				if m.Instance == c.decider() {
+					c.members[i].Targets = []membership.Target{{Service: "other"}}
+					break
+				}
+			}
+			c.traffic(180, always(200))
+		}, Done, ShareUnit},
 		{"a canceled move that keeps traffic", func(c *cluster) {
 			c.traffic(60, always(200))
 			c.snapshot = config(c.t, &dynamic.Move{To: "v2", FinishBy: epoch.Add(3 * time.Minute), Canceled: true})
