--- a/internal/faultproxy/udp.go
+++ b/internal/faultproxy/udp.go
@@ -18,7 +18,7 @@
 // of its own towards the server, so that replies find their way back.
 type UDP struct {
 	front  *net.UDPConn
-	target *net.UDPAddr
+	target atomic.Pointer[net.UDPAddr]
 	tasks  sync.WaitGroup
 
 	loss  atomic.Uint64 // share of lost datagrams in units of 1/lossUnit
@@ -40,19 +40,39 @@
 
 // NewUDP relays from a free loopback port to the server at target.
 func NewUDP(target string) (*UDP, error) {
-	address, err := net.ResolveUDPAddr("udp", target)
+	u, err := NewPendingUDP()
 	if err != nil {
-		return nil, eris.Wrap(err, "resolve relay target")
+		return nil, err
+	}
+	if err := u.SetTarget(target); err != nil {
+		u.Close()
+		return nil, err
 	}
+	return u, nil
+}
+
+// NewPendingUDP returns a relay that drops all datagrams until SetTarget, for a
+// server that must know the relay's address before it starts.
+func NewPendingUDP() (*UDP, error) {
 	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, eris.Wrap(err, "open relay socket")
 	}
-	u := &UDP{front: front, target: address, flows: make(map[string]*flow)}
+	u := &UDP{front: front, flows: make(map[string]*flow)}
 	u.tasks.Go(u.readFront)
 	return u, nil
 }
 
+// SetTarget sets the server of flows that begin from now on.
+func (u *UDP) SetTarget(target string) error {
+	address, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		return eris.Wrap(err, "resolve relay target")
+	}
+	u.target.Store(address)
+	return nil
+}
+
 // Address returns the IP and port at which clients reach the server.
 func (u *UDP) Address() string { return u.front.LocalAddr().String() }
 
@@ -131,10 +151,11 @@
 	if f, ok := u.flows[client.String()]; ok {
 		return f
 	}
-	if u.closed {
+	target := u.target.Load()
+	if u.closed || target == nil {
 		return nil
 	}
-	back, err := net.DialUDP("udp", nil, u.target)
+	back, err := net.DialUDP("udp", nil, target)
 	if err != nil {
 		return nil
 	}
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -65,6 +65,8 @@
 	Instance, Region, FailureDomain string
 	// Caller, Target, Address and Admin are host:port of the listeners.
 	Caller, Target, Address, Admin string
+	// Bound is the bound address for other nodes; Address is the advertised one.
+	Bound string
 }
 
 // Target is one stand-in target process.
@@ -157,6 +159,7 @@
 		return nil, err
 	}
 	n.Caller, n.Target = line.Fields["caller"], line.Fields["target"]
+	n.Bound = line.Fields["nodeBound"]
 	n.Address, n.Admin = line.Fields["node"], line.Fields["admin"]
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/node/compose.go
+++ b/pkg/node/compose.go
@@ -123,6 +123,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for nodes")
 	}
+	n.addresses.NodeBound = t.Address()
 	n.addresses.Node = bound(n.settings.NodeAdvertise, t.Address())
 	return t, nil
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -77,6 +77,8 @@
 // Addresses are the addresses that a node listens on, with the ports that were bound.
 type Addresses struct {
 	Caller, Target, Node, Admin string
+	// NodeBound is the address that was bound; Node is the one that is advertised.
+	NodeBound string
 }
 
 // New binds all listeners and composes the node. It returns an error if an
@@ -254,7 +256,7 @@
 func (n *Node) recordListening() {
 	n.timeline.Record(timeline.Event{Kind: eventListening, Fields: map[string]string{
 		"caller": n.addresses.Caller, "target": n.addresses.Target,
-		"node": n.addresses.Node, "admin": n.addresses.Admin,
+		"node": n.addresses.Node, "nodeBound": n.addresses.NodeBound, "admin": n.addresses.Admin,
 	}})
 }
 
--- /dev/null
+++ b/test/integration/partition_test.go
@@ -0,0 +1,107 @@
+package integration
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/azurespring/azurespring/internal/faultproxy"
+	"github.com/azurespring/azurespring/internal/loadgen"
+	"github.com/azurespring/azurespring/internal/testcluster"
+)
+
+// relayed starts a node that other nodes reach only through a relay.
+func (c *cluster) relayed(region, domain string, seeds ...string) (*testcluster.Node, *faultproxy.UDP) {
+	c.t.Helper()
+	relay, err := faultproxy.NewPendingUDP()
+	assert.NilError(c.t, err)
+	c.t.Cleanup(relay.Close)
+	n, err := c.StartNode(c.ctx, testcluster.NodeOptions{
+		Region: region, FailureDomain: domain, Advertise: relay.Address(), Seeds: seeds,
+	})
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, relay.SetTarget(n.Bound))
+	return n, relay
+}
+
+// targetsKnown returns the number of targets that n knows.
+func (c *cluster) targetsKnown(n *testcluster.Node) int {
+	var targets []struct{}
+	assert.NilError(c.t, n.GetJSON(c.ctx, "/v1/targets", &targets))
+	return len(targets)
+}
+
+// Guards against regions that stop serving, or that do not find each other
+// again, when they lose each other for a while: each side goes on with its own
+// targets, both get a new configuration, and afterwards they are one fleet.
+func TestRegionsLoseEachOther(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	c := newCluster(t, ctx)
+	a, relayA := c.relayed("r1", "d1")
+	b, relayB := c.relayed("r2", "d2", a.Address)
+	c.target(a, stock("1"))
+	c.target(b, stock("1"))
+	c.apply(a, 0, lists{version: "1"})
+	c.await("stock", a, b)
+	c.awaitTargets(2, a, b)
+
+	relayA.SetLoss(1)
+	relayB.SetLoss(1)
+	time.Sleep(12 * time.Second) // longer than failure detection and silence of connections
+	for _, n := range []*testcluster.Node{a, b} {
+		result := loadgen.Run(ctx, loadgen.Options{
+			Nodes: []string{n.Caller}, Service: "stock", Method: http.MethodGet, Path: "/stock/1",
+			Key: customerKey, Count: 100, Workers: 4, Timeout: 10 * time.Second,
+		})
+		assert.Equal(t, result.OK(), 100, "through %s: %v", n.Instance, result.Codes())
+	}
+	c.apply(a, 1, lists{version: "1", rate: 100_000})
+	c.awaitVersion(2, a, b)
+
+	relayA.SetLoss(0)
+	relayB.SetLoss(0)
+	c.awaitTargets(2, a, b)
+	late := c.node("r2", "d3")
+	c.awaitTargets(2, late)
+	c.awaitVersion(2, late)
+	c.target(late, stock("1"))
+	c.awaitTargets(3, a, b, late)
+}
+
+func (c *cluster) awaitTargets(count int, nodes ...*testcluster.Node) {
+	c.t.Helper()
+	for _, n := range nodes {
+		poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+			if got := c.targetsKnown(n); got != count {
+				return poll.Continue("%s knows %d of %d targets", n.Instance, got, count)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(pollTimeout), poll.WithDelay(50*time.Millisecond))
+	}
+}
+
+// Guards against connections between nodes that went silent: calls over them
+// must find another connection soon, without a wrong verdict.
+func TestSilentConnectionBetweenNodes(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	c := newCluster(t, ctx)
+	entry := c.node("r1", "d1")
+	beside, relay := c.relayed("r1", "d2", entry.Address)
+	target := c.target(beside, stock("1"))
+	c.apply(entry, 0, lists{version: "1"})
+	c.await("stock", entry)
+
+	stop := background(ctx, stockLoad(http.MethodPost, entry))
+	c.awaitCalls(target, 20)
+	relay.Blackhole()
+	// Calls arrive again only over a new connection, because the old one is dropped.
+	c.awaitCalls(target, 50)
+	result := stop()
+	assertTruthful(t, result, c.runs(result, target))
+}
