Bound the targets that one request crashes; judge verdicts over all tries

Cause: a request that crashes its target, sent again at once to other nodes, crashed 5 of 5 targets: the answer reached its caller before gossip had told the other nodes. Seen while reading: a call that was quarantined, refused or without target after an earlier try that may have run was told not-run. Change: a call is in flight at 2 crashes at most, and its answer is held for 300 ms; not-run is answered only if it holds for every try. Conclusion: quarantine acts before the caller can resend.

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -90,31 +90,83 @@
 	}
 }
 
+// maxCrashes is the number of targets that one call may be in flight at when
+// they crash. It may be the cause, so it is not sent on and on.
+const maxCrashes = 2
+
+// crashHold is how long the answer to a call that was in flight at a crash is
+// held back, so that a resend meets nodes that know of the crash. Gossip needs
+// about six hops with batches of 20 ms to reach all nodes of a large fleet.
+const crashHold = 300 * time.Millisecond
+
 // runTries sends the call to targets until one answers or no retry is allowed.
 func (c *call) runTries() *verdict.Error {
 	c.entry.budget.Earn()
 	var first [maxTries]*routing.Endpoint
 	tried := first[:0]
-	var last *verdict.Error
+	var failures tryFailures
 	for {
 		if err := c.checkQuarantine(); err != nil {
-			return err
+			return failures.verdict(err)
 		}
 		endpoint, err := c.table.Choose(c.service.Name, c.customer.Name, tried, c.entry.deps.Now())
 		if err != nil {
-			if last != nil {
-				return last
-			}
-			return err
+			return failures.verdict(err)
+		}
+		if err = c.try(endpoint); err == nil {
+			return nil
 		}
-		last = c.try(endpoint)
-		if last == nil || !c.mayRetry(last, len(tried)+1) {
-			return last
+		failures.add(err)
+		if failures.crashes >= maxCrashes || !c.mayRetry(err, len(tried)+1) {
+			c.holdCrash(failures.crashes)
+			return failures.verdict(err)
 		}
 		tried = append(tried, endpoint)
 	}
 }
 
+// tryFailures is what the failed tries of one call told.
+type tryFailures struct {
+	last *verdict.Error
+	// ran is the newest failure of a try that may have run.
+	ran     *verdict.Error
+	crashes int
+}
+
+func (f *tryFailures) add(err *verdict.Error) {
+	f.last = err
+	if err.Verdict == verdict.MayHaveRun {
+		f.ran = err
+	}
+	if err.Code == verdict.TargetCrashed {
+		f.crashes++
+	}
+}
+
+// verdict returns the error that the caller gets if err ended the call. Not-run
+// is true only if it holds for every try.
+func (f *tryFailures) verdict(err *verdict.Error) *verdict.Error {
+	switch {
+	case f.ran != nil && err.Verdict == verdict.NotRun:
+		return f.ran
+	case f.last != nil && err.Code == verdict.NoTarget:
+		return f.last
+	}
+	return err
+}
+
+func (c *call) holdCrash(crashes int) {
+	if crashes == 0 {
+		return
+	}
+	timer := time.NewTimer(crashHold)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+}
+
 // checkQuarantine refuses a request that crashed targets. It runs before each
 // try, because the last try may have been the crash that counts.
 func (c *call) checkQuarantine() *verdict.Error {
