--- a/pkg/distribution/apply.go
+++ b/pkg/distribution/apply.go
@@ -107,7 +107,7 @@
 		return ApplyResult{}, err
 	}
 	s.noteHead(h)
-	if err := s.adopt(ctx, h, parts); err != nil {
+	if err := s.adopt(ctx, h, parts, result.Version); err != nil {
 		// The platform holds the change, and the reader announces it.
 		s.logger.WithError(err).Warn("accepted version is not yet in force here")
 	}
@@ -130,16 +130,23 @@
 	return lo.SliceToMap(parts, func(p dynamic.Part) (string, []byte) { return p.Digest, p.Data })
 }
 
-// adopt puts a version that the head holds in force here if its contents are
-// those of parts. Otherwise the version arrives by gossip.
-func (s *Service) adopt(ctx context.Context, h head, parts []dynamic.Part) error {
-	c, err := newCandidate(h.Manifest, contentsOf(parts))
-	if err != nil {
-		return err
+// adoptTimeout bounds the wait for an accepted version to come into force here.
+const adoptTimeout = 10 * time.Second
+
+// adopt puts the version that the head holds in force here if its contents are
+// those of parts. Otherwise the change is older, and its successor arrives by gossip.
+func (s *Service) adopt(ctx context.Context, h head, parts []dynamic.Part, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	if h.Manifest.Version == version {
+		c, err := newCandidate(h.Manifest, contentsOf(parts))
+		if err != nil {
+			return err
+		}
+		s.versions.prepare(c)
+		s.loop.Submit(ctx, Prepared{Version: versionOf(c.manifest), Source: Accepted})
 	}
-	s.versions.prepare(c)
-	s.loop.Submit(ctx, Prepared{Version: versionOf(c.manifest), Source: Accepted})
-	return s.awaitVersion(ctx, c.manifest.Version)
+	return s.awaitVersion(ctx, version)
 }
 
 // application is one Apply under way.
--- a/pkg/distribution/faults_test.go
+++ b/pkg/distribution/faults_test.go
@@ -194,6 +194,7 @@
 func TestBrokenWatches(t *testing.T) {
 	disturbances := map[string]func(*teststore.Store){
 		"expired": (*teststore.Store).ExpireWatches,
+		"silent":  func(s *teststore.Store) { s.SetFaults(teststore.Faults{Silent: true}) },
 		"down and up": func(s *teststore.Store) {
 			s.SetFaults(teststore.Faults{Down: true})
 			s.SetFaults(teststore.Faults{})
--- a/pkg/lease/reducer.go
+++ b/pkg/lease/reducer.go
@@ -199,6 +199,14 @@
 		return
 	}
 	m.nextAt = now.Add(m.renewEvery)
+	if lapse := m.lapse(); lapse.After(now) && lapse.Before(m.nextAt) {
+		m.nextAt = lapse
+	}
+}
+
+// lapse is the time at which the stored lease may be taken.
+func (m *Machine) lapse() time.Time {
+	return m.since.Add(m.stored.Duration + m.stored.Duration/marginShare)
 }
 
 func (m *Machine) writeEnded(now time.Time, e WriteEnded) []Effect {
@@ -257,7 +265,7 @@
 	if m.version == "" || m.stored.Holder == "" || m.stored.Holder == m.holder {
 		return true
 	}
-	return !now.Before(m.since.Add(m.stored.Duration + m.stored.Duration/marginShare))
+	return !now.Before(m.lapse())
 }
 
 // release stops acting first and then frees the lease for others.
--- a/pkg/platform/budgeted.go
+++ b/pkg/platform/budgeted.go
@@ -28,11 +28,24 @@
 	Watches int
 }
 
+// partBurst lets a whole configuration be stored or read at once, which happens
+// at the first import and at a node without peers. The parts of 320 services and of 64
+// groups of customers alone would take 77 s at 5 writes/s.
+const partBurst = 512
+
+// historyBurst lets a new owner of a shard of idempotency keys read the claims of
+// a day soon; until it has, calls with such keys are refused.
+const historyBurst = 200
+
 // DefaultBudget returns the budget of a node.
 func DefaultBudget() Budget {
+	rates := Rates{WritesPerSecond: 5, ReadsPerSecond: 10, WriteBurst: 10, ReadBurst: 20}
+	parts := rates
+	parts.WriteBurst, parts.ReadBurst = partBurst, partBurst
+	history := rates
+	history.ReadBurst = historyBurst
 	return Budget{
-		Default: Rates{WritesPerSecond: 5, ReadsPerSecond: 10, WriteBurst: 10, ReadBurst: 20},
-		Watches: 2,
+		Default: rates, Kinds: map[Kind]Rates{ConfigPart: parts, IdempotencySegment: history}, Watches: 2,
 	}
 }
 
