--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -41,10 +41,15 @@
 	body       *requestBody
 	head       callHead
 
+	// tryStarted and answered bound the time that the target took to answer.
+	tryStarted time.Time
+	answered   time.Time
 	// headSent is set once the status is on its way to the caller.
 	headSent bool
 	status   int
 	version  string
+	// writeBounded is set if writes to the caller have a deadline.
+	writeBounded bool
 	// load is what the last try reported of its target.
 	load *routing.Load
 	// recording collects a small answer to a keyed call; nil if none is wanted.
@@ -59,6 +64,9 @@
 		c.cancel()
 	}
 	c.admission.Release()
+	if c.writeBounded {
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Time{})
+	}
 	if c.parent != nil {
 		c.parent.returnRetry(c.retries)
 	}
@@ -77,6 +85,9 @@
 		Header: flatten(c.r.Header, ownRequest), ContentLength: length,
 		Depth: c.depth, ConfigVersion: c.snapshot.Version(), Sampled: c.sampled,
 	}
+	for name := range c.r.Trailer {
+		c.head.Trailers = append(c.head.Trailers, name)
+	}
 }
 
 // runTries sends the call to targets until one answers or no retry is allowed.
@@ -152,7 +163,8 @@
 func (c *call) try(endpoint *routing.Endpoint) *verdict.Error {
 	c.version, c.load, c.status = endpoint.Version, nil, 0
 	c.head.TargetID, c.head.Version, c.head.Retries = endpoint.ID, endpoint.Version, c.retries
-	c.head.Remaining = c.deadline.Sub(c.entry.deps.Now())
+	c.tryStarted = c.entry.deps.Now()
+	c.head.Remaining = c.deadline.Sub(c.tryStarted)
 	endpoint.Begin()
 	var err *verdict.Error
 	if endpoint.Local && c.entry.target != nil {
@@ -174,6 +186,7 @@
 	switch {
 	case err == nil:
 		outcome.ServerError = c.status >= http.StatusInternalServerError
+		outcome.Latency = c.answered.Sub(c.tryStarted)
 	case c.load != nil && err.Verdict == verdict.NotRun && err.Code != verdict.TargetFailed:
 		outcome.Neutral = true
 	case err.Code == verdict.TargetFailed, err.Code == verdict.TargetCrashed, err.Code == verdict.AnswerCut,
@@ -189,11 +202,14 @@
 
 // tryLocal hands the call to the target beside this node.
 func (c *call) tryLocal() *verdict.Error {
-	request := &targetRequest{head: &c.head, deadline: c.deadline, body: &bodyReader{body: c.body}}
+	request := &targetRequest{
+		head: &c.head, deadline: c.deadline, body: &bodyReader{body: c.body}, retries: c.retries,
+	}
 	request.whole, request.isWhole = c.body.whole()
 	request.trailers = c.body.trailers
 	load, err := c.entry.target.run(c.ctx, request, (*callerAnswer)(c))
 	c.load = &load
+	c.retries = max(0, min(c.retries, request.retries))
 	return err
 }
 
