Check the reader's lease right before it writes

Cause: a reader that was paused past its lease could write back or delete before its loop learnt of the loss. Change: write-backs and deletions of parts ask the lease itself, which compares its own clock; the wait of a shard owner for its reducer is bounded. Conclusion: a lapsed reader stops acting even if its loop had no turn.

--- a/pkg/distribution/reader.go
+++ b/pkg/distribution/reader.go
@@ -168,5 +168,8 @@
 	r.s.mu.Lock()
 	next.Changes = slices.Clone(r.s.changes)
 	r.s.mu.Unlock()
+	if err := r.s.checkReader(); err != nil {
+		return err
+	}
 	return r.s.writeHead(ctx, stored, next)
 }
--- a/pkg/distribution/service.go
+++ b/pkg/distribution/service.go
@@ -103,6 +103,7 @@
 	versions *versions
 	snapshot atomic.Pointer[dynamic.Snapshot]
 	reader   *reader
+	lease    atomic.Pointer[lease.Lease]
 	// fence is the highest fencing number announced for this region's lease.
 	fence atomic.Uint64
 	// highest is the highest version number in force here or announced.
@@ -167,9 +168,24 @@
 		s.logger.WithError(err).Error("reader lease cannot run")
 		return
 	}
+	s.lease.Store(l)
 	l.Run(ctx)
 }
 
+// errNotReader means that the reader's lease lapsed, perhaps while the process
+// was paused and before its loop learnt of it.
+var errNotReader = eris.New("this node is not its region's reader")
+
+// checkReader returns an error unless this node holds the reader's lease now.
+func (s *Service) checkReader() error {
+	if l := s.lease.Load(); l != nil {
+		if _, held := l.Held(); held {
+			return nil
+		}
+	}
+	return errNotReader
+}
+
 // Current returns the snapshot in force, nil before the first.
 func (s *Service) Current() *dynamic.Snapshot { return s.snapshot.Load() }
 
--- a/pkg/distribution/upkeep.go
+++ b/pkg/distribution/upkeep.go
@@ -98,6 +98,9 @@
 	if err != nil || referenced[strings.TrimPrefix(o.Name, partPrefix)] {
 		return err
 	}
+	if err := r.s.checkReader(); err != nil {
+		return err
+	}
 	if err := r.s.o.Store.Delete(ctx, o.Kind, o.Name, o.Version); err != nil && !platform.NotApplied(err) {
 		return eris.Wrapf(err, "delete %s", o.Name)
 	}
--- a/pkg/idempotency/service.go
+++ b/pkg/idempotency/service.go
@@ -34,6 +34,8 @@
 	maxCompletions = 256
 	// tickInterval paces deadlines of waiting claims and upkeep.
 	tickInterval = 100 * time.Millisecond
+	// answerMargin is the time past a claim's deadline for which its result is awaited.
+	answerMargin = time.Second
 	// disownAfter is the time after which a shard that this node no longer owns is
 	// forgotten, so that a short change of view does not cause a full load.
 	disownAfter = time.Minute
@@ -317,7 +319,10 @@
 		defer s.mu.Unlock()
 		delete(s.tickets, ticket)
 	}()
-	wait := min(time.Duration(r.WaitMillis)*time.Millisecond, s.o.ClaimTimeout)
+	wait := max(min(time.Duration(r.WaitMillis)*time.Millisecond, s.o.ClaimTimeout), 0)
+	// The reducer answers at the deadline; the margin covers a loop that has ended.
+	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	defer cancel()
 	if !s.loop.Submit(ctx, Claimed{Ticket: ticket, Request: r, Deadline: time.Now().Add(wait)}) {
 		return reply{}, eris.New("node is stopping")
 	}
