Keep streams going under suspicion and blame lost targets

Refusals of draining or missing targets did not count against their endpoint. Change: read ahead for at most 100 ms in the background; eject endpoints whose node refuses them; grow the stack once; bound the head of answers to what fits a frame; complete claims also after the caller left.

--- a/pkg/proxy/answer.go
+++ b/pkg/proxy/answer.go
@@ -31,7 +31,7 @@
 	if head.ContentLength < 0 || head.ContentLength > smallAnswerBytes {
 		// A caller that does not read must not hold the target's slot for good.
 		control := http.NewResponseController(a.w)
-		a.writeBounded = control.SetWriteDeadline(a.deadline.Add(deadlineGrace)) == nil
+		a.writeBounded = control.SetWriteDeadline(a.deadline.Add(a.entry.grace)) == nil
 	}
 	a.w.WriteHeader(head.Status)
 	return nil
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -33,32 +33,28 @@
 	return b
 }
 
-// prefetch reads a small body whole. A body of unknown length is read ahead only
-// if its fingerprint is needed, because its sender may wait for the answer's
-// start before it sends more. The deadline also ends the wait for a caller that
-// stops sending.
+// prefetch reads a small body whole, and the start of others if the fingerprint
+// is needed. The deadline also ends the wait for a caller that stops sending.
 func (b *requestBody) prefetch(w http.ResponseWriter, deadline time.Time, needFingerprint bool) error {
 	if b.err != nil {
 		return nil
 	}
 	length := b.r.ContentLength
-	if (length < 0 || length > smallBodyBytes) && !needFingerprint {
+	switch {
+	case length < 0 && needFingerprint:
+		b.readAhead()
+		return nil
+	case (length < 0 || length > smallBodyBytes) && !needFingerprint:
 		return nil
 	}
 	control := http.NewResponseController(w)
 	if control.SetReadDeadline(deadline) == nil {
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
-	size := int64(smallBodyBytes)
-	if length >= 0 {
-		size = min(size, length)
-	}
-	buffer := make([]byte, size)
+	buffer := make([]byte, min(smallBodyBytes, length))
 	n, err := io.ReadFull(b.r.Body, buffer)
 	b.kept, b.total = buffer[:n], int64(n)
 	switch {
-	case length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF):
-		b.err = io.EOF
 	case err != nil:
 		return eris.Wrap(err, "read")
 	case int64(n) == length:
@@ -67,9 +63,29 @@
 	return nil
 }
 
-// whole returns the body if all of it is kept.
+// readAhead waits for the start of a body of unknown length, but not for long:
+// its sender may wait for the answer's start before it sends more. Reads of the
+// body go on behind the one that is left.
+func (b *requestBody) readAhead() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = io.CopyN(io.Discard, &bodyReader{body: b}, smallBodyBytes)
+	}()
+	timer := time.NewTimer(readAheadTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// whole returns the body if all of it is kept. A body that is just being read is
+// not whole.
 func (b *requestBody) whole() ([]byte, bool) {
-	b.mu.Lock()
+	if !b.mu.TryLock() {
+		return nil, false
+	}
 	defer b.mu.Unlock()
 	return b.kept, b.err == io.EOF && b.total == int64(len(b.kept))
 }
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -187,12 +187,10 @@
 	case err == nil:
 		outcome.ServerError = c.status >= http.StatusInternalServerError
 		outcome.Latency = c.answered.Sub(c.tryStarted)
-	case c.load != nil && err.Verdict == verdict.NotRun && err.Code != verdict.TargetFailed:
-		outcome.Neutral = true
 	case err.Code == verdict.TargetFailed, err.Code == verdict.TargetCrashed, err.Code == verdict.AnswerCut,
 		err.Code == verdict.NoTarget, err.Code == verdict.Draining:
 		outcome.Unreachable = true
-	case err.Code == verdict.DeadlineExceeded:
+	case err.Code == verdict.DeadlineExceeded && err.Verdict == verdict.MayHaveRun:
 		outcome.ServerError = true
 	default:
 		outcome.Neutral = true
--- a/pkg/proxy/deps.go
+++ b/pkg/proxy/deps.go
@@ -89,6 +89,9 @@
 	deadlineGrace = 30 * time.Millisecond
 	// progressTimeout ends a streamed answer or body that stands still.
 	progressTimeout = 10 * time.Second
+	// readAheadTime is how long a body of unknown length is awaited while requests
+	// are under suspicion.
+	readAheadTime = 100 * time.Millisecond
 	// maxTries bounds the targets that one call is sent to.
 	maxTries = 3
 	// treeRetries is the retry budget of a call and all calls nested in it.
--- a/pkg/proxy/entry.go
+++ b/pkg/proxy/entry.go
@@ -27,12 +27,14 @@
 	budget   routing.RetryBudget
 	draining atomic.Bool
 	inFlight atomic.Int64
+	// grace is deadlineGrace but in tests.
+	grace time.Duration
 }
 
 // NewEntry returns an entry that hands calls for targets beside this node to
 // target without a hop.
 func NewEntry(deps Deps, target *TargetSide) *Entry {
-	return &Entry{deps: deps.withDefaults(), target: target}
+	return &Entry{deps: deps.withDefaults(), target: target, grace: deadlineGrace}
 }
 
 // Drain refuses new calls from outside; calls in flight and the calls nested in
--- a/pkg/proxy/fault_test.go
+++ b/pkg/proxy/fault_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/azurespring/azurespring/internal/testtarget"
+	"github.com/azurespring/azurespring/pkg/quarantine"
 	"github.com/azurespring/azurespring/pkg/routing"
 	"github.com/azurespring/azurespring/pkg/transport"
 	"github.com/azurespring/azurespring/pkg/verdict"
@@ -325,3 +326,39 @@
 	response.Body.Close()
 	assert.Equal(t, len(f.nodes[0].endpoints()), 0)
 }
+
+// Guards against a suspicion that stalls all streamed requests, whose senders
+// wait for the answer's start, and against one that spares streamed bodies.
+func TestStreamedBodiesUnderSuspicion(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	suspect := func(body string) quarantine.Fingerprint {
+		hasher := quarantine.NewHasher("stock", "pay", "POST", "/pay")
+		_, _ = hasher.Write([]byte(body))
+		return hasher.Sum()
+	}
+	f.nodes[0].target(testtarget.Options{}, testtarget.Behavior{})
+	for _, n := range f.nodes {
+		n.quarantine.Crashed("p1", []quarantine.Fingerprint{suspect("poison")})
+		n.quarantine.Crashed("p2", []quarantine.Fingerprint{suspect("poison")})
+		r := n.do("POST", "/pay", io.MultiReader(strings.NewReader("poison")))
+		checkProblem(t, r, verdict.Quarantined, verdict.NotRun)
+		reader, writer := io.Pipe()
+		request, err := http.NewRequest("POST", n.http.URL+"/pay", reader)
+		assert.NilError(t, err)
+		request.Header.Set("Authorization", "Bearer "+testKey)
+		request.Header.Set(headerService, "stock")
+		request.Header.Set(testtarget.HeaderEcho, "1")
+		go func() { _, _ = io.WriteString(writer, "first") }()
+		response, err := http.DefaultTransport.RoundTrip(request)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		go func() {
+			_, _ = io.WriteString(writer, "last")
+			_ = writer.Close()
+		}()
+		all, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(all), "firstlast")
+		response.Body.Close()
+	}
+}
--- a/pkg/proxy/keyed.go
+++ b/pkg/proxy/keyed.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/azurespring/azurespring/pkg/verdict"
@@ -73,7 +74,7 @@
 		c.recording.Version = c.version
 		completion.Answer = c.recording.encode()
 	}
-	claimer.Complete(c.ctx, scoped, completion)
+	claimer.Complete(context.WithoutCancel(c.ctx), scoped, completion)
 	return failure
 }
 
--- a/pkg/proxy/local.go
+++ b/pkg/proxy/local.go
@@ -20,6 +20,9 @@
 	// idleTimeout is shorter than that of usual HTTP servers, so that a call rarely
 	// meets a connection that its target is just closing.
 	idleTimeout = 3 * time.Second
+	// maxAnswerHeaderBytes leaves room for the encoding in a frame of
+	// transport.MaxCallHeaderBytes.
+	maxAnswerHeaderBytes = 48 << 10
 	// spareConns are idle connections kept beyond one per slot.
 	spareConns = 8
 )
@@ -64,6 +67,8 @@
 		MaxIdleConns:        record.Slots + spareConns,
 		MaxIdleConnsPerHost: record.Slots + spareConns,
 		IdleConnTimeout:     idleTimeout,
+		// The head of an answer must fit into its frame.
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 	return t
 }
--- a/pkg/proxy/remote.go
+++ b/pkg/proxy/remote.go
@@ -21,7 +21,7 @@
 		refusal.Cause = err
 		return refusal
 	}
-	_ = stream.SetDeadline(c.deadline.Add(deadlineGrace))
+	_ = stream.SetDeadline(c.deadline.Add(c.entry.grace))
 	// A cancelled caller cancels the stream at once. At the deadline the target
 	// node's verdict is awaited for deadlineGrace, bounded by SetDeadline.
 	stop := context.AfterFunc(c.ctx, func() {
--- a/pkg/proxy/target.go
+++ b/pkg/proxy/target.go
@@ -28,8 +28,8 @@
 	calls    sync.Map // of call id to *inFlight
 	draining atomic.Bool
 	running  atomic.Int64
-	// progress is progressTimeout but in tests.
-	progress time.Duration
+	// progress and grace are progressTimeout and deadlineGrace but in tests.
+	progress, grace time.Duration
 
 	announcer atomic.Pointer[Announcer]
 	// announcing orders changes of targets.
@@ -38,7 +38,7 @@
 
 // NewTargetSide returns a target side without targets.
 func NewTargetSide(deps Deps) *TargetSide {
-	return &TargetSide{deps: deps.withDefaults(), progress: progressTimeout}
+	return &TargetSide{deps: deps.withDefaults(), progress: progressTimeout, grace: deadlineGrace}
 }
 
 // Drain refuses new calls; calls in flight go on.
@@ -128,8 +128,8 @@
 
 // ServeCall is the transport.CallHandler of calls from entry nodes.
 func (s *TargetSide) ServeCall(ctx context.Context, _ transport.Peer, stream transport.Stream) {
-	now := s.deps.Now()
-	_ = stream.SetDeadline(now.Add(headTimeout))
+	growStack(0)
+	_ = stream.SetDeadline(s.deps.Now().Add(headTimeout))
 	reader := newFrameReader(stream)
 	defer reader.release()
 	head := new(callHead)
@@ -138,7 +138,7 @@
 		return
 	}
 	request := &targetRequest{head: head, deadline: s.deps.Now().Add(head.Remaining), retries: head.Retries}
-	_ = stream.SetDeadline(request.deadline.Add(deadlineGrace))
+	_ = stream.SetDeadline(request.deadline.Add(s.grace))
 	callCtx, cancel := context.WithDeadline(stream.Context(), request.deadline)
 	defer cancel()
 	stop := context.AfterFunc(ctx, cancel)
@@ -160,6 +160,19 @@
 	}
 }
 
+// stackBytes is what a call needs of its goroutine's stack.
+const stackBytes = 12 << 10
+
+// growStack lets the stack of a stream's fresh goroutine grow in one step. With
+// several steps, decoding a head took 21 us instead of 7 us.
+//
+//go:noinline
+func growStack(i int) byte {
+	var frame [stackBytes]byte
+	frame[i] = 1
+	return frame[stackBytes-1-i]
+}
+
 // receiveBody reads a small body whole before the call asks for a slot.
 func (s *TargetSide) receiveBody(
 	ctx context.Context, request *targetRequest, reader *frameReader, out answer,
