--- a/pkg/move/decider.go
+++ b/pkg/move/decider.go
@@ -220,10 +220,12 @@
 	switch {
 	case d.state.Service == "":
 		return d.start(now)
-	case d.state.Phase != Running:
+	case d.state.Phase == TakenBack:
 		return nil
 	case w.Canceled:
 		return d.takeBack(now, "canceled by an operator")
+	case d.state.Phase == Done:
+		return nil
 	case d.state.From != w.From:
 		return d.restartMove(now)
 	}
@@ -259,7 +261,7 @@
 	return d.publish(now, s, kind)
 }
 
-func (d *Decider) share(step int) int { return min(Steps[step], limit(d.capacity)) }
+func (d *Decider) share(step int) int { return min(Steps[step], limit(d.capacity, d.cur.busy)) }
 
 // publish stamps s with this decider's term and makes it the state.
 func (d *Decider) publish(now time.Time, s State, kind timeline.Kind) []Effect {
@@ -270,7 +272,7 @@
 	}
 	s.Decider, s.Definition = d.self, d.wanted.Definition
 	s.Sequence++
-	s.Through, s.Routes = d.cur.through, d.cur.evidence()
+	s.Through, s.Routes, s.BusySlots = d.cur.through, d.cur.evidence(), d.cur.busy
 	d.state, d.states[s.To], d.published = s, s, now
 	effects := []Effect{{Publish: &s}}
 	if kind != "" {
@@ -297,10 +299,11 @@
 	return d.publish(now, s, EventTakenBack)
 }
 
-// hold publishes that the step lasts longer, once per reason.
+// hold publishes that the step lasts longer, once per reason. Reasons that
+// alternate are not published each time.
 func (d *Decider) hold(now time.Time, reason string) []Effect {
 	s := d.state
-	if s.Held && s.Reason == reason {
+	if s.Held && (s.Reason == reason || now.Sub(d.published) < minDwell) {
 		return d.keep(now)
 	}
 	s.Held, s.Reason = true, reason
--- a/pkg/move/evidence.go
+++ b/pkg/move/evidence.go
@@ -32,6 +32,8 @@
 	Crashes uint64 `cbor:"5,keyasint,omitempty" json:"crashes"`
 	// Crashed are the calls that ended with a crash; they are not in Failed.
 	Crashed uint64 `cbor:"6,keyasint,omitempty" json:"crashed"`
+	// BusyMillis is the sum of the calls' times at the target in milliseconds.
+	BusyMillis uint64 `cbor:"7,keyasint,omitempty" json:"busyMillis"`
 }
 
 // Calls is the number of calls that ran.
@@ -47,6 +49,7 @@
 	return Counts{
 		Good: c.Good + d.Good, Failed: c.Failed + d.Failed, Slow: c.Slow + d.Slow,
 		Refused: c.Refused + d.Refused, Crashes: c.Crashes + d.Crashes, Crashed: c.Crashed + d.Crashed,
+		BusyMillis: c.BusyMillis + d.BusyMillis,
 	}
 }
 
@@ -54,6 +57,7 @@
 	return Counts{
 		Good: c.Good - d.Good, Failed: c.Failed - d.Failed, Slow: c.Slow - d.Slow,
 		Refused: c.Refused - d.Refused, Crashes: c.Crashes - d.Crashes, Crashed: c.Crashed - d.Crashed,
+		BusyMillis: c.BusyMillis - d.BusyMillis,
 	}
 }
 
@@ -61,27 +65,28 @@
 	return Counts{
 		Good: max(c.Good, d.Good), Failed: max(c.Failed, d.Failed), Slow: max(c.Slow, d.Slow),
 		Refused: max(c.Refused, d.Refused), Crashes: max(c.Crashes, d.Crashes), Crashed: max(c.Crashed, d.Crashed),
+		BusyMillis: max(c.BusyMillis, d.BusyMillis),
 	}
 }
 
 // Line is the counts of one period, route and version at one reporter.
 type Line struct {
-	Period     int64  `cbor:"1,keyasint"`
-	Route      string `cbor:"2,keyasint"`
-	Department string `cbor:"3,keyasint"`
-	Version    string `cbor:"4,keyasint"`
-	Counts     Counts `cbor:"5,keyasint"`
+	Period     int64
+	Route      string
+	Department string
+	Version    string
+	Counts     Counts
 }
 
 // Report carries a reporter's recent periods to a decider. Lines repeat until
 // the decider has acknowledged them.
 type Report struct {
-	Service     string `cbor:"1,keyasint"`
-	Reporter    string `cbor:"2,keyasint"`
-	Incarnation uint64 `cbor:"3,keyasint"`
+	Service     string
+	Reporter    string
+	Incarnation uint64
 	// Through is the last period that the reporter has closed.
-	Through int64  `cbor:"4,keyasint"`
-	Lines   []Line `cbor:"5,keyasint"`
+	Through int64
+	Lines   []Line
 }
 
 type reporterKey struct {
--- a/pkg/move/sequential.go
+++ b/pkg/move/sequential.go
@@ -18,12 +18,17 @@
 const (
 	// failureRatio is the ratio of failure rates, new to old, that counts as bad.
 	failureRatio = 4.0
+	// leastBadRate is the lowest failure rate that the rate test looks for while
+	// the ratio test finds lower ones, and leastDriftRate the lowest on the last
+	// step, where the rate test is alone.
+	leastBadRate   = 0.25
+	leastDriftRate = 0.05
 	// minBlockOld is the number of the old version's calls that closes a block, so
 	// that a period with a few calls is not compared with nothing.
 	minBlockOld = 10
 	// minBlockLast is the number of the new version's calls that closes a block
 	// while no calls run on the old version.
-	minBlockLast = 20
+	minBlockLast = 10
 	// maxBlockPeriods closes a block in which the old version has too few calls.
 	maxBlockPeriods = 30
 	// goodCallWeight is what a good call on the new version takes off the ratio
@@ -42,6 +47,8 @@
 	crashExcess = 3
 	// crashPeriods is the span in which crashes are counted together.
 	crashPeriods = 600
+	// busyPeriods is the span of the moving average of occupied slots.
+	busyPeriods = 30
 	// testsPerRoute are the ratio test and the rate test.
 	testsPerRoute = 2
 )
@@ -152,10 +159,11 @@
 	if usual > 0.9 {
 		return 0
 	}
-	worse := (1 + usual) / 2
+	least := leastBadRate
 	if last {
-		worse = min(worse, failureRatio*usual)
+		least = leastDriftRate
 	}
+	worse := min((1+usual)/2, max(failureRatio*usual, least))
 	return bad*math.Log(worse/usual) + good*math.Log((1-worse)/(1-usual))
 }
 
@@ -189,6 +197,8 @@
 	crashes []crash
 	// last is set while the new version takes all calls.
 	last bool
+	// busy is the moving average of occupied slots.
+	busy float64
 }
 
 // mark changes the tests after a period.
@@ -201,7 +211,7 @@
 }
 
 func newAssessment(s State) *assessment {
-	a := &assessment{through: s.Through, routes: map[string]*tracker{}, last: s.Step == len(Steps)-1}
+	a := &assessment{through: s.Through, routes: map[string]*tracker{}, last: s.Step == len(Steps)-1, busy: s.BusySlots}
 	for _, evidence := range s.Routes {
 		if evidence.Route == "" {
 			a.pool.evidence = evidence
@@ -250,12 +260,20 @@
 		t.add(by[route], pooled.old, a.kinds(), a.last)
 	}
 	a.pool.add(pooled, pooled.old, a.kinds(), a.last)
+	a.average(float64(pooled.old.BusyMillis+pooled.new.BusyMillis) / float64(Period.Milliseconds()))
 	if ofOld, ofNew := l.crashes(a.through, from, to); ofOld+ofNew > 0 {
 		a.crashes = append(a.crashes, crash{a.through, ofOld, ofNew})
 	}
 	a.crashes = slices.DeleteFunc(a.crashes, func(c crash) bool { return c.period <= a.through-crashPeriods })
 }
 
+func (a *assessment) average(busy float64) {
+	if a.busy == 0 {
+		a.busy = busy
+	}
+	a.busy += (busy - a.busy) / busyPeriods
+}
+
 func (a *assessment) apply(m mark) {
 	for _, t := range a.all() {
 		if m.restart {
@@ -290,7 +308,8 @@
 	bad bool
 	// weight is the highest log likelihood ratio as a part of its threshold.
 	weight float64
-	reason string
+	// where names the route, and reason gives the figures as well.
+	where, reason string
 }
 
 // judge evaluates all tests.
@@ -305,7 +324,7 @@
 			{rate, threshold(a.kinds(), t.evidence.RateTests)},
 		} {
 			if weight := test.value / test.bound; weight > worst.weight {
-				worst = finding{bad: weight >= 1, weight: weight, reason: describe(t.evidence)}
+				worst = finding{bad: weight >= 1, weight: weight, where: where(t.evidence), reason: describe(t.evidence)}
 			}
 		}
 	}
