Measure rebuilds of the routing table

Cause: endpoints churn all the time, so the cost of a rebuild matters. Change: BenchmarkBuild with 320 services and 3,840 endpoints.

--- a/pkg/routing/policy_test.go
+++ b/pkg/routing/policy_test.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
 	"github.com/azurespring/azurespring/pkg/membership"
 )
 
@@ -280,3 +281,25 @@
 		e.Done(epoch, Outcome{})
 	}
 }
+
+// BenchmarkBuild measures one rebuild at the size of docs/design.md section 3.
+func BenchmarkBuild(b *testing.B) {
+	var config dynamic.Config
+	var endpoints []membership.Endpoint
+	for i := range 320 {
+		name := fmt.Sprint("s", i)
+		config.Services = append(config.Services, dynamic.Service{Name: name, Version: "v1"})
+		for j := range 12 {
+			endpoints = append(endpoints, endpoint(fmt.Sprint(i, "-", j), "v1", func(e *membership.Endpoint) {
+				e.Service, e.FailureDomain = name, fmt.Sprint("d", j%14)
+			}))
+		}
+	}
+	compiled, err := dynamic.Compile(dynamic.Manifest{Version: 1}, config)
+	assert.NilError(b, err)
+	builder := NewBuilder(nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		builder.Build(compiled, endpoints, nil, self)
+	}
+}
