--- a/pkg/proxy/keyed.go
+++ b/pkg/proxy/keyed.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/azurespring/azurespring/pkg/quarantine"
@@ -74,7 +75,7 @@
 		c.recording.Version = c.version
 		completion.Answer = c.recording.encode()
 	}
-	claimer.Complete(c.ctx, claimed, completion)
+	claimer.Complete(context.WithoutCancel(c.ctx), claimed, completion)
 	return failure
 }
 
