Hold moves that most nodes do not report on

Cause: in a partition a decider carried steps on the evidence of a minority of the target nodes. Conclusion: partitions hold steps and do not end them.

--- a/pkg/move/decide.go
+++ b/pkg/move/decide.go
@@ -97,6 +97,9 @@
 	if ratio := refusedShare(step); step.Refused >= minShed && ratio > refusedShare(pool.Old)+shedMargin {
 		return "the new version refuses more calls than the old"
 	}
+	if heard := d.ledger.heard(periodOf(now)-silentPeriods, d.capacity.Reporters); 2*heard <= len(d.capacity.Reporters) {
+		return "half of the nodes or more do not report"
+	}
 	if s.Share < Steps[s.Step] {
 		return "too few " + reasonSlots
 	}
--- a/pkg/move/decider.go
+++ b/pkg/move/decider.go
@@ -11,6 +11,9 @@
 const (
 	// lagPeriods is how long the decider waits for all reports of a period.
 	lagPeriods = 3
+	// silentPeriods is the time without reports after which a node is silent, as
+	// in a partition. A step is not carried on what a minority reports.
+	silentPeriods = 10
 	// restoreWait is how long a decider waits for the platform to say whether the
 	// move was already taken back, before it starts the move without an answer.
 	restoreWait = 30 * time.Second
--- a/pkg/move/evidence.go
+++ b/pkg/move/evidence.go
@@ -164,6 +164,16 @@
 	old, new          Counts
 }
 
+// heard counts the reporters whose reports reach up to period.
+func (l *ledger) heard(period int64, reporters []string) (n int) {
+	for _, reporter := range reporters {
+		if l.through[reporter] >= period {
+			n++
+		}
+	}
+	return n
+}
+
 // crashes counts the reporters at which a target of either version crashed.
 func (l *ledger) crashes(period int64, from, to string) (ofOld, ofNew int) {
 	seen := map[string]map[reporterKey]bool{from: {}, to: {}}
--- a/pkg/report/report_test.go
+++ b/pkg/report/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"reflect"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/azurespring/azurespring/pkg/config/dynamic"
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/observation"
+	"github.com/azurespring/azurespring/pkg/platform"
 	"github.com/azurespring/azurespring/pkg/reducer"
 	"github.com/azurespring/azurespring/pkg/transport"
 	"github.com/azurespring/azurespring/pkg/verdict"
@@ -358,3 +360,24 @@
 		})
 	}
 }
+
+// Guards against an object that outgrows the platform's limit at the size that
+// the design plans for.
+func TestObjectFitsThePlatform(t *testing.T) {
+	lines := map[lineKey]Counts{}
+	for reporter := range 272 {
+		for department := range 10 {
+			for slot := range int64(Span / Slot) {
+				n := uint64(reporter*7919 + department*104729 + int(slot)*1299709)
+				lines[lineKey{
+					fmt.Sprintf("node-%04d/18c3f2a9b%07x", reporter, reporter*7919),
+					epoch.Unix() + slot*int64(Slot/time.Second), fmt.Sprintf("department-%d", department),
+				}] = Counts{Good: n * 31, Bad: n % 10007, Refused: n % 5003, Limited: n % 3001}
+			}
+		}
+	}
+	value, err := encodeContent(contentOf(lines))
+	assert.NilError(t, err)
+	assert.Assert(t, len(value) < platform.MaxValueBytes/2, "%d bytes", len(value))
+	t.Logf("%d bytes for 272 reporters, 10 departments and 6 slots", len(value))
+}
