--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -22,6 +22,8 @@
 	streamCanceled quic.StreamErrorCode = iota + 1
 	// streamRefused means that no handler saw the stream.
 	streamRefused
+	// streamUnneeded means that the handler answered without reading the rest.
+	streamUnneeded
 )
 
 // conn is one QUIC connection. Both ends may open streams on it.
@@ -62,10 +64,9 @@
 		now.Sub(time.UnixMilli(c.lastUse.Load())) > unusedAfter
 }
 
-// watch removes the connection from the pool as soon as it ends.
+// watch runs when the connection has ended.
 func (c *conn) watch() {
 	defer c.transport.tasks.Done()
-	<-c.quic.Context().Done()
 	c.transport.forget(c)
 }
 
