--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -24,6 +24,7 @@
 	Fields        map[string]string `json:"fields"`
 	Address       string            `json:"address"`
 	ConfigVersion uint64            `json:"configVersion"`
+	Time          time.Time         `json:"time"`
 	Raw           string            `json:"-"`
 }
 
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -71,8 +71,10 @@
 	queue   mailbox.Mailbox[Event]
 	records mailbox.Mailbox[Member]
 	view    atomic.Pointer[View]
-	tasks   sync.WaitGroup
-	left    chan struct{}
+	// neighbours are those that gossip was given last.
+	neighbours atomic.Pointer[[]gossip.Neighbour]
+	tasks      sync.WaitGroup
+	left       chan struct{}
 
 	mu    sync.Mutex // guards state
 	state *Reducer
@@ -114,6 +116,15 @@
 // View returns the current view. It is never nil.
 func (s *Service) View() *View { return s.view.Load() }
 
+// Neighbours returns the nodes to which this node keeps connections for gossip.
+// Callers must not change the list.
+func (s *Service) Neighbours() []gossip.Neighbour {
+	if list := s.neighbours.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
 // OnChange calls f with each new view, from the event loop. f must not block.
 func (s *Service) OnChange(f func(*View)) {
 	s.listenersMu.Lock()
@@ -178,6 +189,7 @@
 	case Sync:
 		s.options.Gossip.SyncWith(e.Address)
 	case NeighboursChanged:
+		s.neighbours.Store(&e.Neighbours)
 		s.options.Gossip.SetNeighbours(e.Neighbours)
 	case ViewChanged:
 		s.publishView(e.View)
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -10,23 +10,28 @@
 	"github.com/dgryski/go-rendezvous"
 	"github.com/samber/lo"
 
+	"github.com/azurespring/azurespring/pkg/gossip"
 	"github.com/azurespring/azurespring/pkg/membership"
 )
 
 // Numbers of peers and contacts.
 const (
-	// maxPullPeers bounds the peers that a node asks for configuration parts.
-	maxPullPeers = 6
+	// farPullEvery is the number of pulls of which one may go to other regions.
+	farPullEvery = 4
 	// maxContacts is the number of addresses kept in the platform for first contact.
 	maxContacts = 20
 )
 
-// pullPeers returns other members to pull configuration from: a few random ones
-// of this region, so that transfers spread, then some of other regions.
+// pullPeers returns the neighbours to pull configuration from. Connections to
+// them exist already, and those of this region cost no bytes between regions.
+// Gateways also ask the other regions now and then, so that a region gets a new
+// version while its reader cannot reach the platform.
 func (n *Node) pullPeers() []string {
-	near, far := n.otherMembers()
-	peers := append(sample(near, maxPullPeers), sample(far, maxPullPeers/2)...)
-	return lo.Map(peers, func(m membership.Member, _ int) string { return m.Address })
+	near, far := lo.FilterReject(n.membership.Neighbours(), func(g gossip.Neighbour, _ int) bool { return !g.Remote })
+	if len(near) == 0 || rand.IntN(farPullEvery) == 0 {
+		near = append(near, far...)
+	}
+	return lo.Map(near, func(g gossip.Neighbour, _ int) string { return g.Address })
 }
 
 func (n *Node) otherMembers() (sameRegion, otherRegions []membership.Member) {
--- /dev/null
+++ b/test/bench/report/measure.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/internal/testcluster"
+	"github.com/azurespring/azurespring/pkg/admin"
+)
+
+// sample is what one fleet size gave. Convergence runs from the moment before
+// the operator's command to the last node's activation.
+type sample struct {
+	Nodes                         int            `json:"nodes"`
+	ConvergenceP50Ms              int64          `json:"convergenceP50Ms"`
+	ConvergenceP99Ms              int64          `json:"convergenceP99Ms"`
+	ConvergenceMaxMs              int64          `json:"convergenceMaxMs"`
+	IdleBytesPerNodeSecond        float64        `json:"idleBytesPerNodeSecond"`
+	IdleCrossRegionBytesPerSecond float64        `json:"idleCrossRegionBytesPerSecond"`
+	BytesPerChangeAndNode         float64        `json:"bytesPerChangeAndNode"`
+	CrossRegionBytesPerChange     float64        `json:"crossRegionBytesPerChange"`
+	PlatformCallsPerSecond        float64        `json:"platformCallsPerSecond"`
+	PlatformCalls                 map[string]int `json:"platformCalls"`
+	CPUPercent                    float64        `json:"cpuPercent"`
+	RSSMegabytes                  float64        `json:"rssMegabytes"`
+}
+
+const (
+	// settleTime is when connections that only joins used have been closed.
+	settleTime = 30 * time.Second
+	regions    = 3
+	domains    = 6
+	// clockTicks is the unit of CPU times in /proc, fixed at 100 on Linux.
+	clockTicks = 100
+)
+
+type bench struct {
+	settings
+	dir     string
+	cluster *testcluster.Cluster
+	nodes   []*testcluster.Node
+}
+
+func measure(ctx context.Context, s settings, size int) (m sample, err error) {
+	dir, err := os.MkdirTemp("", "azurespring-bench-")
+	if err != nil {
+		return m, err
+	}
+	defer os.RemoveAll(dir)
+	b := &bench{settings: s, dir: dir}
+	if b.cluster, err = testcluster.New(ctx, s.binaries, dir); err != nil {
+		return m, err
+	}
+	defer b.cluster.Close()
+	m.Nodes = size
+	if err := b.start(ctx, size); err != nil {
+		return m, err
+	}
+	if err := b.measureIdle(ctx, &m); err != nil {
+		return m, err
+	}
+	return m, b.measureChanges(ctx, &m)
+}
+
+func (b *bench) start(ctx context.Context, size int) error {
+	services := []string{"stock 3.2.0", "hires 1.9.4", "drawings 2.0.1", "prices 7.1.0"}
+	for i := range size {
+		n, err := b.cluster.StartNode(ctx, testcluster.NodeOptions{
+			Region: fmt.Sprintf("r%d", i%regions+1), FailureDomain: fmt.Sprintf("d%d", i%domains+1), Seeds: b.seeds(),
+		})
+		if err != nil {
+			return err
+		}
+		b.nodes = append(b.nodes, n)
+		name, version, _ := strings.Cut(services[i%len(services)], " ")
+		if _, err := b.cluster.StartTarget(ctx, n, testcluster.TargetOptions{Service: name, Version: version, Slots: 18}); err != nil {
+			return err
+		}
+	}
+	if _, err := b.apply(ctx, 0); err != nil {
+		return err
+	}
+	return sleep(ctx, settleTime)
+}
+
+// seeds returns up to three of the first nodes, as settings would name them.
+func (b *bench) seeds() []string {
+	seeds := []string{}
+	for _, n := range b.nodes[:min(3, len(b.nodes))] {
+		seeds = append(seeds, n.Address)
+	}
+	return seeds
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// apply changes one plan's limit and returns how long it took until the change
+// was in force on all nodes.
+func (b *bench) apply(ctx context.Context, number int) (time.Duration, error) {
+	files := make([]string, 0, 2)
+	for _, name := range []string{"customers.yaml", "entitlements.yaml"} {
+		data, err := os.ReadFile(filepath.Join(b.lists, name))
+		if err != nil {
+			return 0, err
+		}
+		data = bytes.Replace(data, []byte("ratePerSecond: 400"), fmt.Appendf(nil, "ratePerSecond: %d", 400+number), 1)
+		path := filepath.Join(b.dir, name)
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return 0, err
+		}
+		files = append(files, path)
+	}
+	started := time.Now()
+	via := b.nodes[number%len(b.nodes)]
+	output, code, err := b.cluster.Ctl(ctx, append([]string{"apply", "-nodes", via.Admin}, files...)...)
+	if err != nil || code != 0 {
+		return 0, eris.Errorf("apply: code %d, %v: %s", code, err, output)
+	}
+	last := started
+	for _, n := range b.nodes {
+		at, err := activation(ctx, n, uint64(number+1))
+		if err != nil {
+			return 0, err
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last.Sub(started), nil
+}
+
+// activation waits until n has a version in force and returns when that was.
+func activation(ctx context.Context, n *testcluster.Node, version uint64) (time.Time, error) {
+	line, err := n.WaitLine(ctx, fmt.Sprintf("version %d", version), func(l testcluster.Line) bool {
+		return l.Event == "config-activated" && l.ConfigVersion >= version
+	})
+	return line.Time, err
+}
+
+// usage is the sum over all nodes.
+type usage struct {
+	control, cross uint64
+	cpu            float64 // seconds
+	rss            float64 // bytes
+	platform       map[string]int
+	at             time.Time
+}
+
+func (b *bench) usage(ctx context.Context) (u usage, err error) {
+	u.at = time.Now()
+	if u.platform, err = b.cluster.StoreCounts(ctx); err != nil {
+		return u, err
+	}
+	for _, n := range b.nodes {
+		var status admin.Status
+		if err := n.GetJSON(ctx, "/v1/status", &status); err != nil {
+			return u, err
+		}
+		u.control += status.Traffic.ControlBytesSent
+		u.cross += status.Traffic.CrossRegionBytesSent
+		cpu, rss, err := processUsage(n.PID())
+		if err != nil {
+			return u, err
+		}
+		u.cpu += cpu
+		u.rss += rss
+	}
+	return u, nil
+}
+
+// processUsage reads CPU seconds and resident bytes of a process.
+func processUsage(pid int) (cpu, rss float64, err error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	// The fields after the command name, which ends with the last parenthesis.
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	const userTime, systemTime, residentPages = 11, 12, 21
+	for _, i := range []int{userTime, systemTime} {
+		ticks, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			return 0, 0, err
+		}
+		cpu += ticks / clockTicks
+	}
+	pages, err := strconv.ParseFloat(fields[residentPages], 64)
+	return cpu, pages * float64(os.Getpagesize()), err
+}
+
+func (b *bench) measureIdle(ctx context.Context, m *sample) error {
+	before, err := b.usage(ctx)
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, b.idle); err != nil {
+		return err
+	}
+	after, err := b.usage(ctx)
+	if err != nil {
+		return err
+	}
+	seconds := after.at.Sub(before.at).Seconds()
+	nodes := float64(len(b.nodes))
+	m.IdleBytesPerNodeSecond = float64(after.control-before.control) / seconds / nodes
+	m.IdleCrossRegionBytesPerSecond = float64(after.cross-before.cross) / seconds
+	m.CPUPercent = 100 * (after.cpu - before.cpu) / seconds / nodes
+	m.RSSMegabytes = after.rss / nodes / 1e6
+	m.PlatformCalls = make(map[string]int)
+	total := 0
+	for kind, count := range after.platform {
+		if diff := count - before.platform[kind]; diff > 0 {
+			m.PlatformCalls[kind] = diff
+			total += diff
+		}
+	}
+	m.PlatformCallsPerSecond = float64(total) / seconds
+	return nil
+}
+
+func (b *bench) measureChanges(ctx context.Context, m *sample) error {
+	before, err := b.usage(ctx)
+	if err != nil {
+		return err
+	}
+	var times []time.Duration
+	for number := 1; number <= b.changes; number++ {
+		took, err := b.apply(ctx, number)
+		if err != nil {
+			return err
+		}
+		times = append(times, took)
+	}
+	after, err := b.usage(ctx)
+	if err != nil {
+		return err
+	}
+	slices.Sort(times)
+	at := func(p float64) int64 { return times[int(p*float64(len(times)-1)+0.5)].Milliseconds() }
+	m.ConvergenceP50Ms, m.ConvergenceP99Ms, m.ConvergenceMaxMs = at(0.5), at(0.99), at(1)
+	seconds := after.at.Sub(before.at).Seconds()
+	nodes, changes := float64(len(b.nodes)), float64(b.changes)
+	idle := m.IdleBytesPerNodeSecond * nodes * seconds
+	m.BytesPerChangeAndNode = max(0, float64(after.control-before.control)-idle) / changes / nodes
+	idleCross := m.IdleCrossRegionBytesPerSecond * seconds
+	m.CrossRegionBytesPerChange = max(0, float64(after.cross-before.cross)-idleCross) / changes
+	return nil
+}
