Check leases for leaked goroutines

Cause: calls to the platform run beside the lease's loop and must end with it. Change: goleak verifies the tests of pkg/lease.

--- a/pkg/lease/reducer_test.go
+++ b/pkg/lease/reducer_test.go
@@ -5,10 +5,13 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 const (
 	testDuration = 15 * time.Second
 	testRenew    = 5 * time.Second
