Refuse events after a loop ended; share one platform budget per node

Each role had a budget of its own, so that a node could send a multiple of it, and the rates of claims replaced the burst for configuration parts. Change: Submit looks at the end first; roles share one budgeted store; the rates of other kinds stay. Conclusion: a fault of the loop, not of the test.

--- a/pkg/node/compose.go
+++ b/pkg/node/compose.go
@@ -39,6 +39,7 @@
 	do.Provide(n.injector, n.newMetrics)
 	do.Provide(n.injector, n.newTransport)
 	do.Provide(n.injector, n.newStore)
+	do.Provide(n.injector, n.newBudgeted)
 	do.Provide(n.injector, n.newGossip)
 	do.Provide(n.injector, n.newMembership)
 	do.Provide(n.injector, n.newDistribution)
@@ -171,16 +172,17 @@
 // segmentRates are the rates of writes of claims by an owner of shards. A caller
 // waits for each write; 16 owners together stay within the several hundred
 // writes per second that the platform takes.
-var segmentRates = platform.Rates{WritesPerSecond: 20, ReadsPerSecond: 20, WriteBurst: 40, ReadBurst: 40}
+var segmentRates = platform.Rates{WritesPerSecond: 20, ReadsPerSecond: 20, WriteBurst: 40, ReadBurst: 200}
 
-// budgeted returns the platform as the roles of this node may use it.
-func (n *Node) budgeted(store platform.Store) platform.Store {
+// newBudgeted returns the platform as the roles of this node may use it. They
+// share one budget per kind of object.
+func (n *Node) newBudgeted(i do.Injector) (*platform.Budgeted, error) {
 	budget := platform.DefaultBudget()
 	budget.Default.WritesPerSecond = n.settings.Platform.WritesPerSecond
 	budget.Default.ReadsPerSecond = n.settings.Platform.ReadsPerSecond
 	budget.Watches = n.settings.Platform.Watches
-	budget.Kinds = map[platform.Kind]platform.Rates{platform.IdempotencySegment: segmentRates}
-	return platform.NewBudgeted(store, budget)
+	budget.Kinds[platform.IdempotencySegment] = segmentRates
+	return platform.NewBudgeted(do.MustInvoke[*platform.Counted](i), budget), nil
 }
 
 func (n *Node) newGossip(i do.Injector) (*gossip.Service, error) {
@@ -204,7 +206,7 @@
 
 func (n *Node) newDistribution(i do.Injector) (*distribution.Service, error) {
 	return distribution.New(distribution.Options{
-		Store: n.budgeted(do.MustInvoke[*platform.Counted](i)), Requester: do.MustInvoke[*transport.Transport](i),
+		Store: do.MustInvoke[*platform.Budgeted](i), Requester: do.MustInvoke[*transport.Transport](i),
 		Publisher: do.MustInvoke[*gossip.Service](i), Instance: n.settings.Instance, Region: n.settings.Region,
 		Timeline: do.MustInvoke[*timeline.Log](i), Logger: n.logger,
 		Peers: n.pullPeers, ReaderCandidate: n.readerCandidate, Contacts: n.contacts,
@@ -212,7 +214,7 @@
 }
 
 func (n *Node) newMoves(i do.Injector) (*move.Service, error) {
-	store := n.budgeted(do.MustInvoke[*platform.Counted](i))
+	store := do.MustInvoke[*platform.Budgeted](i)
 	return move.New(move.Options{
 		Instance: n.settings.Instance, Snapshot: n.snapshot, View: do.MustInvoke[*membership.Service](i).View,
 		Requester: do.MustInvoke[*transport.Transport](i), Publisher: do.MustInvoke[*gossip.Service](i),
@@ -224,14 +226,14 @@
 func (n *Node) newReports(i do.Injector) (*report.Service, error) {
 	return report.New(report.Options{
 		Instance: n.settings.Instance, Snapshot: n.snapshot, View: do.MustInvoke[*membership.Service](i).View,
-		Requester: do.MustInvoke[*transport.Transport](i), Store: n.budgeted(do.MustInvoke[*platform.Counted](i)),
+		Requester: do.MustInvoke[*transport.Transport](i), Store: do.MustInvoke[*platform.Budgeted](i),
 		Logger: n.logger,
 	}), nil
 }
 
 func (n *Node) newIdempotency(i do.Injector) (*idempotency.Service, error) {
 	return idempotency.New(idempotency.Options{
-		Store: n.budgeted(do.MustInvoke[*platform.Counted](i)), Requester: do.MustInvoke[*transport.Transport](i),
+		Store: do.MustInvoke[*platform.Budgeted](i), Requester: do.MustInvoke[*transport.Transport](i),
 		Owners: n.shardOwner, Logger: n.logger,
 	})
 }
--- a/pkg/reducer/loop.go
+++ b/pkg/reducer/loop.go
@@ -45,6 +45,13 @@
 // Submit queues an event. It waits while the inbox is full and returns false
 // once ctx or the loop has ended.
 func (l *Loop[E, F]) Submit(ctx context.Context, event E) bool {
+	// A select with several ready cases chooses any, so that an ended loop with
+	// room in its inbox would accept events that nobody applies.
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
 	select {
 	case l.inbox <- event:
 		return true
