--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -211,19 +211,6 @@
 // bootstrapRetry is the time between attempts to get a first configuration.
 const bootstrapRetry = time.Second
 
-// firstContacts returns the seeds of the settings, or the contacts in the
-// platform if there are none.
-func (n *Node) firstContacts(ctx context.Context) []string {
-	if len(n.settings.Seeds) != 0 {
-		return n.settings.Seeds
-	}
-	contacts, err := distribution.ReadContacts(ctx, n.store, n.settings.Region)
-	if err != nil {
-		n.logger.WithError(err).Warn("contacts in the platform cannot be read")
-	}
-	return contacts
-}
-
 // rebuildInterval bounds how late the ramp of cold targets and the end of
 // ejections show in the routing table.
 const rebuildInterval = time.Second
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -1,17 +1,22 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 	"github.com/samber/lo"
 
+	"github.com/azurespring/azurespring/pkg/distribution"
 	"github.com/azurespring/azurespring/pkg/gossip"
 	"github.com/azurespring/azurespring/pkg/membership"
+	"github.com/azurespring/azurespring/pkg/transport"
 )
 
 // Numbers of peers and contacts.
@@ -22,6 +27,45 @@
 	maxContacts = 20
 )
 
+// seedTimeout bounds the look whether a seed answers.
+const seedTimeout = 2 * time.Second
+
+// firstContacts returns the seeds of the settings and, if none of them answers,
+// the contacts in the platform. Reading those only then keeps a herd of joining
+// nodes from the platform.
+func (n *Node) firstContacts(ctx context.Context) []string {
+	seeds := slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(a string) bool { return a == n.addresses.Node })
+	if n.anyAnswers(ctx, seeds) {
+		return n.settings.Seeds
+	}
+	contacts, err := distribution.ReadContacts(ctx, n.store, n.settings.Region)
+	if err != nil {
+		n.logger.WithError(err).Warn("contacts in the platform cannot be read")
+	}
+	return lo.Uniq(append(slices.Clone(n.settings.Seeds), contacts...))
+}
+
+// anyAnswers reports whether a node answers at one of the addresses, be it with
+// an error.
+func (n *Node) anyAnswers(ctx context.Context, addresses []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	answers := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			_, err := n.transport.Request(ctx, address, transport.KindDistribution, nil)
+			var remote *transport.RemoteError
+			answers <- err == nil || errors.As(err, &remote)
+		}()
+	}
+	for range addresses {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 // pullPeers returns the neighbours to pull configuration from. Connections to
 // them exist already, and those of this region cost no bytes between regions.
 // Gateways also ask the other regions now and then, so that a region gets a new
--- a/test/integration/partition_test.go
+++ b/test/integration/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +106,36 @@
 	result := stop()
 	assertTruthful(t, result, c.runs(result, target))
 }
+
+// Guards against a node that starts a fleet of its own because none of its seeds
+// lives any more: the platform's contacts lead it to the fleet.
+func TestJoinByContactsWhenSeedsAreGone(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	c := newCluster(t, ctx)
+	first := c.node("r1", "d1")
+	second := c.node("r1", "d2")
+	c.target(second, stock("1"))
+	c.apply(first, 0, lists{version: "1"})
+	c.awaitTargets(1, first, second)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		counts, err := c.StoreCounts(ctx)
+		if err != nil {
+			return poll.Error(err)
+		}
+		for kind := range counts {
+			if strings.Contains(kind, "contacts") && strings.HasPrefix(kind, "create") {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no contacts are stored yet: %v", counts)
+	}, poll.WithTimeout(pollTimeout), poll.WithDelay(100*time.Millisecond))
+	first.Kill()
+
+	late, err := c.StartNode(ctx, testcluster.NodeOptions{
+		Region: "r1", FailureDomain: "d3", Seeds: []string{first.Address},
+	})
+	assert.NilError(t, err)
+	c.awaitTargets(1, late)
+	c.awaitVersion(1, late)
+}
