Check for leaked goroutines and for traces of failed calls

Cause: neither was tested. Change: TestMain of pkg/proxy looks for goroutines that are left; a test reads the time lines of both nodes.

--- a/pkg/proxy/flow_test.go
+++ b/pkg/proxy/flow_test.go
@@ -252,3 +252,26 @@
 		assert.Equal(t, calls[1].Verdict, verdict.MayHaveRun)
 	}
 }
+
+// Guards against failures that leave no trace under their request id on one of
+// the nodes, and against a trace of each good call, which would cost too much.
+func TestFailuresAreOnTheTimelineOfBothNodes(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.nodes[0].target(testtarget.Options{}, testtarget.Behavior{})
+	for id, path := range map[string]string{"good": "/look", "bad": "/pay"} {
+		f.nodes[1].do("GET", path, nil, headerRequestID, id, testtarget.HeaderCut, map[string]string{"bad": "header"}[id])
+	}
+	waitFor(t, "the target side has reported", func() bool { return f.nodes[0].side.InFlight() == 0 })
+	for n, want := range map[*node]string{
+		f.nodes[0]: "bad call-served target-failed may-have-run\n",
+		f.nodes[1]: "bad call-try target-failed may-have-run\nbad call-verdict target-failed may-have-run\n",
+	} {
+		got := ""
+		for _, event := range n.timeline.Events() {
+			got += strings.Join([]string{
+				event.RequestID, string(event.Kind), event.Fields["code"], event.Fields["verdict"],
+			}, " ") + "\n"
+		}
+		assert.Equal(t, got, want)
+	}
+}
--- a/pkg/proxy/harness_test.go
+++ b/pkg/proxy/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/azurespring/azurespring/pkg/observation"
 	"github.com/azurespring/azurespring/pkg/quarantine"
 	"github.com/azurespring/azurespring/pkg/routing"
+	"github.com/azurespring/azurespring/pkg/timeline"
 	"github.com/azurespring/azurespring/pkg/transport"
 )
 
@@ -44,9 +45,10 @@
 
 // node is an entry and a target side with listeners.
 type node struct {
-	fleet *fleet
-	name  string
-	side  *TargetSide
+	fleet    *fleet
+	name     string
+	side     *TargetSide
+	timeline *timeline.Log
 	// quarantine is not connected to that of other nodes.
 	quarantine *quarantine.Registry
 	entry      *Entry
@@ -162,6 +164,7 @@
 	quic, err := transport.Listen(transport.Options{Address: "127.0.0.1:0", TLS: source})
 	assert.NilError(f.t, err)
 	n := &node{
+		timeline:   timeline.NewLog(timeline.NewClock(time.Now), timeline.Origin{Instance: name}, nil),
 		quarantine: quarantine.New(nil, nil, nil), fleet: f, name: name, quic: quic, targets: make(map[string]membership.Target),
 	}
 	index := len(f.nodes)
@@ -174,7 +177,7 @@
 		},
 		Snapshot: func() *dynamic.Snapshot { return cmp.Or(n.newer.Load(), f.snapshot) },
 		Calls:    opener{CallOpener: quic, fleet: f}, Observer: n, Quarantine: n.quarantine,
-		Claimer: f.claimer,
+		Claimer: f.claimer, Timeline: n.timeline,
 	}
 	n.side = NewTargetSide(deps)
 	n.side.progress = cmp.Or(f.progress, progressTimeout)
--- /dev/null
+++ b/pkg/proxy/leak_test.go
@@ -0,0 +1,21 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against goroutines that outlive their calls, nodes or targets.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Println(err)
+		code = 1
+	}
+	os.Exit(code)
+}
