Keep the frame reader from reuse while a body may still be read

Cause: found by reading. RoundTrip returns when the target answers, and net/http may go on reading the request's body; the target side then gave its frame reader back to the pool, where another call could get it. Change: only readers of whole bodies go back to the pool; a test with targets that answer early and bodies that are echoed.

--- a/pkg/proxy/stream_test.go
+++ b/pkg/proxy/stream_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -56,3 +58,24 @@
 	}
 	assert.Equal(t, open.Load(), int64(0))
 }
+
+// Guards against state of a call that is reused while net/http still reads the
+// call's body, which mixes the bodies of different calls: a target may answer
+// before it has read the request.
+func TestEarlyAnswersDoNotMixBodies(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.nodes[0].target(testtarget.Options{Slots: 64}, testtarget.Behavior{ShedEvery: 2})
+	var wg sync.WaitGroup
+	for worker := range 8 {
+		wg.Go(func() {
+			for range 20 {
+				text := strings.Repeat(string(rune('a'+worker)), 200_000)
+				r := f.nodes[1].do("POST", "/pay", io.MultiReader(strings.NewReader(text)), testtarget.HeaderEcho, "1")
+				if r.err == nil && r.StatusCode == http.StatusOK && r.body != text {
+					t.Errorf("worker %d got %d bytes that are not its own", worker, len(r.body))
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/pkg/proxy/target.go
+++ b/pkg/proxy/target.go
@@ -131,7 +131,6 @@
 	growStack(0)
 	_ = stream.SetDeadline(s.deps.Now().Add(headTimeout))
 	reader := newFrameReader(stream)
-	defer reader.release()
 	head := new(callHead)
 	if err := reader.head(frameCall, head); err != nil {
 		stream.Cancel()
@@ -146,6 +145,11 @@
 	out := &streamAnswer{stream: stream, buffer: newFrameBuffer()}
 	defer out.buffer.release()
 	load, failure := s.receiveBody(callCtx, request, reader, out)
+	if request.isWhole {
+		// Otherwise net/http may still read the body: a target may answer before its
+		// end, and RoundTrip does not wait for the request to be sent.
+		reader.release()
+	}
 	if failure != nil {
 		// The frames that were collected but not sent are dropped: the failure
 		// replaces what is still due.
