Add make bench and make fuzz

Cause: measurements and fuzz targets had no single command. Change: make bench runs the fleet of processes, the moves in virtual time and the benchmarks; make fuzz runs each fuzz target for FUZZTIME. Before/after: none.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,18 @@
 demo: build
 	$(GO) run ./test/demo -bin bin
 
-# Runs the measurements of docs/measurements.md.
-bench:
-	$(GO) run ./test/bench
+# Runs the measurements of docs/measurements.md; JSON reports go to out/.
+bench: build
+	$(GO) run ./test/bench/report -bin bin -json out/bench.json
+	$(GO) run ./test/bench/moves -json out/moves.json
+	$(GO) test -run '^$$' -bench . -benchtime 1x ./test/bench ./pkg/distribution ./pkg/admission
+	$(GO) test -run '^$$' -bench . ./pkg/proxy ./pkg/routing
+
+# Runs each fuzz target for a short time.
+FUZZTIME ?= 10s
+fuzz:
+	@grep -rl '^func Fuzz' --include='*_test.go' pkg | while read -r file; do \
+		for target in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' "$$file"); do \
+			$(GO) test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) "./$$(dirname "$$file")" || exit 1; \
+		done; \
+	done
