--- a/test/bench/loopback_test.go
+++ b/test/bench/loopback_test.go
@@ -30,9 +30,9 @@
 	members   *membership.Service
 }
 
-func startLoopback(b *testing.B, ctx context.Context, authority *testcerts.Authority, i int) *loopbackNode {
+// startTransport returns a transport that is closed at the end of the benchmark.
+func startTransport(b *testing.B, authority *testcerts.Authority, instance string) *transport.Transport {
 	b.Helper()
-	instance := fmt.Sprintf("n%02d", i)
 	files, err := authority.Write(b.TempDir(), instance)
 	if err != nil {
 		b.Fatal(err)
@@ -45,6 +45,18 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	b.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = tr.Close(ctx)
+	})
+	return tr
+}
+
+func startLoopback(b *testing.B, ctx context.Context, authority *testcerts.Authority, i int) *loopbackNode {
+	b.Helper()
+	instance := fmt.Sprintf("n%02d", i)
+	tr := startTransport(b, authority, instance)
 	g := gossip.New(gossip.Options{Address: tr.Address(), Messenger: tr, Seed: uint64(i)})
 	m := membership.New(membership.Options{
 		Self: membership.Member{
