Leave the edges of common outages out of the tests

Cause: nodes number their periods up to a second apart. With the new version's nodes one period behind, the begin and end of a common outage counted against it; after a late report a recheck was judged by the evidence from before it. Change: periods in and beside which the old version shows an outage are no evidence; a recheck leaves out the time in which the share spreads, and keeps its restart after a late report; a finding recurs within 15 s or 300 calls.

--- a/pkg/move/decider.go
+++ b/pkg/move/decider.go
@@ -11,6 +11,9 @@
 const (
 	// lagPeriods is how long the decider waits for all reports of a period.
 	lagPeriods = 3
+	// spreadPeriods is the time in which a new share reaches all nodes. Without old
+	// calls in it, a common outage would count against the new version alone.
+	spreadPeriods = 2
 	// silentPeriods is the time without reports after which a node is silent, as
 	// in a partition. A step is not carried on what a minority reports.
 	silentPeriods = 10
@@ -173,7 +176,7 @@
 	if !d.role.Deciding || d.wanted.To == "" {
 		return
 	}
-	if earliest := d.ledger.add(r, periodOf(now)); earliest > 0 && earliest <= d.cur.through {
+	if earliest := d.ledger.add(r, periodOf(now)); earliest > 0 && earliest <= d.cur.through+1 {
 		d.replay()
 	}
 }
@@ -185,13 +188,14 @@
 	for d.cur.through < through {
 		d.cur.fold(d.ledger, d.wanted.From, d.wanted.To, d.marks)
 	}
+	d.cur.applyAll(d.marks)
 }
 
-// advance folds the periods that are complete or overdue.
+// advance folds the periods that are complete or overdue, with the one after.
 func (d *Decider) advance(now time.Time) {
 	current := periodOf(now)
 	for next := d.cur.through + 1; next < current; next++ {
-		if current-next <= lagPeriods && !d.ledger.complete(next, d.capacity.Reporters) {
+		if current-next <= lagPeriods && !d.ledger.complete(next+1, d.capacity.Reporters) {
 			break
 		}
 		d.cur.fold(d.ledger, d.wanted.From, d.wanted.To, d.marks)
@@ -199,7 +203,7 @@
 	for d.base.through < d.cur.through-ringPeriods {
 		d.base.fold(d.ledger, d.wanted.From, d.wanted.To, d.marks)
 	}
-	d.ledger.drop(d.base.through)
+	d.ledger.drop(d.base.through - 1)
 	d.marks = slices.DeleteFunc(d.marks, func(m mark) bool { return m.period < d.base.through })
 }
 
@@ -259,7 +263,11 @@
 func (d *Decider) move(now time.Time, s State, step int, kind timeline.Kind, reason string) []Effect {
 	s.Step, s.Share, s.Entered, s.Held, s.Reason = step, d.share(step), now, false, reason
 	last := step == len(Steps)-1
-	d.mark(mark{period: d.cur.through, restart: step < d.state.Step, last: last})
+	m := mark{period: d.cur.through, last: last}
+	if step < d.state.Step {
+		m.restart, m.skip = true, periodOf(now)+spreadPeriods
+	}
+	d.mark(m)
 	d.enter(now)
 	return d.publish(now, s, kind)
 }
--- a/pkg/move/evidence.go
+++ b/pkg/move/evidence.go
@@ -164,6 +164,18 @@
 	old, new          Counts
 }
 
+// around sums a version's calls in a period and those beside it.
+func (l *ledger) around(period int64, version string) (sum Counts) {
+	for beside := period - 1; beside <= period+1; beside++ {
+		for key, line := range l.periods[beside] {
+			if key.version == version {
+				sum = sum.plus(line.Counts)
+			}
+		}
+	}
+	return sum
+}
+
 // heard counts the reporters whose reports reach up to period.
 func (l *ledger) heard(period int64, reporters []string) (n int) {
 	for _, reporter := range reporters {
--- a/pkg/move/schedule.go
+++ b/pkg/move/schedule.go
@@ -46,7 +46,7 @@
 	// recurrenceTime or recurrenceCalls after a recheck recurs for the same cause;
 	// outages are minutes apart.
 	maxRechecks     = 3
-	recurrenceTime  = time.Minute
+	recurrenceTime  = 15 * time.Second
 	recurrenceCalls = 300
 	// minOutageFailures is the number of failures of the old version in a recheck
 	// that shows a common outage.
--- a/pkg/move/sequential.go
+++ b/pkg/move/sequential.go
@@ -41,6 +41,12 @@
 	blockCap = 0.6
 	// minOldRate is the lowest failure rate assumed of the old version.
 	minOldRate = 0.002
+	// outageFailures and outageRate of the old version are a common outage if the
+	// rate is also outageFactor times its usual rate, or above outageMostUsual.
+	outageFailures  = 2
+	outageRate      = 0.1
+	outageFactor    = 5
+	outageMostUsual = 0.5
 	// crashExcess is the number of crashes above the old version's that judges a
 	// version bad. Two may come from one request that crashes each target that
 	// runs it, before it is quarantined.
@@ -87,9 +93,14 @@
 	pending  block
 }
 
-func (t *tracker) add(p pair, pooledOld Counts, kinds int, last bool) {
+// count adds calls that are no evidence for the tests.
+func (t *tracker) count(p pair) {
 	t.evidence.Old = t.evidence.Old.plus(p.old)
 	t.evidence.New = t.evidence.New.plus(p.new)
+}
+
+func (t *tracker) add(p pair, pooledOld Counts, kinds int, last bool) {
+	t.count(p)
 	t.pending.old = t.pending.old.plus(p.old)
 	t.pending.new = t.pending.new.plus(p.new)
 	if t.pending.new.bad0() > 0 {
@@ -199,6 +210,8 @@
 	last bool
 	// busy is the moving average of occupied slots.
 	busy float64
+	// skip is the last period that the tests leave out.
+	skip int64
 }
 
 // mark changes the tests after a period.
@@ -208,6 +221,9 @@
 	// no block spans two shares.
 	restart bool
 	last    bool
+	// skip is the last period that the tests leave out, because the share of the
+	// step before may still be in force at some nodes.
+	skip int64
 }
 
 func newAssessment(s State) *assessment {
@@ -238,11 +254,7 @@
 
 // fold adds period through+1.
 func (a *assessment) fold(l *ledger, from, to string, marks []mark) {
-	for _, m := range marks {
-		if m.period == a.through {
-			a.apply(m)
-		}
-	}
+	a.applyAll(marks)
 	a.through++
 	pairs := l.pairs(a.through, from, to)
 	var pooled pair
@@ -256,10 +268,17 @@
 	for _, p := range pairs {
 		by[p.route] = p
 	}
-	for route, t := range a.routes {
-		t.add(by[route], pooled.old, a.kinds(), a.last)
+	if a.through <= a.skip || a.outage(l.around(a.through, from)) {
+		for route, t := range a.routes {
+			t.count(by[route])
+		}
+		a.pool.count(pooled)
+	} else {
+		for route, t := range a.routes {
+			t.add(by[route], pooled.old, a.kinds(), a.last)
+		}
+		a.pool.add(pooled, pooled.old, a.kinds(), a.last)
 	}
-	a.pool.add(pooled, pooled.old, a.kinds(), a.last)
 	a.average(float64(pooled.old.BusyMillis+pooled.new.BusyMillis) / float64(Period.Milliseconds()))
 	if ofOld, ofNew := l.crashes(a.through, from, to); ofOld+ofNew > 0 {
 		a.crashes = append(a.crashes, crash{a.through, ofOld, ofNew})
@@ -267,6 +286,14 @@
 	a.crashes = slices.DeleteFunc(a.crashes, func(c crash) bool { return c.period <= a.through-crashPeriods })
 }
 
+// outage reports whether the old version's calls in and beside a period show a
+// common outage. Nodes number their periods a second apart at most, so that at
+// the begin and end of an outage only one version may seem to fail.
+func (a *assessment) outage(old Counts) bool {
+	usual := min(outageMostUsual, outageFactor*badRate(a.pool.evidence.Old))
+	return old.bad0() >= outageFailures && badRate(old) >= max(outageRate, usual)
+}
+
 func (a *assessment) average(busy float64) {
 	if a.busy == 0 {
 		a.busy = busy
@@ -274,6 +301,15 @@
 	a.busy += (busy - a.busy) / busyPeriods
 }
 
+// applyAll applies the marks after the last folded period.
+func (a *assessment) applyAll(marks []mark) {
+	for _, m := range marks {
+		if m.period == a.through {
+			a.apply(m)
+		}
+	}
+}
+
 func (a *assessment) apply(m mark) {
 	for _, t := range a.all() {
 		if m.restart {
@@ -283,6 +319,7 @@
 		}
 	}
 	a.last = m.last
+	a.skip = max(a.skip, m.skip)
 }
 
 // all returns the trackers in a fixed order, the pool first.
--- a/test/bench/moves/cases.go
+++ b/test/bench/moves/cases.go
@@ -68,6 +68,9 @@
 // outage is 20 s of common failures every 4 min.
 func outage(m moment) bool { return m.since%(4*time.Minute) > 220*time.Second }
 
+// blink is 3 s of common failures every 90 s.
+func blink(m moment) bool { return m.since%(90*time.Second) > 86*time.Second }
+
 // warmup is the time that the new targets announce for their cold start.
 const warmup = 30 * time.Second
 
@@ -80,6 +83,7 @@
 var cases = []testCase{
 	{name: "good", new: healthy},
 	{name: "good, common outages", old: plus(odds{failed: 0.6}, outage), new: plus(odds{failed: 0.6}, outage)},
+	{name: "good, total outages of 3 s", old: plus(odds{failed: 1}, blink), new: plus(odds{failed: 1}, blink)},
 	{name: "good, noise of 3%", old: plus(odds{failed: 0.02, slow: 0.01}, always), new: plus(odds{failed: 0.02, slow: 0.01}, always)},
 	{name: "good, a fifth of traffic", traffic: 0.2, new: healthy},
 	{name: "good, cold start", new: plus(odds{slow: 0.5}, cold)},
