--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# Integration tests build the programs themselves, which the test cache does not
+# see; -count=1 keeps it from answering with results of older programs.
 test:
-	$(GO) test -timeout 15m ./...
+	$(GO) test -count=1 -timeout 15m ./...
 
 lint:
 	@unformatted="$$($(GO) tool gofumpt -l .)"; if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
--- a/test/bench/report/measure.go
+++ b/test/bench/report/measure.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 
 	"github.com/azurespring/azurespring/internal/testcluster"
 	"github.com/azurespring/azurespring/pkg/admin"
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
 )
 
 // sample is what one fleet size gave. Convergence runs from the moment before
@@ -39,6 +41,8 @@
 	settleTime = 30 * time.Second
 	regions    = 3
 	domains    = 6
+	slots      = 18
+	baseRate   = 400 // calls per second
 	// clockTicks is the unit of CPU times in /proc, fixed at 100 on Linux.
 	clockTicks = 100
 )
@@ -72,7 +76,10 @@
 }
 
 func (b *bench) start(ctx context.Context, size int) error {
-	services := []string{"stock 3.2.0", "hires 1.9.4", "drawings 2.0.1", "prices 7.1.0"}
+	services, err := b.services()
+	if err != nil {
+		return err
+	}
 	for i := range size {
 		n, err := b.cluster.StartNode(ctx, testcluster.NodeOptions{
 			Region: fmt.Sprintf("r%d", i%regions+1), FailureDomain: fmt.Sprintf("d%d", i%domains+1), Seeds: b.seeds(),
@@ -81,8 +88,9 @@
 			return err
 		}
 		b.nodes = append(b.nodes, n)
-		name, version, _ := strings.Cut(services[i%len(services)], " ")
-		if _, err := b.cluster.StartTarget(ctx, n, testcluster.TargetOptions{Service: name, Version: version, Slots: 18}); err != nil {
+		service := services[i%len(services)]
+		target := testcluster.TargetOptions{Service: service.Name, Version: service.Version, Slots: slots}
+		if _, err := b.cluster.StartTarget(ctx, n, target); err != nil {
 			return err
 		}
 	}
@@ -92,6 +100,26 @@
 	return sleep(ctx, settleTime)
 }
 
+// services returns the services of the lists.
+func (b *bench) services() ([]dynamic.Service, error) {
+	var files []dynamic.File
+	for _, name := range listFiles {
+		data, err := os.ReadFile(filepath.Join(b.lists, name))
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, dynamic.File{Name: name, Data: data})
+	}
+	config, err := dynamic.Parse(files...)
+	return config.Services, err
+}
+
+// listFiles are the names of the lists in the directory of a deployment.
+var listFiles = []string{"customers.yaml", "entitlements.yaml"}
+
+// firstRate is the first limit of a plan, which each change replaces.
+var firstRate = regexp.MustCompile(`ratePerSecond: [0-9]+`)
+
 // seeds returns up to three of the first nodes, as settings would name them.
 func (b *bench) seeds() []string {
 	seeds := []string{}
@@ -114,12 +142,14 @@
 // was in force on all nodes.
 func (b *bench) apply(ctx context.Context, number int) (time.Duration, error) {
 	files := make([]string, 0, 2)
-	for _, name := range []string{"customers.yaml", "entitlements.yaml"} {
+	for _, name := range listFiles {
 		data, err := os.ReadFile(filepath.Join(b.lists, name))
 		if err != nil {
 			return 0, err
 		}
-		data = bytes.Replace(data, []byte("ratePerSecond: 400"), fmt.Appendf(nil, "ratePerSecond: %d", 400+number), 1)
+		if at := firstRate.FindIndex(data); at != nil {
+			data = slices.Concat(data[:at[0]], fmt.Appendf(nil, "ratePerSecond: %d", baseRate+number), data[at[1]:])
+		}
 		path := filepath.Join(b.dir, name)
 		if err := os.WriteFile(path, data, 0o600); err != nil {
 			return 0, err
