--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -68,6 +68,8 @@
 	Key      string
 	Started  time.Time
 	Attempts []Attempt
+	// Interrupted is set if the run was ended during the call.
+	Interrupted bool
 }
 
 // Last returns the newest attempt.
@@ -167,6 +169,7 @@
 			return
 		}
 		call := g.call(ctx, int(number))
+		call.Interrupted = ctx.Err() != nil && !call.Last().OK()
 		g.mu.Lock()
 		g.calls = append(g.calls, call)
 		g.mu.Unlock()
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -200,7 +200,7 @@
 	}
 	switch err.Code {
 	case verdict.Overloaded, verdict.DeadlineUnreachable, verdict.Draining, verdict.NoTarget, verdict.TargetShed,
-		verdict.TargetUnreachable, verdict.TargetFailed, verdict.TargetCrashed, verdict.AnswerCut:
+		verdict.TargetFailed, verdict.TargetCrashed, verdict.AnswerCut:
 	default:
 		return false
 	}
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -58,7 +58,6 @@
 	KeyInUse            Code = "key-in-use"
 	KeyStoreUnavailable Code = "key-store-unavailable"
 	TargetShed          Code = "target-shed"
-	TargetUnreachable   Code = "target-unreachable"
 	TargetFailed        Code = "target-failed"
 	TargetCrashed       Code = "target-crashed"
 	AnswerCut           Code = "answer-cut"
@@ -87,7 +86,6 @@
 	KeyInUse:            http.StatusConflict,
 	KeyStoreUnavailable: http.StatusServiceUnavailable,
 	TargetShed:          http.StatusServiceUnavailable,
-	TargetUnreachable:   http.StatusServiceUnavailable,
 	TargetFailed:        http.StatusBadGateway,
 	TargetCrashed:       http.StatusBadGateway,
 	AnswerCut:           http.StatusBadGateway,
--- a/test/demo/move.go
+++ b/test/demo/move.go
@@ -139,7 +139,7 @@
 	stop()
 	group.Wait()
 	for _, call := range result.Calls {
-		if !call.Last().OK() && call.Last().Err != nil && ctx.Err() == nil && time.Since(call.Started) > 2*time.Second {
+		if call.Last().Err != nil && !call.Interrupted {
 			d.summary.CutByStop++
 		}
 	}
