Name the status store of moves by its job; wait for members in the demo

Cause: the names keeper and pulse said nothing of their job. The demo applied its lists before the first node knew the others, so that apply -wait once waited for 1 node of 12. Change: statusStore and runPeriod; the demo waits for the member table. Conclusion: no change of behavior in the product.

--- a/pkg/move/pulse.go
+++ b/pkg/move/period.go
@@ -82,8 +82,8 @@
 	return rendezvous.New(reporters, xxhash.Sum64String).Lookup("move-" + service)
 }
 
-// pulse is the work of one period.
-func (s *Service) pulse(ctx context.Context, now time.Time) {
+// runPeriod counts, reports and decides for one period.
+func (s *Service) runPeriod(ctx context.Context, now time.Time) {
 	snapshot, view := s.options.Snapshot(), s.options.View()
 	if snapshot == nil || view == nil {
 		return
@@ -124,7 +124,7 @@
 	s.loop.Submit(ctx, Event{Service: service.Name, Role: &role})
 	s.roles.accept(service.Name)
 	if began {
-		s.keeper.load(service.Name, func(r Restored) {
+		s.statusStore.load(service.Name, func(r Restored) {
 			s.loop.Submit(ctx, Event{Service: service.Name, Restored: &r})
 		})
 	}
--- a/pkg/move/service.go
+++ b/pkg/move/service.go
@@ -57,7 +57,7 @@
 	options     Options
 	reporter    *reporter
 	loop        *reducer.Loop[Event, Effect]
-	keeper      *keeper
+	statusStore *statusStore
 	incarnation uint64
 
 	mu        sync.Mutex
@@ -72,7 +72,7 @@
 	// merged are states from gossip that the reducer does not know yet. Gossip may
 	// call from within Publish, where waiting for the loop would block it.
 	merged []State
-	guards map[string]*guarded // by service; only for pulse
+	guards map[string]*guarded // by service; only for runPeriod
 }
 
 // New returns a service that is not yet running.
@@ -89,7 +89,7 @@
 		incarnation: uint64(options.Now().UnixNano()),
 	}
 	s.roles = newRoles(options.Leases, s.fence)
-	s.keeper = newKeeper(options.Store, options.Now)
+	s.statusStore = newStatusStore(options.Store, options.Now)
 	s.shares.Store(&Shares{})
 	s.loop = reducer.NewLoop(NewGroup(options.Instance), reducer.ExecutorFunc[Effect](s.execute),
 		reducer.Options[Event]{Now: options.Now, Recorder: options.Recorder})
@@ -202,7 +202,7 @@
 		if payload, err := Encode(*state); err == nil {
 			s.options.Publisher.Publish(gossip.Item{Topic: gossip.Moves, Key: state.Key(), Payload: payload})
 		}
-		s.keeper.put(*state)
+		s.statusStore.put(*state)
 	}
 	if effect.Timeline != nil {
 		s.options.Timeline.Record(*effect.Timeline)
@@ -236,7 +236,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { s.loop.Run(ctx) })
 	group.Go(func() { s.roles.run(ctx) })
-	group.Go(func() { s.keeper.run(ctx) })
+	group.Go(func() { s.statusStore.run(ctx) })
 	ticker := time.NewTicker(Period)
 	defer ticker.Stop()
 	for {
@@ -245,7 +245,7 @@
 			group.Wait()
 			return ctx.Err()
 		case <-ticker.C:
-			s.pulse(ctx, s.options.Now())
+			s.runPeriod(ctx, s.options.Now())
 		}
 	}
 }
--- a/pkg/move/service_test.go
+++ b/pkg/move/service_test.go
@@ -161,9 +161,9 @@
 	c.mu.Unlock()
 	for _, m := range c.members {
 		if n := c.nodes[m.Instance]; n != nil {
-			n.pulse(context.Background(), c.clock())
+			n.runPeriod(context.Background(), c.clock())
 			if n.options.Store != nil {
-				n.keeper.work(context.Background())
+				n.statusStore.work(context.Background())
 			}
 			n.settle()
 		}
@@ -285,9 +285,9 @@
 
 // Guards against a status that is lost in an outage, that spends the platform's
 // writes, or that an older state overwrites.
-func TestKeeperWritesWithinBudget(t *testing.T) {
+func TestStatusIsWrittenWithinBudget(t *testing.T) {
 	now, store := epoch, memorystore.New()
-	a, b := newKeeper(store, func() time.Time { return now }), newKeeper(store, func() time.Time { return now })
+	a, b := newStatusStore(store, func() time.Time { return now }), newStatusStore(store, func() time.Time { return now })
 	store.SetDown(true)
 	for i := range 600 {
 		now = now.Add(time.Second)
--- a/pkg/move/keeper.go
+++ b/pkg/move/status_store.go
@@ -17,8 +17,8 @@
 const (
 	// writeInterval is the shortest time between writes of one service's status.
 	writeInterval = 10 * time.Second
-	// keeperInterval is the time between attempts to write what is due.
-	keeperInterval = time.Second
+	// statusInterval is the time between attempts to write what is due.
+	statusInterval = time.Second
 	// keptStates is the number of moves of a service that its status remembers, so
 	// that a version that was taken back stays so after all nodes are replaced.
 	keptStates = 16
@@ -31,8 +31,8 @@
 	States []State `cbor:"1,keyasint"`
 }
 
-// keeper reads and writes MoveStatus within a small budget.
-type keeper struct {
+// statusStore reads and writes MoveStatus within a small budget.
+type statusStore struct {
 	store platform.Store
 	now   func() time.Time
 
@@ -42,15 +42,15 @@
 	loads   map[string]func(Restored)
 }
 
-func newKeeper(store platform.Store, now func() time.Time) *keeper {
-	return &keeper{
+func newStatusStore(store platform.Store, now func() time.Time) *statusStore {
+	return &statusStore{
 		store: store, now: now, dirty: map[string]map[string]State{},
 		written: map[string]time.Time{}, loads: map[string]func(Restored){},
 	}
 }
 
 // put notes a state to be written.
-func (k *keeper) put(s State) {
+func (k *statusStore) put(s State) {
 	if k.store == nil {
 		return
 	}
@@ -66,7 +66,7 @@
 
 // load asks for the kept states of a service and repeats until the platform
 // answers.
-func (k *keeper) load(service string, done func(Restored)) {
+func (k *statusStore) load(service string, done func(Restored)) {
 	if k.store == nil {
 		done(Restored{Known: true})
 		return
@@ -76,11 +76,11 @@
 	k.loads[service] = done
 }
 
-func (k *keeper) run(ctx context.Context) {
+func (k *statusStore) run(ctx context.Context) {
 	if k.store == nil {
 		return
 	}
-	ticker := time.NewTicker(keeperInterval)
+	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
 	for {
 		k.work(ctx)
@@ -92,7 +92,7 @@
 	}
 }
 
-func (k *keeper) work(ctx context.Context) {
+func (k *statusStore) work(ctx context.Context) {
 	k.mu.Lock()
 	loads := maps.Clone(k.loads)
 	k.mu.Unlock()
@@ -104,7 +104,7 @@
 	}
 }
 
-func (k *keeper) answer(ctx context.Context, service string, done func(Restored)) {
+func (k *statusStore) answer(ctx context.Context, service string, done func(Restored)) {
 	_, status, err := k.read(ctx, service)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return
@@ -116,7 +116,7 @@
 }
 
 // due returns the services to be written. A final state is written at once.
-func (k *keeper) due() []string {
+func (k *statusStore) due() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var services []string
@@ -124,7 +124,7 @@
 		final := slices.ContainsFunc(slices.Collect(maps.Values(states)), func(s State) bool { return s.Phase != Running })
 		wait := writeInterval
 		if final {
-			wait = keeperInterval
+			wait = statusInterval
 		}
 		if len(states) > 0 && k.now().Sub(k.written[service]) >= wait {
 			services = append(services, service)
@@ -133,7 +133,7 @@
 	return services
 }
 
-func (k *keeper) read(ctx context.Context, service string) (platform.Object, Status, error) {
+func (k *statusStore) read(ctx context.Context, service string) (platform.Object, Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	object, err := k.store.Get(ctx, platform.MoveStatus, service)
@@ -150,7 +150,7 @@
 
 // write merges the noted states into the object. A conflict or a lost reply is
 // answered by reading again at the next attempt.
-func (k *keeper) write(ctx context.Context, service string) {
+func (k *statusStore) write(ctx context.Context, service string) {
 	k.mu.Lock()
 	states := maps.Clone(k.dirty[service])
 	k.written[service] = k.now()
@@ -178,7 +178,7 @@
 }
 
 // clean drops the noted states that were written and not replaced since.
-func (k *keeper) clean(service string, written map[string]State) {
+func (k *statusStore) clean(service string, written map[string]State) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for to, s := range written {
--- a/test/demo/demo.go
+++ b/test/demo/demo.go
@@ -135,7 +135,26 @@
 			return err
 		}
 	}
-	return nil
+	return d.awaitMembers(ctx)
+}
+
+// awaitMembers waits until the first node knows all others. Nodes are ready as
+// soon as they have joined; their records spread a moment later.
+func (d *demo) awaitMembers(ctx context.Context) error {
+	for {
+		var members []struct{}
+		if err := d.nodes[0].GetJSON(ctx, "/v1/members", &members); err != nil {
+			return err
+		}
+		if len(members) == len(d.nodes) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Errorf("the first node knows %d of %d nodes", len(members), len(d.nodes))
+		case <-time.After(settle):
+		}
+	}
 }
 
 func (d *demo) startTarget(ctx context.Context, n *testcluster.Node, service, version string, extra ...string) error {
