Keep joining nodes from taking roles; ask seeds first; measure herds

Cause: a node that joined knew only itself for a moment, took itself for the reader and for the owner of all 16 shards of keys, and read them; with most members dead it asked dead peers first for the configuration.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -69,6 +69,8 @@
 	started time.Time
 	servers *servers
 	ready   atomic.Bool
+	// fleetAnswers is set if a seed answered before the node joined.
+	fleetAnswers bool
 	// addresses are the addresses that were bound.
 	addresses Addresses
 }
@@ -192,6 +194,7 @@
 	if err := n.membership.Join(ctx, n.firstContacts(ctx)); err != nil {
 		return eris.Wrap(err, "join the fleet")
 	}
+	n.awaitView(ctx)
 	n.timeline.Record(timeline.Event{Kind: eventJoined})
 	for {
 		err := n.distribution.Bootstrap(ctx, n.bootstrapPeers())
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -35,7 +35,7 @@
 // nodes from the platform.
 func (n *Node) firstContacts(ctx context.Context) []string {
 	seeds := slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(a string) bool { return a == n.addresses.Node })
-	if n.anyAnswers(ctx, seeds) {
+	if n.fleetAnswers = n.anyAnswers(ctx, seeds); n.fleetAnswers {
 		return n.settings.Seeds
 	}
 	contacts, err := distribution.ReadContacts(ctx, n.store, n.settings.Region)
@@ -97,8 +97,32 @@
 	return members[:min(count, len(members))]
 }
 
-// bootstrapPeers returns other members so that the first ones lie in different
-// failure domains.
+// viewTimeout bounds the wait for the member table after a join.
+const viewTimeout = 5 * time.Second
+
+// awaitView waits until the member table that a join brought is in the view. A
+// node that took itself for the only one would get its configuration from the
+// platform alone and own all shards.
+func (n *Node) awaitView(ctx context.Context) {
+	if !n.fleetAnswers {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for len(n.membership.View().Members) < 2 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// bootstrapPeers returns the seeds and then other members so that the first ones
+// lie in different failure domains. Seeds come first because after a herd's
+// death most members of the table are dead and not yet known to be.
 func (n *Node) bootstrapPeers() []string {
 	near, far := n.otherMembers()
 	members := append(sample(near, len(near)), sample(far, len(far))...)
@@ -109,12 +133,18 @@
 		seen[member.FailureDomain]++
 	}
 	slices.SortStableFunc(members, func(a, b membership.Member) int { return rank[a.Instance] - rank[b.Instance] })
-	return lo.Map(members, func(m membership.Member, _ int) string { return m.Address })
+	addresses := lo.Map(members, func(m membership.Member, _ int) string { return m.Address })
+	return lo.Uniq(append(lo.Without(n.settings.Seeds, n.addresses.Node), addresses...))
 }
 
 // readerCandidate reports whether this node is the first choice for its
 // region's reader. Only one node per region then calls the platform for the lease.
+// A node that has not joined knows only itself and is no candidate, nor is one
+// that leaves.
 func (n *Node) readerCandidate() bool {
+	if !n.ready.Load() {
+		return false
+	}
 	var names []string
 	for _, member := range n.membership.View().Members {
 		if member.Region == n.settings.Region && member.State == membership.Alive {
@@ -126,8 +156,12 @@
 
 // shardOwner returns the owner of a shard of idempotency keys: the first choice
 // among the live members of the platform's region, or of all regions while none
-// of them is known.
+// of them is known. A node that has not joined knows only itself and owns none;
+// else each node of a joining herd would read all shards.
 func (n *Node) shardOwner(shard int) (address string, self bool) {
+	if !n.ready.Load() {
+		return "", false
+	}
 	candidates := make(map[string]string)
 	inRegion := false
 	for _, member := range n.membership.View().Members {
--- a/test/bench/report/main.go
+++ b/test/bench/report/main.go
@@ -91,11 +91,11 @@
 func (r report) print() {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	defer w.Flush()
-	fmt.Fprintln(w, "nodes\tconvergence p50 ms\tp99 ms\tmax ms\tidle B/node/s\tcross-region B/s\tB/change/node\tcross-region B/change\tplatform calls/s\tCPU %/node\tRSS MB/node\t")
+	fmt.Fprintln(w, "nodes\tconvergence p50 ms\tp99 ms\tmax ms\tidle B/node/s\tcross-region B/s\tB/change/node\tcross-region B/change\tplatform calls/s\tCPU %/node\tRSS MB/node\therd nodes\therd ms\therd platform calls\t")
 	for _, m := range r.Sizes {
-		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.1f\t\n", m.Nodes,
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.1f\t%d\t%d\t%d\t\n", m.Nodes,
 			m.ConvergenceP50Ms, m.ConvergenceP99Ms, m.ConvergenceMaxMs, m.IdleBytesPerNodeSecond,
 			m.IdleCrossRegionBytesPerSecond, m.BytesPerChangeAndNode, m.CrossRegionBytesPerChange,
-			m.PlatformCallsPerSecond, m.CPUPercent, m.RSSMegabytes)
+			m.PlatformCallsPerSecond, m.CPUPercent, m.RSSMegabytes, m.HerdNodes, m.HerdMs, m.HerdPlatformCalls)
 	}
 }
--- a/test/bench/report/measure.go
+++ b/test/bench/report/measure.go
@@ -34,6 +34,10 @@
 	PlatformCalls                 map[string]int `json:"platformCalls"`
 	CPUPercent                    float64        `json:"cpuPercent"`
 	RSSMegabytes                  float64        `json:"rssMegabytes"`
+	// HerdNodes are the nodes that were killed and started together.
+	HerdNodes         int   `json:"herdNodes"`
+	HerdMs            int64 `json:"herdMs"`
+	HerdPlatformCalls int   `json:"herdPlatformCalls"`
 }
 
 const (
@@ -72,7 +76,10 @@
 	if err := b.measureIdle(ctx, &m); err != nil {
 		return m, err
 	}
-	return m, b.measureChanges(ctx, &m)
+	if err := b.measureChanges(ctx, &m); err != nil {
+		return m, err
+	}
+	return m, b.measureHerd(ctx, &m)
 }
 
 func (b *bench) start(ctx context.Context, size int) error {
