Let the latency of an endpoint lose its weight with age

Cause: Stats.learn kept the running mean for ever and Endpoint.cost multiplied by it, so that an endpoint whose first calls were slow (a dial, a cold start) lost every comparison, got no further call and never corrected its mean. Callers saw an endpoint that joined, was healthy and stayed unused.

Ruled out: the announcement and the table, which held the endpoint as ready.

Conclusion: a comparison of latencies counts only as far as both are recent.

--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -136,12 +137,12 @@
 
 // cost is the load per slot that the call would make, times the latency as seen
 // from here. The latency finds targets that are slow, or that announce more
-// slots than they have, which the load per slot cannot show. It counts only if
-// that of the other is known, too.
+// slots than they have, which the load per slot cannot show. It counts as far as
+// both latencies are known and recent.
 func (e *Endpoint) cost(now int64, other *Endpoint) float64 {
 	cost := (e.load(now) + 1) / e.capacity(now)
-	if latency := e.latency.Load(); latency > 0 && other.latency.Load() > 0 {
-		cost *= float64(latency)
+	if weight := min(e.latencyWeightAt(now), other.latencyWeightAt(now)); weight > 0 {
+		cost *= math.Pow(float64(e.latency.Load()), weight)
 	}
 	return cost
 }
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -162,6 +162,30 @@
 	}
 }
 
+// Guards against an endpoint whose first calls were slow (a dial, a cold start)
+// and that gets no further call by which its latency could be corrected.
+func TestSlowStartIsForgotten(t *testing.T) {
+	b := NewBuilder(nil)
+	table := b.Build(snapshot(t), []membership.Endpoint{endpoint("slow", "v1"), endpoint("fast", "v1")}, nil, self)
+	for _, e := range table.services["s"].versions["v1"].tiers[sameDomain] {
+		latency := time.Millisecond
+		if e.ID == "slow" {
+			latency = 500 * time.Millisecond
+		}
+		e.Begin()
+		e.Done(epoch, Outcome{Latency: latency})
+	}
+	assert.Equal(t, spread(table, 100, false, epoch)["slow"], 0)
+	for i := range 20 {
+		now := epoch.Add(latencyLifetime * time.Duration(i+1) / 10)
+		e, _ := table.Choose("s", "c", nil, now)
+		e.Begin()
+		e.Done(now, Outcome{Latency: time.Millisecond})
+	}
+	later := epoch.Add(2 * latencyLifetime)
+	assert.Assert(t, spread(table, 100, false, later)["slow"] > 20, "an endpoint with an outdated latency stays unused")
+}
+
 // Guards against connections from each node to all targets of a large service.
 func TestCandidatesAreBoundedAndCoverAllTargets(t *testing.T) {
 	var endpoints []membership.Endpoint
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -49,8 +49,10 @@
 	ejectedUntil atomic.Int64
 	failures     atomic.Int64
 	statuses     atomic.Int64
-	// latency is a running mean in nanoseconds, 0 if unknown.
-	latency  atomic.Int64
+	// latency is a running mean in nanoseconds, 0 if unknown, and learnedAt the
+	// Unix time in nanoseconds of its last sample.
+	latency   atomic.Int64
+	learnedAt atomic.Int64
 	lastSeen time.Time
 }
 
@@ -75,19 +77,25 @@
 		}
 	default:
 		s.clearFailures()
-		s.learn(outcome.Latency)
+		s.learn(now, outcome.Latency)
 	}
 }
 
 // latencyWeight is the inverse weight of a new latency in the running mean.
 const latencyWeight = 8
 
+// latencyLifetime is the time over which a mean latency loses its weight. Without
+// it, an endpoint whose first calls were slow loses each comparison, gets no
+// further calls and never corrects its mean.
+const latencyLifetime = time.Second
+
 // learn takes in the latency of a good answer; errors may be fast and would make
 // their target look attractive. A lost update of a race does no harm.
-func (s *Stats) learn(latency time.Duration) {
+func (s *Stats) learn(now time.Time, latency time.Duration) {
 	if latency <= 0 {
 		return
 	}
+	s.learnedAt.Store(now.UnixNano())
 	mean := s.latency.Load()
 	if mean == 0 {
 		s.latency.Store(int64(latency))
@@ -96,6 +104,16 @@
 	s.latency.Store(mean + (int64(latency)-mean)/latencyWeight)
 }
 
+// latencyWeightAt returns the weight of the mean latency at now, from 1 for a
+// fresh one to 0 for one that is unknown or as old as latencyLifetime.
+func (s *Stats) latencyWeightAt(now int64) float64 {
+	if s.latency.Load() <= 0 {
+		return 0
+	}
+	age := float64(max(now-s.learnedAt.Load(), 0)) / float64(latencyLifetime)
+	return max(1-age, 0)
+}
+
 // clearFailures avoids a write to a shared cache line in the common case.
 func (s *Stats) clearFailures() {
 	if s.failures.Load() != 0 {
