--- a/cmd/azurespring-node/main.go
+++ b/cmd/azurespring-node/main.go
@@ -23,7 +23,16 @@
 	exitUsage   = 2
 )
 
-func main() { os.Exit(run()) }
+// sidecarCommand selects the node for the users' platform, whose settings come
+// from the platform's file.
+const sidecarCommand = "sidecar"
+
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == sidecarCommand {
+		os.Exit(runSidecar(os.Args[2:]))
+	}
+	os.Exit(run())
+}
 
 func run() int {
 	settings, err := static.Load(os.Args[1:], os.Environ(), os.Stdout)
--- /dev/null
+++ b/cmd/azurespring-node/sidecar.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/config/static"
+	"github.com/azurespring/azurespring/pkg/exchange"
+	store "github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/sidecar"
+	"github.com/azurespring/azurespring/platform"
+)
+
+// Times of calls to the platform's store, which usually answers in 4 ms.
+const (
+	storeDialTimeout = 500 * time.Millisecond
+	storeCallTimeout = time.Second
+	// storeWatchWait is how long a watch waits in one call. A watch on a
+	// connection that went silent is replaced after it.
+	storeWatchWait = 10 * time.Second
+	// storeWatchPause lets changes gather that come in quick succession.
+	storeWatchPause = 150 * time.Millisecond
+)
+
+// settingsPoll is the time between two looks at the settings file, which may
+// change without a signal.
+const settingsPoll = 2 * time.Second
+
+// nodeBudget bounds the store calls of one node, so that a faulty one does not
+// use up the rates that all nodes share.
+func nodeBudget() store.Budget {
+	return store.Budget{
+		Default: store.Rates{WritesPerSecond: 5, ReadsPerSecond: 10, WriteBurst: 10, ReadBurst: 20}, Watches: 3,
+	}
+}
+
+// runSidecar runs the node beside an endpoint on the users' platform.
+func runSidecar(args []string) int {
+	flags := flag.NewFlagSet("azurespring-node "+sidecarCommand, flag.ContinueOnError)
+	path := flags.String("settings", os.Getenv(platform.SettingsVariable),
+		"path of the platform's settings file (environment: "+platform.SettingsVariable+")")
+	check := flags.Bool("check", false, "check the settings file and exit")
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		return exitUsage
+	}
+	settings, err := platform.LoadSettings(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if *check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	client := platform.NewStore(platform.StoreOptions{
+		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
+		CallTimeout: storeCallTimeout, WatchWait: storeWatchWait, WatchPause: storeWatchPause,
+		StaleWatches: map[store.Kind]bool{store.MeshState: true},
+	})
+	defer client.Close()
+	node, err := sidecar.New(sidecar.Deps{
+		Settings: settings, Headers: platform.Headers(),
+		Store: store.NewBudgeted(client, nodeBudget()), Docs: platform.Documents{},
+		ReadinessPath: platform.ReadinessPath,
+		Announcements: func(r sidecar.Registry) http.Handler { return platform.AnnouncementHandler(r) },
+		LogOutput:     os.Stdout, Version: static.Version(),
+	})
+	if err == nil {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		go watchSettings(ctx, *path, node)
+		err = node.Run(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return 0
+}
+
+// watchSettings reloads the settings file on SIGHUP and when it has changed.
+func watchSettings(ctx context.Context, path string, node *sidecar.Node) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	seen := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+			if at := modified(path); at.Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(path)
+		settings, err := platform.LoadSettings(path)
+		if err != nil {
+			node.ReloadFailed(err)
+			continue
+		}
+		node.Reload(settings)
+	}
+}
+
+// modified returns the time of the file's last change; zero if it has none, so
+// that a missing file counts as a change once.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/pkg/exchange/pool.go
@@ -0,0 +1,144 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Times at which idle connections are closed. A peer that names a time in
+// Keep-Alive closes then; expiryMargin before that the connection is not used,
+// because a request may cross the close.
+const (
+	defaultIdle  = 8 * time.Second
+	expiryMargin = time.Second
+)
+
+// Pool holds the connections to one address. It is safe for concurrent use.
+type Pool struct {
+	address string
+	dialer  Dialer
+	now     func() time.Time
+	opened  func()
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+// NewPool returns a pool without connections. opened is called for each
+// connection that is made; nil is allowed.
+func NewPool(address string, dialer Dialer, opened func()) *Pool {
+	return &Pool{address: address, dialer: dialer, now: time.Now, opened: opened}
+}
+
+// Do sends a request and returns the head of its answer. The body must be read
+// to its end or closed. Do never sends a request twice.
+func (p *Pool) Do(ctx context.Context, r Request) (*http.Response, *Error) {
+	c := p.take(r.MaxIdle)
+	if c == nil {
+		dialed, err := p.dialer.DialContext(ctx, "tcp", p.address)
+		if err != nil {
+			return nil, &Error{Dial: true, Err: err}
+		}
+		if p.opened != nil {
+			p.opened()
+		}
+		c = newConn(dialed)
+	}
+	response, failure := c.exchange(ctx, r)
+	if failure != nil {
+		return nil, failure
+	}
+	body := response.Body.(*answerBody)
+	closing := response.Close
+	lifetime := lifetime(response.Header)
+	body.release = func(reusable bool) {
+		if !reusable || closing || !p.put(c, lifetime) {
+			_ = c.Conn.Close()
+		}
+	}
+	if response.ContentLength == 0 || response.Body == http.NoBody {
+		body.finish(true)
+	}
+	return response, nil
+}
+
+// take returns the most recently used idle connection that is still usable.
+func (p *Pool) take(maxIdle time.Duration) *conn {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		if maxIdle > 0 && now.Sub(c.idleSince) > maxIdle {
+			return nil
+		}
+		p.idle = p.idle[:len(p.idle)-1]
+		if now.Before(c.expires) && c.usable() {
+			return c
+		}
+		_ = c.Conn.Close()
+	}
+	return nil
+}
+
+func (p *Pool) put(c *conn, lifetime time.Duration) bool {
+	if lifetime <= 0 || c.reader.Buffered() > 0 {
+		return false
+	}
+	c.idleSince = p.now()
+	c.expires = c.idleSince.Add(lifetime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.idle = append(p.idle, c)
+	return true
+}
+
+// lifetime returns how long a connection may stay idle after an answer.
+func lifetime(header http.Header) time.Duration {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return min(time.Duration(seconds)*time.Second-expiryMargin, defaultIdle)
+		}
+	}
+	return defaultIdle
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep() {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Before(c.expires) {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Conn.Close()
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// Close closes idle connections; those in use are closed after their exchange.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Conn.Close()
+	}
+	p.idle = nil
+}
--- /dev/null
+++ b/pkg/mesh/configuration.go
@@ -0,0 +1,158 @@
+// Package mesh holds the operator's configuration of a service mesh, the known
+// instances and their endpoints, as nodes on the users' platform use them.
+package mesh
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind says what may be done with a request besides running it once.
+type Kind uint8
+
+// The kinds of requests. The zero value is the one that allows least.
+const (
+	// Unsafe requests run at most once.
+	Unsafe Kind = iota
+	// Safe requests may run more than once.
+	Safe
+	// Download is Safe with a large answer.
+	Download
+)
+
+// Idempotent reports whether a request may run more than once.
+func (k Kind) Idempotent() bool { return k != Unsafe }
+
+// String returns the name of the kind in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Download:
+		return "download"
+	}
+	return "unsafe"
+}
+
+// Share is the part of a route's requests that a service gets.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says where the requests of one host below one path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time until the final answer; 0 means no bound.
+	Timeout time.Duration
+	// TargetLatency is the time within which an answer has its full worth.
+	TargetLatency time.Duration
+	// Attempts bounds the endpoints that one request may be sent to.
+	Attempts int
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// Shares holds at least one service with a weight above 0.
+	Shares []Share
+}
+
+// Service is what the configuration says of a service.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections to one endpoint; 0 means no bound.
+	MaxConnections int
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of the operator's configuration.
+type Configuration struct {
+	Version  uint64
+	Limits   Limits
+	Routes   []Route
+	Services []Service
+}
+
+// Snapshot is a checked, immutable configuration.
+type Snapshot struct {
+	configuration Configuration
+	hosts         map[string][]*Route
+	services      map[string]*Service
+}
+
+// Compile checks a configuration and returns its snapshot. A configuration with
+// a route to a service that it lacks is refused whole.
+func Compile(c Configuration) (*Snapshot, error) {
+	s := &Snapshot{configuration: c, hosts: make(map[string][]*Route), services: make(map[string]*Service, len(c.Services))}
+	for i := range c.Services {
+		s.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if err := s.check(route); err != nil {
+			return nil, eris.Wrapf(err, "version %d, route %q", c.Version, route.Name)
+		}
+		s.hosts[route.Host] = append(s.hosts[route.Host], route)
+	}
+	for _, routes := range s.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return s, nil
+}
+
+func (s *Snapshot) check(route *Route) error {
+	total := 0
+	for _, share := range route.Shares {
+		if share.Weight < 0 {
+			return eris.Errorf("weight of service %q is negative", share.Service)
+		}
+		if s.services[share.Service] == nil {
+			return eris.Errorf("service %q is not defined", share.Service)
+		}
+		total += share.Weight
+	}
+	if total == 0 {
+		return eris.New("no service has a weight above 0")
+	}
+	if !strings.HasPrefix(route.Prefix, "/") {
+		return eris.Errorf("path prefix %q does not begin with a slash", route.Prefix)
+	}
+	return nil
+}
+
+// Version returns the version of the configuration.
+func (s *Snapshot) Version() uint64 { return s.configuration.Version }
+
+// Limits returns the bounds on clients.
+func (s *Snapshot) Limits() Limits { return s.configuration.Limits }
+
+// Service returns the service called name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Match returns the route of host whose prefix is the longest that begins path,
+// or nil. A port in host is ignored.
+func (s *Snapshot) Match(host, path string) *Route {
+	routes, ok := s.hosts[host]
+	if !ok {
+		if name, _, found := strings.Cut(host, ":"); found {
+			routes = s.hosts[name]
+		}
+	}
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/mesh/instance.go
@@ -0,0 +1,107 @@
+package mesh
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// State is the state of an endpoint as it announces it.
+type State string
+
+// The states of an endpoint.
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+)
+
+// Announcement is what an endpoint says of itself to the node beside it.
+type Announcement struct {
+	ID      string
+	Service string
+	Version string
+	// Address is where the node beside the endpoint reaches it.
+	Address string
+	Slots   int
+	State   State
+	// Born is the endpoint's start in Unix milliseconds; an endpoint that starts
+	// again under its old id has a later one.
+	Born int64
+	// Sequence orders the announcements of one start.
+	Sequence int64
+	// Warmup is how much longer the endpoint stays slow.
+	Warmup time.Duration
+}
+
+// Endpoint is one endpoint in the entry that its node publishes.
+type Endpoint struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Version string `json:"version"`
+	Slots   int    `json:"slots"`
+	// WarmupMs is how long the endpoint stays slow after it was published.
+	WarmupMs int64 `json:"warmupMs,omitempty"`
+}
+
+// Instance is the entry that a node publishes for its machine. It lists the
+// endpoints that accept new requests.
+type Instance struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	Region        string `json:"region"`
+	// Incarnation is the start of the node's process in Unix milliseconds.
+	Incarnation int64      `json:"incarnation"`
+	Endpoints   []Endpoint `json:"endpoints"`
+}
+
+// Encode returns the stored form of the entry.
+func (i Instance) Encode() ([]byte, error) {
+	value, err := json.Marshal(i)
+	return value, eris.Wrap(err, "encode instance entry")
+}
+
+// DecodeInstance reads a stored entry. An entry without a name or an address
+// is an error; endpoints without id, service or slots are left out.
+func DecodeInstance(value []byte) (Instance, error) {
+	var i Instance
+	if err := json.Unmarshal(value, &i); err != nil {
+		return Instance{}, eris.Wrap(err, "decode instance entry")
+	}
+	if i.Name == "" || i.Address == "" {
+		return Instance{}, eris.New("instance entry lacks a name or an address")
+	}
+	kept := i.Endpoints[:0]
+	for _, e := range i.Endpoints {
+		if e.ID != "" && e.Service != "" && e.Slots > 0 {
+			kept = append(kept, e)
+		}
+	}
+	i.Endpoints = kept
+	return i, nil
+}
+
+// Rollout is an order to move a service's traffic to a new version.
+type Rollout struct {
+	Service  string
+	Version  string
+	Duration time.Duration
+	// Outcome is the state that was last written; "" if none was.
+	Outcome RolloutState
+	// Revision is opaque and changes with each write of the order or its state.
+	Revision string
+}
+
+// RolloutState is the state of a rollout as operators see it.
+type RolloutState string
+
+// The states of a rollout. Completed and RolledBack are final.
+const (
+	Running    RolloutState = "running"
+	Completed  RolloutState = "completed"
+	RolledBack RolloutState = "rolled_back"
+)
+
+// Final reports whether the state can no longer change.
+func (s RolloutState) Final() bool { return s == Completed || s == RolledBack }
--- /dev/null
+++ b/pkg/mesh/local.go
@@ -0,0 +1,140 @@
+package mesh
+
+import "time"
+
+// Bounds on what the node remembers of its own endpoints.
+const (
+	// beatsMissed is the number of heartbeat intervals without an announcement
+	// after which an endpoint counts as gone. Heartbeats may be seconds late.
+	beatsMissed = 5
+	// tombstoneLifetime is how long a start that ended is remembered, so that a
+	// delayed announcement does not revive it.
+	tombstoneLifetime = 10 * time.Minute
+)
+
+// LocalEndpoint is an endpoint beside this node.
+type LocalEndpoint struct {
+	Announcement
+	// LastSeen is the time of the newest announcement.
+	LastSeen time.Time
+	// WarmUntil is the end of the slow start.
+	WarmUntil time.Time
+}
+
+// Local is the deterministic record of the endpoints beside a node. It is the
+// only place that decides whether an endpoint takes new requests: no other
+// process can reach the endpoint, so that what is decided here is exact.
+//
+// Invariant: a start that has announced that it is leaving, or that ended, never
+// becomes ready again. Local is not safe for concurrent use.
+type Local struct {
+	interval  time.Duration
+	endpoints map[string]*LocalEndpoint
+	// ended holds the start of each id that left or was replaced.
+	ended map[string]tombstone
+}
+
+type tombstone struct {
+	born int64
+	at   time.Time
+}
+
+// NewLocal returns an empty record. interval is the usual time between two
+// announcements of an endpoint.
+func NewLocal(interval time.Duration) *Local {
+	return &Local{interval: interval, endpoints: make(map[string]*LocalEndpoint), ended: make(map[string]tombstone)}
+}
+
+// Announce applies an announcement and reports whether the set of endpoints
+// that take new requests changed.
+func (l *Local) Announce(now time.Time, a Announcement) (changed bool) {
+	if t, ok := l.ended[a.ID]; ok && a.Born <= t.born {
+		return false
+	}
+	current := l.endpoints[a.ID]
+	if current != nil && (a.Born < current.Born || a.Born == current.Born && a.Sequence <= current.Sequence) {
+		return false
+	}
+	for id, other := range l.endpoints {
+		if id == a.ID || other.Address != a.Address {
+			continue
+		}
+		// An address belongs to one start at a time, the latest.
+		if other.Born > a.Born {
+			return false
+		}
+		l.end(now, id, other.Born)
+		changed = true
+	}
+	before := current != nil && current.State == Ready
+	if current != nil && current.Born == a.Born && current.State == Draining {
+		a.State = Draining
+	}
+	next := &LocalEndpoint{Announcement: a, LastSeen: now, WarmUntil: now.Add(a.Warmup)}
+	l.endpoints[a.ID] = next
+	after := next.State == Ready
+	return changed || before != after || current == nil || current.Born != a.Born || current.Slots != a.Slots
+}
+
+// Leave removes an endpoint and reports whether the set that takes new requests
+// changed. born is 0 if the caller did not say which start ends.
+func (l *Local) Leave(now time.Time, id string, born int64) (changed bool) {
+	current := l.endpoints[id]
+	if current == nil {
+		if born > l.ended[id].born {
+			l.ended[id] = tombstone{born: born, at: now}
+		}
+		return false
+	}
+	if born != 0 && born < current.Born {
+		return false
+	}
+	l.end(now, id, current.Born)
+	return true
+}
+
+func (l *Local) end(now time.Time, id string, born int64) {
+	delete(l.endpoints, id)
+	l.ended[id] = tombstone{born: born, at: now}
+}
+
+// Tick removes endpoints that have been silent for too long and reports whether
+// the set that takes new requests changed.
+func (l *Local) Tick(now time.Time) (changed bool) {
+	for id, e := range l.endpoints {
+		if now.Sub(e.LastSeen) > beatsMissed*l.interval {
+			// No tombstone: a paused endpoint that announces itself again is the same start.
+			delete(l.endpoints, id)
+			changed = true
+		}
+	}
+	for id, t := range l.ended {
+		if now.Sub(t.at) > tombstoneLifetime {
+			delete(l.ended, id)
+		}
+	}
+	return changed
+}
+
+// Ready returns the endpoint called id if it takes new requests, or nil.
+func (l *Local) Ready(id string) *LocalEndpoint {
+	if e := l.endpoints[id]; e != nil && e.State == Ready {
+		return e
+	}
+	return nil
+}
+
+// Published returns the endpoints that take new requests.
+func (l *Local) Published(now time.Time) []Endpoint {
+	var published []Endpoint
+	for _, e := range l.endpoints {
+		if e.State != Ready {
+			continue
+		}
+		published = append(published, Endpoint{
+			ID: e.ID, Service: e.Service, Version: e.Version, Slots: e.Slots,
+			WarmupMs: max(e.WarmUntil.Sub(now), 0).Milliseconds(),
+		})
+	}
+	return published
+}
--- /dev/null
+++ b/pkg/mesh/placement/board.go
@@ -0,0 +1,202 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+)
+
+// statsLifetime is how long observations of an endpoint that left are kept.
+const statsLifetime = time.Minute
+
+// maxCandidates bounds the endpoints of one version and distance that a node
+// sends requests to, and with them its connections.
+const maxCandidates = 16
+
+// Distance orders endpoints by what it costs to reach them.
+type Distance uint8
+
+// The distances.
+const (
+	Beside Distance = iota
+	SameDomain
+	SameRegion
+	OtherRegion
+)
+
+// Locality says where the local node is.
+type Locality struct {
+	Instance      string
+	FailureDomain string
+	Region        string
+}
+
+func (l Locality) distance(i *mesh.Instance) Distance {
+	switch {
+	case i.Name == l.Instance:
+		return Beside
+	case i.FailureDomain == l.FailureDomain:
+		return SameDomain
+	case i.Region == l.Region:
+		return SameRegion
+	}
+	return OtherRegion
+}
+
+// Endpoint is a candidate for requests.
+type Endpoint struct {
+	mesh.Endpoint
+	*Stats
+	Instance string
+	Address  string
+	Distance Distance
+	// warmUntil is the end of the slow start as this node learned of it.
+	warmUntil time.Time
+}
+
+// Board is an immutable view of all endpoints, by service and version.
+type Board struct {
+	services  map[string]map[string][]*Endpoint
+	instances []string
+	// ranks orders the endpoints of each service and version alike on all nodes.
+	ranks map[versionKey][]*Endpoint
+}
+
+type versionKey struct{ service, version string }
+
+// Ranks returns the instances beside endpoints of a version in an order that is
+// the same on all nodes.
+func (b *Board) Ranks(service, version string) []string {
+	ranked := b.ranks[versionKey{service, version}]
+	names := make([]string, len(ranked))
+	for i, e := range ranked {
+		names[i] = e.Instance
+	}
+	return names
+}
+
+// Canary returns the endpoint that takes the canary requests of a version: one
+// for all nodes, so that the node beside it sees all of them. It is nil if none
+// can be reached.
+func (b *Board) Canary(service, version string, now time.Time) *Endpoint {
+	for _, e := range b.ranks[versionKey{service, version}] {
+		if !e.view(now).ejected {
+			return e
+		}
+	}
+	return nil
+}
+
+// Versions returns the versions of a service with the number of their
+// endpoints. The result must not be changed.
+func (b *Board) Versions(service string) map[string][]*Endpoint { return b.services[service] }
+
+// Instances returns the names of all known instances in order.
+func (b *Board) Instances() []string { return b.instances }
+
+// Builder builds boards and keeps the observations that outlive them.
+type Builder struct {
+	self Locality
+
+	mu    sync.Mutex
+	stats map[statsKey]*Stats
+	warm  map[statsKey]time.Time
+}
+
+type statsKey struct{ instance, endpoint string }
+
+// NewBuilder returns a builder for the node at self.
+func NewBuilder(self Locality) *Builder {
+	return &Builder{self: self, stats: make(map[statsKey]*Stats), warm: make(map[statsKey]time.Time)}
+}
+
+// Build returns the board of the given instances.
+func (b *Builder) Build(now time.Time, instances []mesh.Instance) *Board {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	board := &Board{services: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint)}
+	for i := range instances {
+		instance := &instances[i]
+		board.instances = append(board.instances, instance.Name)
+		for _, e := range instance.Endpoints {
+			versions := board.services[e.Service]
+			if versions == nil {
+				versions = make(map[string][]*Endpoint)
+				board.services[e.Service] = versions
+			}
+			versions[e.Version] = append(versions[e.Version], b.endpoint(now, instance, e))
+		}
+	}
+	slices.Sort(board.instances)
+	for service, versions := range board.services {
+		for version, endpoints := range versions {
+			board.ranks[versionKey{service, version}] = ranked(endpoints)
+			versions[version] = b.bound(endpoints)
+		}
+	}
+	b.prune(now)
+	return board
+}
+
+func (b *Builder) endpoint(now time.Time, instance *mesh.Instance, e mesh.Endpoint) *Endpoint {
+	key := statsKey{instance.Name, e.ID}
+	stats := b.stats[key]
+	if stats == nil {
+		stats = &Stats{}
+		b.stats[key] = stats
+		b.warm[key] = now.Add(time.Duration(e.WarmupMs) * time.Millisecond)
+	}
+	stats.mu.Lock()
+	stats.lastSeen = now
+	stats.mu.Unlock()
+	return &Endpoint{
+		Endpoint: e, Stats: stats, Instance: instance.Name, Address: instance.Address,
+		Distance: b.self.distance(instance), warmUntil: b.warm[key],
+	}
+}
+
+func ranked(endpoints []*Endpoint) []*Endpoint {
+	list := slices.Clone(endpoints)
+	weight := func(e *Endpoint) uint64 { return xxhash.Sum64String(e.Version + "/" + e.Instance) }
+	slices.SortFunc(list, func(a, c *Endpoint) int {
+		return cmp.Or(cmp.Compare(weight(a), weight(c)), cmp.Compare(a.ID, c.ID))
+	})
+	return list
+}
+
+// bound keeps at most maxCandidates endpoints of each distance: those that
+// rendezvous hashing with the local instance prefers, so that all nodes
+// together reach all endpoints.
+func (b *Builder) bound(endpoints []*Endpoint) []*Endpoint {
+	weight := func(e *Endpoint) uint64 {
+		return xxhash.Sum64String(b.self.Instance + "/" + e.Instance + "/" + e.ID)
+	}
+	slices.SortFunc(endpoints, func(a, c *Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Distance, c.Distance), cmp.Compare(weight(a), weight(c)), cmp.Compare(a.ID, c.ID))
+	})
+	kept := endpoints[:0]
+	var counts [OtherRegion + 1]int
+	for _, e := range endpoints {
+		if counts[e.Distance]++; counts[e.Distance] <= maxCandidates {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+func (b *Builder) prune(now time.Time) {
+	for key, stats := range b.stats {
+		stats.mu.Lock()
+		old := now.Sub(stats.lastSeen) > statsLifetime
+		stats.mu.Unlock()
+		if old {
+			delete(b.stats, key)
+			delete(b.warm, key)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/mesh/placement/stats.go
@@ -0,0 +1,145 @@
+// Package placement chooses the endpoint for a request from what this node
+// knows of endpoints: their distance, load, speed and failures.
+package placement
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Lifetimes of what is known of an endpoint. Loads change within a service time;
+// speeds and failures within seconds, and an endpoint that gets no requests must
+// be tried again.
+const (
+	loadLifetime   = 400 * time.Millisecond
+	speedFresh     = time.Second
+	speedLifetime  = 4 * time.Second
+	failureHalving = 2 * time.Second
+)
+
+// failureWeight is the weight of a new outcome in the running failure share.
+const failureWeight = 0.15
+
+// Bounds of the time for which an instance that could not be reached, or that
+// rejected a request because it does not have the endpoint, gets no requests.
+const (
+	minEjection = 250 * time.Millisecond
+	maxEjection = 4 * time.Second
+)
+
+// Load is what the node beside an endpoint reports of it.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Service is the mean time that a request holds a slot; 0 if unknown.
+	Service time.Duration
+}
+
+// Stats are this node's observations of one endpoint. They outlive boards and
+// are safe for concurrent use.
+type Stats struct {
+	mu           sync.Mutex
+	outstanding  int
+	others       float64
+	reportedAt   time.Time
+	service      time.Duration
+	serviceAt    time.Time
+	failures     float64
+	failuresAt   time.Time
+	ejections    int
+	ejectedUntil time.Time
+	lastSeen     time.Time
+}
+
+// Begin counts a request as outstanding.
+func (s *Stats) Begin() {
+	s.mu.Lock()
+	s.outstanding++
+	s.mu.Unlock()
+}
+
+// End takes back what Begin counted.
+func (s *Stats) End() {
+	s.mu.Lock()
+	s.outstanding--
+	s.mu.Unlock()
+}
+
+// Report takes in a load that the endpoint's node sent with an answer. It must
+// be called before End.
+func (s *Stats) Report(now time.Time, load Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others = math.Max(float64(load.Running+load.Waiting-s.outstanding), 0)
+	s.reportedAt = now
+	if load.Service > 0 {
+		s.service, s.serviceAt = load.Service, now
+	}
+	s.ejections = 0
+	s.ejectedUntil = time.Time{}
+}
+
+// Outcome takes in whether the endpoint answered a request properly.
+func (s *Stats) Outcome(now time.Time, good bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = s.failureShare(now)
+	s.failuresAt = now
+	if good {
+		s.failures -= failureWeight * s.failures
+		return
+	}
+	s.failures += failureWeight * (1 - s.failures)
+}
+
+// Eject keeps requests away for a time that doubles with each call until the
+// next Report.
+func (s *Stats) Eject(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	span := min(minEjection<<min(s.ejections, 8), maxEjection)
+	s.ejections++
+	s.ejectedUntil = now.Add(span)
+}
+
+func (s *Stats) failureShare(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	return s.failures * math.Exp2(-float64(now.Sub(s.failuresAt))/float64(failureHalving))
+}
+
+// view is a consistent copy of what counts for a choice.
+type view struct {
+	load     float64
+	service  time.Duration
+	speedAge time.Duration
+	failures float64
+	ejected  bool
+}
+
+func (s *Stats) view(now time.Time) view {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := view{
+		load: float64(s.outstanding), service: s.service, speedAge: now.Sub(s.serviceAt),
+		failures: s.failureShare(now), ejected: now.Before(s.ejectedUntil),
+	}
+	if age := now.Sub(s.reportedAt); s.others > 0 && age < loadLifetime {
+		v.load += s.others * (1 - float64(age)/float64(loadLifetime))
+	}
+	return v
+}
+
+// speedWeight is 1 for a fresh service time and 0 for one that is too old.
+func (v view) speedWeight() float64 {
+	switch {
+	case v.service <= 0 || v.speedAge >= speedLifetime:
+		return 0
+	case v.speedAge <= speedFresh:
+		return 1
+	}
+	return 1 - float64(v.speedAge-speedFresh)/float64(speedLifetime-speedFresh)
+}
--- /dev/null
+++ b/pkg/mesh/rollout/judge.go
@@ -0,0 +1,90 @@
+// Package rollout decides how much traffic a new version of a service gets, and
+// when it is completed or rolled back.
+package rollout
+
+import "time"
+
+// Windows of the most recent answers of a new version, and the number of bad
+// ones in them that shows a bad version. Bad versions fail a third of their
+// requests or more; sound ones fail less than one in a hundred, and with a slow
+// host about one in twenty takes more than slowFactor times the usual time.
+const (
+	failureWindow = 16
+	failureCount  = 4
+	slowWindow    = 20
+	slowCount     = 6
+)
+
+// slowFactor and slowLeast bound from below the time that counts as slow, as a
+// multiple of the old version's and as a surplus over it.
+const (
+	slowFactor = 4
+	slowLeast  = 20 * time.Millisecond
+)
+
+// Answer is one answer of an endpoint of the new version.
+type Answer struct {
+	Route string
+	// Failed is set for a failure of the endpoint's own.
+	Failed bool
+	// Took is the time at the endpoint, Reference the mean time of the old
+	// version on this route; either is 0 if unknown or not comparable.
+	Took      time.Duration
+	Reference time.Duration
+}
+
+// Judge counts the answers of one version, by route, so that a version that is
+// bad on one route only is found as well.
+type Judge struct {
+	routes map[string]*record
+	calls  int
+}
+
+type record struct {
+	failures window
+	slow     window
+}
+
+// window holds the most recent outcomes as bits, newest lowest.
+type window struct{ bits uint32 }
+
+func (w *window) add(bad bool, size int) int {
+	w.bits = w.bits<<1 | b2u(bad)
+	w.bits &= 1<<size - 1
+	count := 0
+	for bits := w.bits; bits != 0; bits &= bits - 1 {
+		count++
+	}
+	return count
+}
+
+func b2u(b bool) uint32 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// NewJudge returns a judge without answers.
+func NewJudge() *Judge { return &Judge{routes: make(map[string]*record)} }
+
+// Calls returns the number of answers.
+func (j *Judge) Calls() int { return j.calls }
+
+// Add takes in an answer and reports whether the version has shown to be bad.
+func (j *Judge) Add(a Answer) (bad bool) {
+	j.calls++
+	r := j.routes[a.Route]
+	if r == nil {
+		r = &record{}
+		j.routes[a.Route] = r
+	}
+	if r.failures.add(a.Failed, failureWindow) >= failureCount {
+		return true
+	}
+	if a.Took <= 0 || a.Reference <= 0 || a.Failed {
+		return false
+	}
+	slow := a.Took > slowFactor*a.Reference && a.Took > a.Reference+slowLeast
+	return r.slow.add(slow, slowWindow) >= slowCount
+}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -21,6 +21,21 @@
 	Contacts           Kind = "contacts"
 )
 
+// The kinds that nodes beside the endpoints of a mesh use.
+const (
+	// Configuration holds the operator's configuration; nodes only read it.
+	Configuration Kind = "configuration"
+	// Rollout holds the operator's orders to move a service to a new version
+	// together with their state; nodes only read it.
+	Rollout Kind = "rollout"
+	// RolloutState is the state of the rollout of the same name. Only Update is
+	// defined; its version is that of the rollout.
+	RolloutState Kind = "rolloutstate"
+	// MeshState holds what nodes tell each other: entries of instances and the
+	// progress of rollouts.
+	MeshState Kind = "meshstate"
+)
+
 // Object is one stored value. Version is opaque and changes with each write.
 type Object struct {
 	Kind    Kind
--- /dev/null
+++ b/pkg/sidecar/entry.go
@@ -0,0 +1,241 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/verdict"
+)
+
+// Entry takes the requests that begin on this machine.
+type Entry struct {
+	deps *shared
+	gate *gateKeeper
+	hops *hopClient
+
+	inFlight atomic.Int64
+
+	mu         sync.Mutex
+	budgets    map[string]*placement.Budget
+	references map[string]time.Duration
+	turns      map[string]uint64
+}
+
+func newEntry(deps *shared, gate *gateKeeper, hops *hopClient) *Entry {
+	return &Entry{
+		deps: deps, gate: gate, hops: hops, budgets: make(map[string]*placement.Budget),
+		references: make(map[string]time.Duration), turns: make(map[string]uint64),
+	}
+}
+
+// budget returns the budget of repeats to a service.
+func (e *Entry) budget(service string) *placement.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budgets[service]
+	if b == nil {
+		s := e.deps.settings
+		b = placement.NewBudget(s.RetryRatio, s.RetryWindow, s.RetrySlack)
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// referenceWeight is the weight of a new time in the mean of a route.
+const referenceWeight = 0.1
+
+// learnReference takes in the time of an answer of a version in full use.
+func (e *Entry) learnReference(route string, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	mean, ok := e.references[route]
+	if !ok {
+		mean = took
+	}
+	e.references[route] = mean + time.Duration(referenceWeight*float64(took-mean))
+}
+
+func (e *Entry) reference(route string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.references[route]
+}
+
+// pickService spreads the requests of a route over its services by weight. A
+// service without room keeps its part: moving it would put load where the
+// operator does not want it.
+func (e *Entry) pickService(route *mesh.Route) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	e.mu.Lock()
+	e.turns[route.Name]++
+	at := position(e.turns[route.Name])
+	e.mu.Unlock()
+	total := 0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	at *= float64(total)
+	for _, share := range route.Shares {
+		if at -= float64(share.Weight); at < 0 {
+			return share.Service
+		}
+	}
+	return route.Shares[len(route.Shares)-1].Service
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	x := &request{entry: e, w: w, r: r, id: r.Header.Get(e.deps.headers.RequestID), started: e.deps.now()}
+	defer func() {
+		if x.cancel != nil {
+			x.cancel()
+		}
+	}()
+	a, failure := x.run()
+	if e.deps.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if failure == nil {
+		failure = x.passOn(a)
+	}
+	x.observe(failure)
+	switch {
+	case failure == nil:
+	case x.status != 0 || failure.Code == verdict.Canceled:
+		// The head is on its way, or nobody waits: only a broken connection tells
+		// that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	default:
+		x.refuse(failure)
+	}
+}
+
+// promises are the statuses by which clients learn that a request has not run.
+// An endpoint's own answer with one of them makes no such promise.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// passOn sends the answer of an endpoint to the client.
+func (x *request) passOn(a *answer) *verdict.Error {
+	defer a.body.Close()
+	if promises(a.status) && !x.route.Kind.Idempotent() {
+		return verdict.Fail(verdict.TargetFailed, nil, "the endpoint answered with status %d", a.status)
+	}
+	header := x.w.Header()
+	for name, values := range a.header {
+		header[name] = values
+	}
+	if header["Content-Type"] == nil {
+		header["Content-Type"] = nil // Keeps net/http from guessing one.
+	}
+	if a.whole && x.r.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(a.buffered)))
+	} else if a.length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
+	x.status = a.status
+	x.w.WriteHeader(a.status)
+	if _, err := x.w.Write(a.buffered); err != nil && x.r.Method != http.MethodHead && len(a.buffered) > 0 {
+		return verdict.Fail(verdict.Canceled, err, "the client did not take the answer")
+	}
+	if a.whole {
+		return nil
+	}
+	n, err := io.Copy(x.w, a.body)
+	if err == nil && a.length >= 0 && n+int64(len(a.buffered)) < a.length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return verdict.Fail(verdict.AnswerCut, err, "the answer ended early")
+	}
+	return nil
+}
+
+// leastRetryAfter is the shortest time after which a client is asked to come back.
+const leastRetryAfter = 20 * time.Millisecond
+
+// problem is the body of a refusal or failure of the node's own.
+type problem struct {
+	Code      verdict.Code `json:"code"`
+	Detail    string       `json:"detail"`
+	Verdict   string       `json:"verdict"`
+	RequestID string       `json:"requestId"`
+}
+
+// statusOf returns the status of a refusal or failure of the node's own. A
+// request that has not run gets a status that promises so.
+func statusOf(failure *verdict.Error) int {
+	switch {
+	case failure.Code == verdict.UnknownRoute, failure.Code == verdict.BadRequest:
+		return failure.Code.Status()
+	case failure.Verdict == verdict.NotRun:
+		return http.StatusServiceUnavailable
+	case failure.Code == verdict.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func (x *request) refuse(failure *verdict.Error) {
+	header := x.w.Header()
+	x.status = statusOf(failure)
+	if x.status == http.StatusServiceUnavailable {
+		after := max(failure.RetryAfter, leastRetryAfter)
+		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	// The type is a plain struct, which always encodes.
+	body, _ := json.Marshal(problem{
+		Code: failure.Code, Detail: failure.Detail, Verdict: failure.Verdict.String(), RequestID: x.id,
+	})
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(x.status)
+	_, _ = x.w.Write(body)
+}
+
+// observe counts and logs the end of a request.
+func (x *request) observe(failure *verdict.Error) {
+	deps := x.entry.deps
+	took := deps.now().Sub(x.started)
+	outcome, kind := "served", "none"
+	f := fields{
+		"request": x.id, "service": x.service, "tookMs": took.Milliseconds(), "tries": x.tries,
+		"arrivals": x.arrivals, "rejections": x.rejections,
+	}
+	if x.route != nil {
+		kind = x.route.Kind.String()
+		f["route"], f["kind"], f["timeoutMs"] = x.route.Name, kind, x.deadline.Sub(x.started).Milliseconds()
+	}
+	name := "request_served"
+	if failure != nil {
+		outcome, name = string(failure.Code), "request_failed"
+		f["code"], f["verdict"], f["detail"] = string(failure.Code), failure.Verdict.String(), failure.Error()
+		f["retryAfterMs"] = failure.RetryAfter.Milliseconds()
+	} else {
+		f["status"] = x.status
+		if x.status >= http.StatusInternalServerError {
+			name, outcome = "request_failed", "endpoint-failure"
+		}
+	}
+	deps.metrics.request(x.service, kind, outcome, took)
+	deps.log.event(name, f)
+}
--- /dev/null
+++ b/pkg/sidecar/eventlog.go
@@ -0,0 +1,128 @@
+package sidecar
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+// Bounds of the log. Lines beyond a rate are counted and the number is told in
+// the next line of the same event.
+const (
+	logLinesPerSecond = 40
+	logBurst          = 80
+	// logQueue is the number of lines that may wait for a slow reader.
+	logQueue = 2048
+)
+
+// fields are the inputs and the outcome of a decision.
+type fields = map[string]any
+
+// eventLog writes one JSON line for each event. It never blocks: lines that a
+// slow reader or a rate leaves no room for are dropped and counted.
+type eventLog struct {
+	logger *logrus.Logger
+	output *lineQueue
+
+	mu    sync.Mutex
+	kinds map[string]*eventKind
+}
+
+type eventKind struct {
+	limiter *rate.Limiter
+	omitted int
+}
+
+// newEventLog returns a log that writes to output. version returns the
+// configuration version in force.
+func newEventLog(output io.Writer, origin timeline.Origin, version func() uint64) *eventLog {
+	queue := newLineQueue(output)
+	logger := timeline.NewLogger(timeline.LoggerOptions{
+		Output: queue, Level: logrus.InfoLevel, Origin: origin, ConfigVersion: version,
+	})
+	return &eventLog{logger: logger, output: queue, kinds: make(map[string]*eventKind)}
+}
+
+// event writes a line for an event of the given name.
+func (l *eventLog) event(name string, f fields) {
+	l.mu.Lock()
+	kind := l.kinds[name]
+	if kind == nil {
+		kind = &eventKind{limiter: rate.NewLimiter(logLinesPerSecond, logBurst)}
+		l.kinds[name] = kind
+	}
+	if !kind.limiter.Allow() {
+		kind.omitted++
+		l.mu.Unlock()
+		return
+	}
+	omitted := kind.omitted
+	kind.omitted = 0
+	l.mu.Unlock()
+	entry := logrus.Fields{"event": name}
+	for key, value := range f {
+		entry[key] = value
+	}
+	if omitted > 0 {
+		entry["omitted"] = omitted
+	}
+	if dropped := l.output.dropped.Swap(0); dropped > 0 {
+		entry["dropped"] = dropped
+	}
+	l.logger.WithFields(entry).Info(name)
+}
+
+// close writes what is queued, waiting for at most the given time.
+func (l *eventLog) close(wait time.Duration) { l.output.close(wait) }
+
+// lineQueue passes lines to a writer from its own goroutine.
+type lineQueue struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+func newLineQueue(w io.Writer) *lineQueue {
+	q := &lineQueue{lines: make(chan []byte, logQueue), done: make(chan struct{})}
+	go func() {
+		defer close(q.done)
+		for line := range q.lines {
+			if line == nil {
+				return
+			}
+			// A log that cannot be written has nowhere to say so.
+			_, _ = w.Write(line)
+		}
+	}()
+	return q
+}
+
+// Write implements io.Writer; it queues or drops the line.
+func (q *lineQueue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (q *lineQueue) close(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case q.lines <- nil:
+	case <-timer.C:
+		return
+	}
+	select {
+	case <-q.done:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/sidecar/hop.go
@@ -0,0 +1,232 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/exchange"
+	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/verdict"
+)
+
+// nodeDialTimeout bounds a connection to another node. The longest round trip
+// between regions is about 20 ms; a machine without power does not answer.
+const nodeDialTimeout = 300 * time.Millisecond
+
+// poolLifetime is how long the connections to a node are kept without a request.
+const poolLifetime = 30 * time.Second
+
+// hopClient sends calls to the nodes beside other endpoints.
+type hopClient struct {
+	deps  *shared
+	mu    sync.Mutex
+	pools map[string]*hopPool
+}
+
+type hopPool struct {
+	*exchange.Pool
+	lastUsed time.Time
+}
+
+func newHopClient(deps *shared) *hopClient {
+	return &hopClient{deps: deps, pools: make(map[string]*hopPool)}
+}
+
+func (h *hopClient) pool(address string) *exchange.Pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.pools[address]
+	if p == nil {
+		p = &hopPool{Pool: exchange.NewPool(address, exchange.Dialer{Timeout: nodeDialTimeout}, h.deps.metrics.nodeConnection)}
+		h.pools[address] = p
+	}
+	p.lastUsed = h.deps.now()
+	return p.Pool
+}
+
+// sweep closes connections that are no longer used.
+func (h *hopClient) sweep() {
+	now := h.deps.now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for address, p := range h.pools {
+		p.Sweep()
+		if now.Sub(p.lastUsed) > poolLifetime {
+			p.Close()
+			delete(h.pools, address)
+		}
+	}
+}
+
+// send hands a call to the node at address.
+func (h *hopClient) send(ctx context.Context, address string, c *call) (*answer, placement.Load, *verdict.Error) {
+	request, err := c.request(ctx)
+	if err != nil {
+		return nil, placement.Load{}, verdict.Refuse(verdict.BadRequest, "request: %v", err)
+	}
+	terms := c.hopTerms
+	terms.LeftUs = c.deadline.Sub(h.deps.now()).Microseconds()
+	request.Header[hopTermsName] = []string{encodeHop(terms)}
+	sending := exchange.Request{Request: request}
+	if !c.Idempotent {
+		sending.MaxIdle = maxReusedIdle
+	}
+	response, failure := h.pool(address).Do(ctx, sending)
+	if failure != nil {
+		return nil, placement.Load{}, nodeFailure(ctx, failure)
+	}
+	load := parseLoad(response.Header.Get(hopLoadName))
+	if text := response.Header.Get(hopErrorName); text != "" {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		var e hopError
+		if err := json.Unmarshal([]byte(text), &e); err != nil {
+			return nil, load, verdict.Fail(verdict.Internal, err, "the node's answer cannot be read")
+		}
+		return nil, load, e.failure()
+	}
+	took, err := strconv.ParseInt(response.Header.Get(hopTookName), 10, 64)
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, load, verdict.Fail(verdict.Internal, err, "the answer is not a node's")
+	}
+	return &answer{
+		status: response.StatusCode, header: forwardable(response.Header), length: response.ContentLength,
+		body: response.Body, notRun: response.Header.Get(hopNotRun) != "", load: load,
+		took: time.Duration(took) * time.Microsecond,
+	}, load, nil
+}
+
+func nodeFailure(ctx context.Context, failure *exchange.Error) *verdict.Error {
+	v := verdict.NotRun
+	if failure.Sent {
+		v = verdict.MayHaveRun
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &verdict.Error{Code: verdict.DeadlineExceeded, Verdict: v, Detail: "the deadline has passed"}
+	case ctx.Err() != nil:
+		return &verdict.Error{Code: verdict.Canceled, Verdict: v, Detail: "the caller gave up"}
+	case v == verdict.NotRun:
+		return &verdict.Error{Code: verdict.NoTarget, Verdict: v, Detail: "the endpoint's node cannot be reached", Cause: failure}
+	}
+	return &verdict.Error{Code: verdict.TargetFailed, Verdict: v, Detail: "the endpoint's node did not answer", Cause: failure}
+}
+
+func formatLoad(l placement.Load) string {
+	return strconv.Itoa(l.Running) + "," + strconv.Itoa(l.Waiting) + "," + strconv.Itoa(l.Slots) + "," +
+		strconv.FormatInt(l.Service.Microseconds(), 10)
+}
+
+// parseLoad reads what formatLoad wrote; anything else is an unknown load.
+func parseLoad(text string) placement.Load {
+	parts := strings.Split(text, ",")
+	if len(parts) != 4 {
+		return placement.Load{}
+	}
+	var n [4]int
+	for i, part := range parts {
+		value, err := strconv.Atoi(part)
+		if err != nil {
+			return placement.Load{}
+		}
+		n[i] = value
+	}
+	return placement.Load{Running: n[0], Waiting: n[1], Slots: n[2], Service: time.Duration(n[3]) * time.Microsecond}
+}
+
+// hopServer takes the calls of other nodes for the endpoints beside this one.
+type hopServer struct {
+	deps *shared
+	gate *gateKeeper
+}
+
+// ServeHTTP implements http.Handler.
+func (s *hopServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, err := s.decode(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if failure := c.readBody(w, r); failure != nil {
+		writeHopError(w, placement.Load{}, failure)
+		return
+	}
+	a, load, failure := s.gate.serve(ctx, c)
+	if failure != nil {
+		if failure.Code != verdict.Overloaded && failure.Code != verdict.Canceled {
+			s.deps.log.event("call_failed", fields{
+				"request": c.id, "endpoint": c.Endpoint, "code": string(failure.Code),
+				"verdict": failure.Verdict.String(), "detail": failure.Error(), "running": load.Running, "waiting": load.Waiting,
+			})
+		}
+		writeHopError(w, load, failure)
+		return
+	}
+	defer a.body.Close()
+	header := w.Header()
+	for name, values := range a.header {
+		header[name] = values
+	}
+	if header["Content-Type"] == nil {
+		header["Content-Type"] = nil
+	}
+	header.Set(hopLoadName, formatLoad(load))
+	header.Set(hopTookName, strconv.FormatInt(a.took.Microseconds(), 10))
+	if a.notRun {
+		header.Set(hopNotRun, "1")
+	}
+	if a.length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
+	w.WriteHeader(a.status)
+	if _, err := io.Copy(w, a.body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *hopServer) decode(r *http.Request) (*call, error) {
+	c := &call{
+		id: r.Header.Get(s.deps.headers.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host,
+		header: forwardable(r.Header), length: r.ContentLength,
+	}
+	if err := json.Unmarshal([]byte(r.Header.Get(hopTermsName)), &c.hopTerms); err != nil {
+		return nil, err
+	}
+	c.deadline = s.deps.now().Add(time.Duration(c.LeftUs) * time.Microsecond)
+	return c, nil
+}
+
+// readBody reads a small body whole before the call asks for a slot.
+func (c *call) readBody(w http.ResponseWriter, r *http.Request) *verdict.Error {
+	switch {
+	case r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody:
+		return nil
+	case r.ContentLength > 0 && r.ContentLength <= bufferedRequestBytes:
+		c.body = make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, c.body); err != nil {
+			return verdict.Refuse(verdict.Canceled, "the body was cut: %v", err)
+		}
+		return nil
+	}
+	c.rest = r.Body
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	return nil
+}
+
+func writeHopError(w http.ResponseWriter, load placement.Load, failure *verdict.Error) {
+	header := w.Header()
+	header.Set(hopErrorName, encodeHop(newHopError(failure)))
+	header.Set(hopLoadName, formatLoad(load))
+	header.Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/pkg/sidecar/metrics.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// latencyBuckets are the bounds of the latency histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+// metrics are the counters and histograms of a node.
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+func (m *metrics) request(service, kind, outcome string, took time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"service": service, "kind": kind, "outcome": outcome})
+	scope.Counter("requests").Inc(1)
+	scope.Histogram("request_duration", latencyBuckets).RecordDuration(took)
+}
+
+func (m *metrics) try(distance, outcome string) {
+	m.scope.Tagged(map[string]string{"distance": distance, "outcome": outcome}).Counter("tries").Inc(1)
+}
+
+func (m *metrics) repeat(service, allowed string) {
+	m.scope.Tagged(map[string]string{"service": service, "allowed": allowed}).Counter("repeats").Inc(1)
+}
+
+func (m *metrics) endpointConnection() { m.scope.Counter("endpoint_connections_opened").Inc(1) }
+
+func (m *metrics) nodeConnection() { m.scope.Counter("node_connections_opened").Inc(1) }
+
+func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- /dev/null
+++ b/pkg/sidecar/node.go
@@ -0,0 +1,286 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/do/v2"
+
+	"github.com/azurespring/azurespring/pkg/admin"
+	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/timeline"
+)
+
+// Deps are what a node needs from outside.
+type Deps struct {
+	Settings Settings
+	Headers  Headers
+	Store    platform.Store
+	Docs     Documents
+	// ReadinessPath is where the readiness address answers.
+	ReadinessPath string
+	// Announcements returns the handler of the control address; registry takes
+	// what endpoints announce.
+	Announcements func(registry Registry) http.Handler
+	// LogOutput takes the log as JSON lines.
+	LogOutput io.Writer
+	// Version is the version of the program.
+	Version string
+}
+
+// Times of a stop. A node that was told to stop is not ready at once, and takes
+// requests of clients that have not noticed for two questions of the platform,
+// which come once per second, and a margin.
+const (
+	stopNotice = 2500 * time.Millisecond
+	// stopMargin is what remains of the grace period for the end of the process.
+	stopMargin = 500 * time.Millisecond
+	stopPoll   = 50 * time.Millisecond
+)
+
+// housekeeping is the time between two sweeps of idle connections and endpoints.
+const housekeeping = time.Second
+
+// headerTimeout bounds the time of a client to send a request's head.
+const headerTimeout = 10 * time.Second
+
+// maxHeaderBytes bounds the head of a request.
+const maxHeaderBytes = 64 << 10
+
+// memoryShare is the part of the machine's memory that the heap may take; the
+// rest is for stacks, the C library and bytes in sockets.
+const memoryShare = 0.6
+
+// Node is the process beside an endpoint.
+type Node struct {
+	deps     Deps
+	injector *do.RootScope
+	shared   *shared
+	gate     *gateKeeper
+	hops     *hopClient
+	entry    *Entry
+	tracker  *tracker
+	hopsIn   *hopServer
+}
+
+// Registry takes what endpoints announce.
+type Registry interface {
+	Announce(a mesh.Announcement)
+	// Leave ends an endpoint; born is 0 if it did not say which start ends.
+	Leave(id string, born int64)
+	// Malformed is told of an announcement that names no endpoint to use.
+	Malformed(id string, err error)
+}
+
+// New composes a node. It opens no connection.
+func New(deps Deps) (*Node, error) {
+	n := &Node{deps: deps, injector: do.New()}
+	do.Provide(n.injector, n.newShared)
+	do.Provide(n.injector, func(i do.Injector) (*gateKeeper, error) { return newGateKeeper(do.MustInvoke[*shared](i)), nil })
+	do.Provide(n.injector, func(i do.Injector) (*hopClient, error) { return newHopClient(do.MustInvoke[*shared](i)), nil })
+	do.Provide(n.injector, func(i do.Injector) (*Entry, error) {
+		return newEntry(do.MustInvoke[*shared](i), do.MustInvoke[*gateKeeper](i), do.MustInvoke[*hopClient](i)), nil
+	})
+	do.Provide(n.injector, func(i do.Injector) (*tracker, error) {
+		return newTracker(do.MustInvoke[*shared](i), deps.Store, deps.Docs, do.MustInvoke[*gateKeeper](i)), nil
+	})
+	var err error
+	if n.shared, err = do.Invoke[*shared](n.injector); err != nil {
+		return nil, err
+	}
+	n.gate = do.MustInvoke[*gateKeeper](n.injector)
+	n.hops = do.MustInvoke[*hopClient](n.injector)
+	n.entry = do.MustInvoke[*Entry](n.injector)
+	n.tracker = do.MustInvoke[*tracker](n.injector)
+	n.hopsIn = &hopServer{deps: n.shared, gate: n.gate}
+	n.shared.endpointsChanged = n.tracker.endpointsChanged
+	return n, nil
+}
+
+func (n *Node) newShared(do.Injector) (*shared, error) {
+	s := &shared{settings: n.deps.Settings, headers: n.deps.Headers, now: time.Now}
+	s.service.Store(&n.deps.Settings.Service)
+	s.log = newEventLog(n.deps.LogOutput, timeline.Origin{
+		Instance: s.settings.Instance, FailureDomain: s.settings.FailureDomain, Region: s.settings.Region,
+	}, s.configVersion)
+	scope, handler, closer := admin.NewMetrics(s.log.logger)
+	s.metrics = &metrics{scope: scope, handler: handler, closer: closer}
+	s.rollouts = newRolloutKeeper(s.now, s.log, func() { poke(n.tracker.decide) })
+	return s, nil
+}
+
+// Reload takes over settings that may change while the node runs.
+func (n *Node) Reload(s Settings) {
+	old := *n.shared.service.Load()
+	n.shared.service.Store(&s.Service)
+	n.shared.log.event("settings_reloaded", fields{"service": s.Service, "changed": old != s.Service})
+}
+
+// ReloadFailed logs settings that were refused; the old ones stay in force.
+func (n *Node) ReloadFailed(err error) {
+	n.shared.log.event("settings_refused", fields{"error": err.Error()})
+}
+
+// server is one listening address.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// Run serves until ctx ends, then stops gracefully. The error says what could
+// not be started.
+func (n *Node) Run(ctx context.Context) error {
+	s := n.shared.settings
+	if s.Cores > 0 {
+		runtime.GOMAXPROCS(s.Cores)
+	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.shared.log.event("started", fields{"program": n.deps.Version, "service": s.Service, "inbound": s.Inbound, "outbound": s.Outbound})
+	background, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { n.tracker.run(background) })
+	running.Go(func() { n.keepHouse(background) })
+	for _, server := range servers {
+		running.Go(func() {
+			if err := server.http.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
+				n.shared.log.event("server_failed", fields{"address": server.listener.Addr().String(), "error": err.Error()})
+			}
+		})
+	}
+	<-ctx.Done()
+	n.stop(servers)
+	cancel()
+	running.Wait()
+	n.shared.log.event("stopped", fields{"inFlight": n.entry.inFlight.Load()})
+	if err := n.shared.metrics.closer.Close(); err != nil {
+		n.shared.log.event("metrics_failed", fields{"error": err.Error()})
+	}
+	n.shared.log.close(stopPoll)
+	return nil
+}
+
+// stop ends the node gracefully: it is no longer ready, tells other nodes, lets
+// clients notice, and waits for the requests in flight.
+func (n *Node) stop(servers []server) {
+	started := time.Now()
+	n.shared.stopping.Store(true)
+	n.shared.log.event("stopping", fields{"inFlight": n.entry.inFlight.Load()})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	n.tracker.withdraw(ctx)
+	cancel()
+	last := n.shared.settings.Grace - stopMargin
+	for {
+		elapsed := time.Since(started)
+		if elapsed >= last || elapsed >= stopNotice && n.entry.inFlight.Load() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	for _, server := range servers {
+		_ = server.http.Close()
+	}
+}
+
+func (n *Node) keepHouse(ctx context.Context) {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.gate.tick()
+		n.hops.sweep()
+	}
+}
+
+// listen opens all addresses.
+func (n *Node) listen() ([]server, error) {
+	s := n.shared.settings
+	clients := &http.Server{
+		Handler: n.entry, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: n.watchIdle,
+		ConnContext: func(_ context.Context, c net.Conn) context.Context {
+			return c.(*clientConn).ctx
+		},
+	}
+	type listening struct {
+		address string
+		http    *http.Server
+		wrap    func(net.Listener) net.Listener
+	}
+	addresses := []listening{
+		{s.Control, &http.Server{Handler: n.deps.Announcements(n.gate), ReadHeaderTimeout: headerTimeout}, nil},
+		{s.Inbound, &http.Server{Handler: n.hopsIn, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 2 * maxHeaderBytes}, nil},
+		{s.Outbound, clients, func(l net.Listener) net.Listener { return clientListener{l} }},
+		{s.Readiness, &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}, nil},
+	}
+	if address := metricsAddress(s); address != "" {
+		addresses = append(addresses, listening{
+			address, &http.Server{Handler: n.shared.metrics.handler, ReadHeaderTimeout: headerTimeout}, nil,
+		})
+	}
+	var servers []server
+	for _, each := range addresses {
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return nil, eris.Wrapf(err, "listen on %s", each.address)
+		}
+		if each.wrap != nil {
+			listener = each.wrap(listener)
+		}
+		servers = append(servers, server{http: each.http, listener: listener})
+	}
+	return servers, nil
+}
+
+// watchIdle closes connections of clients that are idle for longer than the
+// configuration allows, which may change while they are open.
+func (n *Node) watchIdle(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*clientConn)
+	if !ok {
+		return
+	}
+	idle := time.Duration(0)
+	if snapshot := n.shared.snapshot.Load(); state == http.StateIdle && snapshot != nil {
+		idle = snapshot.Limits().IdleTimeout
+	}
+	conn.watchIdle(idle)
+}
+
+func (n *Node) serveReadiness(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != n.deps.ReadinessPath:
+		http.NotFound(w, r)
+	case n.shared.stopping.Load() || !n.tracker.ready():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// metricsAddress returns where the metrics are served, "" for nowhere.
+func metricsAddress(s Settings) string {
+	host, _, err := net.SplitHostPort(s.Inbound)
+	if err != nil || s.MetricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(s.MetricsPort))
+}
--- /dev/null
+++ b/pkg/sidecar/rollouts.go
@@ -0,0 +1,159 @@
+package sidecar
+
+import (
+	"math/bits"
+	"sync"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/mesh/rollout"
+)
+
+// handover is how long the node beside an old version's endpoint still takes
+// requests after all traffic was moved: other nodes learn of the move later.
+const handover = time.Second
+
+// rolloutKeeper holds the machine of rollouts and answers for it on the path of
+// requests.
+type rolloutKeeper struct {
+	now func() time.Time
+	log *eventLog
+	// wake is called after a finding that must be written at once.
+	wake func()
+
+	mu       sync.Mutex
+	machine  *rollout.Machine
+	policies map[string]keptPolicy
+	sent     map[string]uint64
+}
+
+type keptPolicy struct {
+	rollout.Policy
+	since time.Time
+	open  bool
+}
+
+func newRolloutKeeper(now func() time.Time, log *eventLog, wake func()) *rolloutKeeper {
+	return &rolloutKeeper{
+		now: now, log: log, wake: wake, machine: rollout.NewMachine(),
+		policies: make(map[string]keptPolicy), sent: make(map[string]uint64),
+	}
+}
+
+// step applies an event and returns the writes that are due.
+func (k *rolloutKeeper) step(event rollout.Event) []rollout.Effect {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	event.WallMs = now.UnixMilli()
+	effects := k.machine.Step(now, event)
+	open := make(map[string]bool)
+	for _, r := range k.machine.Open() {
+		open[r.Service] = true
+	}
+	policies := make(map[string]keptPolicy)
+	for service, p := range k.machine.Policies() {
+		kept := keptPolicy{Policy: p, since: now, open: open[service]}
+		if old, ok := k.policies[service]; ok && old.Policy == p {
+			kept.since = old.since
+		} else {
+			k.log.event("rollout_policy", fields{
+				"service": service, "version": p.Version, "share": p.Share, "open": kept.open,
+			})
+		}
+		policies[service] = kept
+	}
+	k.policies = policies
+	return effects
+}
+
+// open returns the orders that are not yet decided.
+func (k *rolloutKeeper) open() []mesh.Rollout {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Open()
+}
+
+// allowed reports whether endpoints of the version take requests.
+func (k *rolloutKeeper) allowed(service, version string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p, ok := k.policies[service]
+	switch {
+	case !ok:
+		return true
+	case version == p.Version:
+		return p.Share > 0
+	}
+	return p.Share < 1 || k.now().Sub(p.since) < handover
+}
+
+// judging reports whether answers of the version decide an open rollout.
+func (k *rolloutKeeper) judging(service, version string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p, ok := k.policies[service]
+	return ok && p.open && version == p.Version && p.Share > 0
+}
+
+// foundBad stops all requests from this node to the version and has it rolled back.
+func (k *rolloutKeeper) foundBad(service, version string, evidence fields) {
+	evidence["service"], evidence["version"] = service, version
+	k.log.event("rollout_bad", evidence)
+	k.step(rollout.Event{Kind: rollout.Bad, Service: service, Version: version})
+	k.wake()
+}
+
+// candidates returns the endpoints that a request for a service may be sent to.
+// canary is set if they are the new version's before it has all traffic.
+func (k *rolloutKeeper) candidates(board *placement.Board, service string, repeat bool) (list []*placement.Endpoint, canary bool) {
+	versions := board.Versions(service)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p, ok := k.policies[service]
+	if !ok {
+		return mostCommon(versions), false
+	}
+	if p.Share >= 1 {
+		if list = versions[p.Version]; len(list) > 0 {
+			return list, false
+		}
+	}
+	if p.Share > 0 && p.Share < 1 && !repeat && len(versions[p.Version]) > 0 {
+		k.sent[service]++
+		if position(k.sent[service]) < p.Share {
+			if e := board.Canary(service, p.Version, k.now()); e != nil {
+				return []*placement.Endpoint{e}, true
+			}
+		}
+	}
+	for version, endpoints := range versions {
+		if version != p.Version {
+			list = append(list[:len(list):len(list)], endpoints...)
+		}
+	}
+	return list, false
+}
+
+// position spreads the n-th request over the unit interval: the fractional parts
+// of multiples of the golden ratio fill it evenly over any run of requests.
+func position(n uint64) float64 {
+	const golden = 0x9E3779B97F4A7C15
+	const unit = 1 << 32
+	high, _ := bits.Mul64(n*golden, unit)
+	return float64(high) / unit
+}
+
+// mostCommon returns the endpoints of the version with the most of them. Without
+// an order, those of another version are about to get one or to end.
+func mostCommon(versions map[string][]*placement.Endpoint) []*placement.Endpoint {
+	var best string
+	var list []*placement.Endpoint
+	for version, endpoints := range versions {
+		if len(endpoints) > len(list) || len(endpoints) == len(list) && version < best {
+			best, list = version, endpoints
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/sidecar/settings.go
@@ -0,0 +1,67 @@
+// Package sidecar is the node beside an endpoint of a service mesh: it takes
+// the requests that begin on its machine, places them, and is the only gate to
+// the endpoint beside it. What nodes share lies in the platform's store.
+package sidecar
+
+import "time"
+
+// Settings are what a node is told of its machine and of the terms it runs on.
+type Settings struct {
+	Instance      string
+	FailureDomain string
+	Region        string
+	// Service is the service of the endpoint beside the node, which the requests
+	// that begin here are sent for.
+	Service string
+	// EndpointAddress is where that endpoint listens.
+	EndpointAddress string
+
+	// Inbound takes requests of other nodes, Outbound those of clients and of the
+	// endpoint, Readiness the platform's question whether the node takes requests,
+	// and Control the announcements of the endpoint.
+	Inbound   string
+	Outbound  string
+	Readiness string
+	Control   string
+	// MetricsPort serves the node's metrics; 0 serves none.
+	MetricsPort int
+
+	StoreAddress string
+	// HeartbeatInterval is the usual time between two announcements.
+	HeartbeatInterval time.Duration
+	// Drain is how long an endpoint serves after its leaving was acknowledged.
+	Drain time.Duration
+	// Grace is the time from the signal to stop to the kill.
+	Grace time.Duration
+	// ConfigurationLag is the time within which a stored configuration must be in
+	// force.
+	ConfigurationLag time.Duration
+
+	// RetryRatio, RetryWindow and RetrySlack bound the repeats to a service over
+	// all nodes: in each window, RetryRatio per request plus RetrySlack.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+
+	Cores       int
+	MemoryBytes int64
+	Descriptors int
+}
+
+// Headers are the names of the headers that clients, endpoints and nodes share.
+type Headers struct {
+	// RequestID identifies one try of a client; endpoints echo it.
+	RequestID string
+	// Deadline holds the milliseconds that the sender will wait.
+	Deadline string
+	// Signature marks an answer as an endpoint's own.
+	Signature string
+	// ExpectedEndpoint names the endpoint that may run the request.
+	ExpectedEndpoint string
+	// NotRun marks an answer to a request that the endpoint did not run.
+	NotRun string
+	// Caller names the service of the machine where the request began.
+	Caller string
+	// Load holds an endpoint's load.
+	Load string
+}
--- /dev/null
+++ b/pkg/sidecar/shared.go
@@ -0,0 +1,36 @@
+package sidecar
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/placement"
+)
+
+// shared is what the parts of a node have in common.
+type shared struct {
+	settings Settings
+	headers  Headers
+	now      func() time.Time
+	log      *eventLog
+	metrics  *metrics
+	rollouts *rolloutKeeper
+	// snapshot and board are nil until the store was read.
+	snapshot atomic.Pointer[mesh.Snapshot]
+	board    atomic.Pointer[placement.Board]
+	// service is the service of the endpoint beside this node, which a reload of
+	// the settings may change.
+	service  atomic.Pointer[string]
+	stopping atomic.Bool
+	// endpointsChanged is called after the endpoints beside this node changed.
+	endpointsChanged func()
+}
+
+// configVersion returns the configuration version in force; 0 if there is none.
+func (s *shared) configVersion() uint64 {
+	if snapshot := s.snapshot.Load(); snapshot != nil {
+		return snapshot.Version()
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/sidecar/tracker.go
@@ -0,0 +1,506 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/mesh/rollout"
+	"github.com/azurespring/azurespring/pkg/platform"
+)
+
+// Pauses between two tries to read a kind again, or to publish, while the store
+// cannot be reached. Entries must be back within two seconds of its return.
+const (
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 700 * time.Millisecond
+)
+
+// Prefixes of the names of mesh state.
+const (
+	instancePrefix = "instance-"
+	rolloutPrefix  = "rollout-"
+)
+
+// Documents translates what operators write to the store.
+type Documents interface {
+	// ConfigurationName is the name of the object that holds the configuration.
+	ConfigurationName() string
+	DecodeConfiguration(value []byte) (mesh.Configuration, error)
+	DecodeRollout(value []byte) (mesh.Rollout, error)
+	EncodeRolloutState(version string, state mesh.RolloutState) ([]byte, error)
+}
+
+// tracker keeps the node's view of the store and publishes its own entry.
+type tracker struct {
+	deps    *shared
+	store   platform.Store
+	docs    Documents
+	gate    *gateKeeper
+	builder *placement.Builder
+
+	mu        sync.Mutex
+	instances map[string]mesh.Instance
+	rollouts  map[string]mesh.Rollout
+	progress  map[string]rollout.Progress
+	versions  map[string]string
+	loaded    map[platform.Kind]bool
+	// changed wakes the publisher, decide the deciding of rollouts.
+	changed chan struct{}
+	decide  chan struct{}
+}
+
+func newTracker(deps *shared, store platform.Store, docs Documents, gate *gateKeeper) *tracker {
+	return &tracker{
+		deps: deps, store: store, docs: docs, gate: gate,
+		builder: placement.NewBuilder(placement.Locality{
+			Instance: deps.settings.Instance, FailureDomain: deps.settings.FailureDomain, Region: deps.settings.Region,
+		}),
+		instances: make(map[string]mesh.Instance), rollouts: make(map[string]mesh.Rollout),
+		progress: make(map[string]rollout.Progress), versions: make(map[string]string),
+		loaded:  make(map[platform.Kind]bool),
+		changed: make(chan struct{}, 1), decide: make(chan struct{}, 1),
+	}
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// run follows the store until ctx ends.
+func (t *tracker) run(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, kind := range []platform.Kind{platform.Configuration, platform.Rollout, platform.MeshState} {
+		running.Go(func() { t.follow(ctx, kind) })
+	}
+	running.Go(func() { t.publish(ctx) })
+	running.Go(func() { t.decideRollouts(ctx) })
+	running.Wait()
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval, b.RandomizationFactor = firstRetry, lastRetry, 0.5
+	return b
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// follow keeps the view of one kind: a list, then a watch from it.
+func (t *tracker) follow(ctx context.Context, kind platform.Kind) {
+	retry := newBackoff()
+	lost := false
+	for ctx.Err() == nil {
+		objects, version, err := t.store.List(ctx, kind)
+		if err == nil {
+			if lost {
+				t.deps.log.event("store_regained", fields{"kind": string(kind)})
+				lost = false
+			}
+			retry.Reset()
+			t.replace(kind, objects)
+			err = t.store.Watch(ctx, kind, version, func(event platform.Event) error {
+				t.apply(kind, event)
+				return nil
+			})
+			if errors.Is(err, platform.ErrWatchExpired) {
+				continue
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			t.deps.log.event("store_lost", fields{"kind": string(kind), "error": err.Error()})
+			lost = true
+		}
+		sleep(ctx, retry.NextBackOff())
+	}
+}
+
+func (t *tracker) replace(kind platform.Kind, objects []platform.Object) {
+	t.mu.Lock()
+	switch kind {
+	case platform.Rollout:
+		clear(t.rollouts)
+	case platform.MeshState:
+		clear(t.instances)
+		clear(t.progress)
+		clear(t.versions)
+	}
+	for _, o := range objects {
+		t.put(kind, o)
+	}
+	t.loaded[kind] = true
+	t.mu.Unlock()
+	t.refresh(kind)
+}
+
+func (t *tracker) apply(kind platform.Kind, event platform.Event) {
+	t.mu.Lock()
+	if event.Type == platform.Deleted {
+		t.remove(kind, event.Object.Name)
+	} else {
+		t.put(kind, event.Object)
+	}
+	t.mu.Unlock()
+	t.refresh(kind)
+}
+
+// put takes in one object; t.mu is held. Objects that cannot be read change
+// nothing.
+func (t *tracker) put(kind platform.Kind, o platform.Object) {
+	var err error
+	switch kind {
+	case platform.Configuration:
+		if o.Name == t.docs.ConfigurationName() {
+			err = t.activate(o)
+		}
+	case platform.Rollout:
+		var r mesh.Rollout
+		if r, err = t.docs.DecodeRollout(o.Value); err == nil {
+			r.Revision = o.Version
+			t.rollouts[o.Name] = r
+		}
+	case platform.MeshState:
+		t.versions[o.Name] = o.Version
+		err = t.putState(o)
+	}
+	if err != nil {
+		t.deps.log.event("object_refused", fields{"kind": string(kind), "name": o.Name, "error": err.Error()})
+	}
+}
+
+func (t *tracker) putState(o platform.Object) error {
+	switch {
+	case strings.HasPrefix(o.Name, instancePrefix):
+		i, err := mesh.DecodeInstance(o.Value)
+		if err != nil {
+			return err
+		}
+		t.instances[o.Name] = i
+	case strings.HasPrefix(o.Name, rolloutPrefix):
+		var p rollout.Progress
+		if err := json.Unmarshal(o.Value, &p); err != nil {
+			return eris.Wrap(err, "rollout progress")
+		}
+		t.progress[o.Name] = p
+	}
+	return nil
+}
+
+func (t *tracker) remove(kind platform.Kind, name string) {
+	switch kind {
+	case platform.Rollout:
+		delete(t.rollouts, name)
+	case platform.MeshState:
+		delete(t.instances, name)
+		delete(t.progress, name)
+		delete(t.versions, name)
+		if name == t.ownName() && !t.deps.stopping.Load() {
+			poke(t.changed)
+		}
+	}
+}
+
+// activate puts a configuration in force. Invariant: its version is above that
+// of the one before.
+func (t *tracker) activate(o platform.Object) error {
+	c, err := t.docs.DecodeConfiguration(o.Value)
+	if err != nil {
+		return err
+	}
+	current := t.deps.snapshot.Load()
+	if current != nil && c.Version <= current.Version() {
+		return nil
+	}
+	snapshot, err := mesh.Compile(c)
+	if err != nil {
+		return err
+	}
+	t.deps.snapshot.Store(snapshot)
+	t.deps.log.event("configuration_activated", fields{
+		"version": c.Version, "routes": len(c.Routes), "services": len(c.Services),
+	})
+	return nil
+}
+
+// refresh rebuilds what depends on a kind.
+func (t *tracker) refresh(kind platform.Kind) {
+	switch kind {
+	case platform.Rollout, platform.MeshState:
+		t.mu.Lock()
+		orders := make([]mesh.Rollout, 0, len(t.rollouts))
+		for _, r := range t.rollouts {
+			orders = append(orders, r)
+		}
+		progress := make([]rollout.Progress, 0, len(t.progress))
+		for _, p := range t.progress {
+			progress = append(progress, p)
+		}
+		t.mu.Unlock()
+		t.deps.rollouts.step(rollout.Event{Kind: rollout.Orders, Orders: orders})
+		for _, p := range progress {
+			t.deps.rollouts.step(rollout.Event{Kind: rollout.Progressed, Progress: p})
+		}
+		poke(t.decide)
+	}
+	if kind == platform.MeshState {
+		t.rebuild()
+	}
+}
+
+// rebuild compiles the board from the entries of all instances. This node's own
+// endpoints are taken from the gate, which knows them first.
+func (t *tracker) rebuild() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.loaded[platform.MeshState] {
+		return
+	}
+	list := make([]mesh.Instance, 0, len(t.instances)+1)
+	for name, i := range t.instances {
+		if name != t.ownName() {
+			list = append(list, i)
+		}
+	}
+	list = append(list, t.ownEntry())
+	t.deps.board.Store(t.builder.Build(t.deps.now(), list))
+}
+
+func (t *tracker) ownName() string { return instancePrefix + t.deps.settings.Instance }
+
+func (t *tracker) ownEntry() mesh.Instance {
+	s := t.deps.settings
+	endpoints := t.gate.published()
+	slices.SortFunc(endpoints, func(a, b mesh.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return mesh.Instance{
+		Name: s.Instance, Address: s.Inbound, FailureDomain: s.FailureDomain, Region: s.Region, Endpoints: endpoints,
+	}
+}
+
+// ready reports whether all that requests depend on has been read.
+func (t *tracker) ready() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loaded[platform.Rollout] && t.loaded[platform.MeshState] && t.deps.snapshot.Load() != nil
+}
+
+// endpointsChanged takes in a change of the endpoints beside this node.
+func (t *tracker) endpointsChanged() {
+	t.rebuild()
+	poke(t.changed)
+}
+
+// publish keeps the stored entry of this node equal to its endpoints.
+func (t *tracker) publish(ctx context.Context) {
+	retry := newBackoff()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.changed:
+		}
+		retry.Reset()
+		for ctx.Err() == nil && !t.deps.stopping.Load() {
+			err := t.publishOnce(ctx)
+			if err == nil {
+				break
+			}
+			t.deps.log.event("publish_failed", fields{"error": err.Error()})
+			sleep(ctx, retry.NextBackOff())
+		}
+	}
+}
+
+func (t *tracker) publishOnce(ctx context.Context) error {
+	t.mu.Lock()
+	entry, name := t.ownEntry(), t.ownName()
+	stored, version, loaded := t.instances[name], t.versions[name], t.loaded[platform.MeshState]
+	t.mu.Unlock()
+	if !loaded {
+		return eris.New("the store has not been read yet")
+	}
+	if version != "" && sameEntry(stored, entry) {
+		return nil
+	}
+	value, err := entry.Encode()
+	if err != nil {
+		return err
+	}
+	var written platform.Object
+	if version == "" {
+		written, err = t.store.Create(ctx, platform.MeshState, name, value)
+	} else {
+		written, err = t.store.Update(ctx, platform.Object{Kind: platform.MeshState, Name: name, Version: version, Value: value})
+	}
+	if err == nil {
+		t.mu.Lock()
+		t.instances[name], t.versions[name] = entry, written.Version
+		t.mu.Unlock()
+		t.deps.log.event("entry_published", fields{"endpoints": len(entry.Endpoints), "revision": written.Version})
+		return nil
+	}
+	t.reread(ctx, name)
+	return err
+}
+
+// reread takes in what is stored under a name after a write whose outcome is not
+// known, or that met another version.
+func (t *tracker) reread(ctx context.Context, name string) {
+	o, err := t.store.Get(ctx, platform.MeshState, name)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case err == nil:
+		t.put(platform.MeshState, o)
+	case errors.Is(err, platform.ErrNotFound):
+		t.remove(platform.MeshState, name)
+	default:
+		t.deps.log.event("store_read_failed", fields{"name": name, "error": err.Error()})
+	}
+}
+
+// sameEntry compares entries apart from the time that a slow start still takes.
+func sameEntry(a, b mesh.Instance) bool {
+	if a.Address != b.Address || a.FailureDomain != b.FailureDomain || a.Region != b.Region {
+		return false
+	}
+	return slices.EqualFunc(a.Endpoints, b.Endpoints, func(x, y mesh.Endpoint) bool {
+		x.WarmupMs, y.WarmupMs = 0, 0
+		return x == y
+	})
+}
+
+// withdraw removes this node's entry when it stops.
+func (t *tracker) withdraw(ctx context.Context) {
+	t.mu.Lock()
+	name := t.ownName()
+	version := t.versions[name]
+	t.mu.Unlock()
+	if version == "" {
+		return
+	}
+	if err := t.store.Delete(ctx, platform.MeshState, name, version); err != nil {
+		t.deps.log.event("withdraw_failed", fields{"error": err.Error()})
+	}
+}
+
+// rolloutTick is the time between two looks at open rollouts.
+const rolloutTick = 200 * time.Millisecond
+
+// decideRollouts carries out the writes that the machine of rollouts asks for.
+func (t *tracker) decideRollouts(ctx context.Context) {
+	for {
+		open := t.deps.rollouts.open()
+		wait := time.Hour
+		if len(open) > 0 {
+			wait = rolloutTick
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-t.decide:
+			timer.Stop()
+		}
+		if t.deps.board.Load() == nil {
+			continue
+		}
+		effects := t.deps.rollouts.step(rollout.Event{Kind: rollout.Tick, Standing: t.standing()})
+		for _, effect := range effects {
+			t.carryOut(ctx, effect)
+		}
+	}
+}
+
+func (t *tracker) standing() map[string]rollout.Standing {
+	standing := make(map[string]rollout.Standing)
+	board := t.deps.board.Load()
+	for _, r := range t.deps.rollouts.open() {
+		standing[r.Service] = rollout.Standing{
+			Rank:  slices.Index(board.Ranks(r.Service, r.Version), t.deps.settings.Instance),
+			Calls: t.gate.judged(r.Service, r.Version),
+		}
+	}
+	return standing
+}
+
+func (t *tracker) carryOut(ctx context.Context, effect rollout.Effect) {
+	f := fields{
+		"service": effect.Rollout.Service, "version": effect.Rollout.Version, "reason": effect.Reason,
+	}
+	var err error
+	if effect.Kind == rollout.WriteState {
+		f["state"] = string(effect.State)
+		err = t.writeState(ctx, effect)
+	} else {
+		f["phase"] = string(effect.Progress.Phase)
+		err = t.writeProgress(ctx, effect.Progress)
+	}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	t.deps.log.event("rollout_step", f)
+}
+
+func (t *tracker) writeState(ctx context.Context, effect rollout.Effect) error {
+	value, err := t.docs.EncodeRolloutState(effect.Rollout.Version, effect.State)
+	if err != nil {
+		return err
+	}
+	_, err = t.store.Update(ctx, platform.Object{
+		Kind: platform.RolloutState, Name: effect.Rollout.Service, Version: effect.Rollout.Revision, Value: value,
+	})
+	if err == nil || !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	// Another node wrote meanwhile; what it wrote decides the next step.
+	o, getErr := t.store.Get(ctx, platform.Rollout, effect.Rollout.Service)
+	if getErr == nil {
+		t.apply(platform.Rollout, platform.Event{Type: platform.Put, Object: o})
+	}
+	return errors.Join(err, getErr)
+}
+
+func (t *tracker) writeProgress(ctx context.Context, p rollout.Progress) error {
+	value, err := json.Marshal(p)
+	if err != nil {
+		return eris.Wrap(err, "encode rollout progress")
+	}
+	name := rolloutPrefix + p.Service
+	t.mu.Lock()
+	version := t.versions[name]
+	t.mu.Unlock()
+	var written platform.Object
+	if version == "" {
+		written, err = t.store.Create(ctx, platform.MeshState, name, value)
+	} else {
+		written, err = t.store.Update(ctx, platform.Object{Kind: platform.MeshState, Name: name, Version: version, Value: value})
+	}
+	if err != nil {
+		t.reread(ctx, name)
+		return err
+	}
+	t.apply(platform.MeshState, platform.Event{Type: platform.Put, Object: written})
+	return nil
+}
