--- /dev/null
+++ b/pkg/mesh/placement/placement_test.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+)
+
+var (
+	epoch = time.Now()
+	self  = Locality{Instance: "self", FailureDomain: "d1", Region: "r1"}
+)
+
+func instance(name, domain, region string, endpoints ...mesh.Endpoint) mesh.Instance {
+	return mesh.Instance{Name: name, Address: name, FailureDomain: domain, Region: region, Endpoints: endpoints}
+}
+
+func endpoint(id string) mesh.Endpoint {
+	return mesh.Endpoint{ID: id, Service: "s", Version: "v1", Slots: 4}
+}
+
+func board(instances ...mesh.Instance) *Board { return NewBuilder(self).Build(epoch, instances) }
+
+func threeDistances() *Board {
+	return board(
+		instance("far", "d9", "r2", endpoint("far")), instance("near", "d1", "r1", endpoint("near")),
+		instance("region", "d2", "r1", endpoint("region")),
+	)
+}
+
+func find(t *testing.T, b *Board, id string) *Endpoint {
+	t.Helper()
+	for _, e := range b.Versions("s")["v1"] {
+		if e.ID == id {
+			return e
+		}
+	}
+	t.Fatalf("no endpoint %q", id)
+	return nil
+}
+
+// choose counts where n requests go; each stays outstanding if hold is set.
+func choose(t *testing.T, b *Board, now time.Time, n int, hold bool, r Request) map[string]int {
+	t.Helper()
+	counts := make(map[string]int)
+	for range n {
+		c, ok := Choose(now, b.Versions("s")["v1"], r)
+		assert.Assert(t, ok)
+		counts[c.Endpoint.ID]++
+		if hold {
+			c.Endpoint.Begin()
+		}
+	}
+	return counts
+}
+
+var usual = Request{Kind: mesh.Safe, Left: time.Second}
+
+// Guards against requests that cross failure domains or regions while there is
+// room near by, and against queues near by while there is room elsewhere.
+func TestNearFirstThenSpill(t *testing.T) {
+	b := threeDistances()
+	assert.DeepEqual(t, choose(t, b, epoch, 3, true, usual), map[string]int{"near": 3})
+	next := choose(t, b, epoch, 5, true, usual)
+	assert.Assert(t, next["region"] >= 3, "%v", next)
+	more := choose(t, b, epoch, 24, true, usual)
+	assert.Assert(t, more["far"] > 0, "no request left the region: %v", more)
+	assert.Assert(t, more["near"] > 0 && more["region"] > 0, "all requests left the region: %v", more)
+}
+
+// Guards against an endpoint that is slow, or fails, and keeps its traffic, and
+// against one that recovered and never gets any again.
+func TestSlowAndFailingEndpointsLoseTrafficForATime(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		harm func(e *Endpoint)
+	}{
+		{"slow", func(e *Endpoint) { e.Report(epoch, Load{Slots: 4, Service: 600 * time.Millisecond}) }},
+		{"failing", func(e *Endpoint) {
+			for range 5 {
+				e.Outcome(epoch, false)
+			}
+		}},
+		{"unreachable", func(e *Endpoint) { e.Eject(epoch) }},
+	} {
+		b := threeDistances()
+		find(t, b, "region").Report(epoch, Load{Slots: 4, Service: 50 * time.Millisecond})
+		c.harm(find(t, b, "near"))
+		assert.Equal(t, choose(t, b, epoch, 20, false, usual)["near"], 0, c.name)
+		later := epoch.Add(10 * failureHalving)
+		assert.Equal(t, choose(t, b, later, 20, false, usual)["near"], 20, c.name)
+	}
+}
+
+// Guards against a refusal while an endpoint is left, and against a second send
+// to an endpoint that has had the request.
+func TestEjectedEndpointsAreTheLastResort(t *testing.T) {
+	b := board(instance("near", "d1", "r1", endpoint("near")))
+	e := find(t, b, "near")
+	e.Eject(epoch)
+	c, ok := Choose(epoch, b.Versions("s")["v1"], usual)
+	assert.Assert(t, ok && c.Endpoint == e)
+	_, ok = Choose(epoch, b.Versions("s")["v1"], Request{Left: time.Second, Tried: []*Endpoint{e}})
+	assert.Assert(t, !ok)
+}
+
+// Guards against a wait at a full endpoint that is longer than the way to a free
+// one, and against no wait at all where there is no other.
+func TestMaxWaitEndsWhereAnotherEndpointIsBetter(t *testing.T) {
+	one := board(instance("near", "d1", "r1", endpoint("near")))
+	c, _ := Choose(epoch, one.Versions("s")["v1"], usual)
+	assert.Assert(t, c.MaxWait > 900*time.Millisecond, "%v", c.MaxWait)
+	c, _ = Choose(epoch, threeDistances().Versions("s")["v1"], usual)
+	assert.Equal(t, c.Endpoint.ID, "near")
+	assert.Assert(t, c.MaxWait < penaltySameRegion+2*tieSpan, "%v", c.MaxWait)
+	c, _ = Choose(epoch, threeDistances().Versions("s")["v1"], Request{Kind: mesh.Download, Left: time.Second})
+	assert.Assert(t, c.MaxWait > penaltySameRegion+2*tieSpan, "%v", c.MaxWait)
+}
+
+// Guards against connections from each node to all endpoints of a large service,
+// and against endpoints that no node uses.
+func TestCandidatesAreBoundedAndCoverAll(t *testing.T) {
+	var instances []mesh.Instance
+	for i := range 60 {
+		instances = append(instances, instance(fmt.Sprint("n", i), "d1", "r1", endpoint(fmt.Sprint("e", i))))
+	}
+	used := make(map[string]bool)
+	for i := range 60 {
+		b := NewBuilder(Locality{Instance: fmt.Sprint("entry", i), FailureDomain: "d1", Region: "r1"}).Build(epoch, instances)
+		list := b.Versions("s")["v1"]
+		assert.Equal(t, len(list), maxCandidates)
+		for _, e := range list {
+			used[e.ID] = true
+		}
+		assert.Equal(t, len(b.Ranks("s", "v1")), 60)
+	}
+	assert.Equal(t, len(used), 60)
+}
+
+// Guards against observations lost when the board is built anew.
+func TestStatsOutliveBoards(t *testing.T) {
+	builder := NewBuilder(self)
+	list := []mesh.Instance{instance("near", "d1", "r1", endpoint("near"))}
+	first := builder.Build(epoch, list).Versions("s")["v1"][0]
+	first.Begin()
+	second := builder.Build(epoch.Add(time.Second), list).Versions("s")["v1"][0]
+	assert.Equal(t, second.view(epoch).load, 1.0)
+}
+
+// Replays failures of all endpoints and guards against repeats beyond the share
+// of requests and the part of the slack, in any window.
+func TestBudgetOfRepeats(t *testing.T) {
+	const nodes = 24
+	b := NewBudget(0.2, 10*time.Second, 58)
+	repeats, requests := 0, 0
+	for ms := 0; ms < 10_000; ms += 10 {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		b.Request(now)
+		requests++
+		if b.Take(now, nodes) {
+			repeats++
+		}
+	}
+	allowed := 0.2*float64(requests) + 58.0/nodes
+	assert.Assert(t, float64(repeats) <= allowed, "%d repeats, %.0f allowed", repeats, allowed)
+	assert.Assert(t, float64(repeats) > 0.4*allowed, "%d repeats of %.0f", repeats, allowed)
+	// After a pause of a window, nothing of it counts.
+	assert.Assert(t, b.Take(epoch.Add(25*time.Second), nodes))
+	b.Return(epoch.Add(25 * time.Second))
+	assert.Assert(t, b.Take(epoch.Add(25*time.Second), nodes))
+}
--- /dev/null
+++ b/pkg/mesh/rollout/rollout_test.go
@@ -0,0 +1,183 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+)
+
+var (
+	epoch      = time.Now()
+	usualOrder = mesh.Rollout{Service: "s", Version: "v2", Duration: 12 * time.Second}
+)
+
+// Guards against bad versions that stay unnoticed and good ones that are taken
+// back. The rates are those of the users' pages: bad versions fail a third or
+// more of their requests or are several times slower, good ones 1 in 250.
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer func(r *rand.Rand, i int) Answer
+		// within is the number of answers within which the version is found bad;
+		// 0 means that it must not be.
+		within int
+	}{
+		{"good", func(r *rand.Rand, _ int) Answer {
+			return Answer{Route: "a", Failed: r.Float64() < 0.004, Took: spread(r, 90), Reference: 90 * time.Millisecond}
+		}, 0},
+		{"good on a slow host", func(r *rand.Rand, _ int) Answer {
+			return Answer{Route: "a", Failed: r.Float64() < 0.004, Took: spread(r, 150), Reference: 90 * time.Millisecond}
+		}, 0},
+		{"fails a third", func(r *rand.Rand, _ int) Answer { return Answer{Route: "a", Failed: r.Float64() < 0.35} }, 60},
+		{"fails late", func(r *rand.Rand, i int) Answer { return Answer{Route: "a", Failed: i > 100 && r.Float64() < 0.35} }, 160},
+		{"one route of ten requests", func(r *rand.Rand, i int) Answer {
+			if i%10 == 0 {
+				return Answer{Route: "b", Failed: r.Float64() < 0.5}
+			}
+			return Answer{Route: "a"}
+		}, 300},
+		{"eight times slower", func(r *rand.Rand, _ int) Answer {
+			took := spread(r, 90)
+			if r.Float64() < 0.5 {
+				took *= 8
+			}
+			return Answer{Route: "a", Took: took, Reference: 90 * time.Millisecond}
+		}, 100},
+	} {
+		for seed := range uint64(200) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			j := NewJudge()
+			found := 0
+			for i := 1; i <= 400 && found == 0; i++ {
+				if j.Add(c.answer(r, i)) {
+					found = i
+				}
+			}
+			if c.within == 0 {
+				assert.Equal(t, found, 0, "%s, seed %d", c.name, seed)
+			} else {
+				assert.Assert(t, found > 0 && found <= c.within, "%s, seed %d: found after %d", c.name, seed, found)
+			}
+		}
+	}
+}
+
+// spread draws a service time with the given mean in milliseconds; a hundredth
+// takes three times as long.
+func spread(r *rand.Rand, mean float64) time.Duration {
+	x := mean * (0.5 + r.Float64())
+	if r.Float64() < 0.01 {
+		x *= 3
+	}
+	return time.Duration(x * float64(time.Millisecond))
+}
+
+// tickUntil ticks every 100 ms and returns the first effects other than those
+// that begin the order, and the time since the order.
+func tickUntil(m *Machine, from, until time.Duration, s Standing) ([]Effect, time.Duration) {
+	for at := from; at <= until; at += 100 * time.Millisecond {
+		effects := m.Step(epoch.Add(at), Event{Kind: Tick, Standing: map[string]Standing{"s": s}})
+		if len(effects) > 0 && effects[0].State != mesh.Running {
+			return effects, at
+		}
+	}
+	return nil, until
+}
+
+func start() *Machine {
+	m := NewMachine()
+	m.Step(epoch, Event{Kind: Orders, Orders: []mesh.Rollout{usualOrder}})
+	return m
+}
+
+func withOutcome(state mesh.RolloutState) Event {
+	r := usualOrder
+	r.Outcome = state
+	return Event{Kind: Orders, Orders: []mesh.Rollout{r}}
+}
+
+// Guards against a good version that is not completed by its time, or before all
+// traffic has moved to it.
+func TestGoodVersionIsCompletedInTime(t *testing.T) {
+	m := start()
+	assert.DeepEqual(t, m.Policies()["s"], Policy{Version: "v2", Share: CanaryShare})
+	first := m.Step(epoch, Event{Kind: Tick, Standing: map[string]Standing{"s": {}}})
+	assert.Equal(t, len(first), 2)
+	assert.Equal(t, first[0].State, mesh.Running)
+	m.Step(epoch, withOutcome(mesh.Running))
+	effects, at := tickUntil(m, time.Second, 12*time.Second, Standing{Calls: 50})
+	assert.Equal(t, effects[0].Progress.Phase, Shift)
+	assert.Assert(t, at < 8*time.Second, "%v", at)
+	p := effects[0].Progress
+	m.Step(epoch.Add(at), Event{Kind: Progressed, Progress: p, WallMs: p.StartedMs + at.Milliseconds()})
+	assert.Equal(t, m.Policies()["s"].Share, 1.0)
+	effects, done := tickUntil(m, at, 12*time.Second, Standing{Calls: 500})
+	assert.Equal(t, effects[0].State, mesh.Completed)
+	assert.Assert(t, done-at >= minShift && done < 12*time.Second, "%v after the shift at %v", done, at)
+	m.Step(epoch.Add(done), withOutcome(mesh.Completed))
+	assert.Equal(t, m.Policies()["s"].Share, 1.0)
+	effects, _ = tickUntil(m, done, 20*time.Second, Standing{Calls: 500})
+	assert.Equal(t, len(effects), 0, "a completed order is not written again")
+}
+
+// Guards against requests to a version after it was found bad, at any stage and
+// whether or not the store can be written.
+func TestBadVersionGetsNothingAtOnce(t *testing.T) {
+	for _, phase := range []Phase{Canary, Shift} {
+		m := start()
+		m.Step(epoch, Event{Kind: Progressed, Progress: Progress{Service: "s", Version: "v2", Phase: phase}})
+		m.Step(epoch, Event{Kind: Bad, Service: "s", Version: "v2"})
+		assert.Equal(t, m.Policies()["s"].Share, 0.0)
+		for i := range 3 {
+			// The write fails; it is asked for until the state is seen.
+			effects, _ := tickUntil(m, time.Duration(i)*time.Second, time.Duration(i+1)*time.Second, Standing{Rank: -1})
+			assert.Equal(t, effects[0].State, mesh.RolledBack)
+		}
+		m.Step(epoch, withOutcome(mesh.RolledBack))
+		assert.Equal(t, m.Policies()["s"].Share, 0.0)
+	}
+}
+
+// Guards against a version that nobody has seen working getting all traffic, and
+// against one that stays undecided when the deciding node is gone.
+func TestDecisionsWithoutEvidenceOrDecider(t *testing.T) {
+	m := start()
+	m.Step(epoch, withOutcome(mesh.Running))
+	effects, _ := tickUntil(m, 0, 12*time.Second, Standing{Rank: 0, Calls: minCalls - 1})
+	assert.Equal(t, effects[0].State, mesh.RolledBack)
+
+	m = start()
+	m.Step(epoch, withOutcome(mesh.Running))
+	effects, at := tickUntil(m, 0, 12*time.Second, Standing{Rank: 1})
+	assert.Equal(t, effects[0].Progress.Phase, Shift)
+	assert.Assert(t, at < 9*time.Second, "%v", at)
+
+	effects, _ = tickUntil(start(), 0, 12*time.Second, Standing{Rank: -1})
+	assert.Equal(t, len(effects), 0, "a node without endpoints of the version decides nothing")
+}
+
+// Guards against a restarted node that believes the order has just come.
+func TestAgeOfOrderSurvivesRestart(t *testing.T) {
+	m := start()
+	m.Step(epoch, withOutcome(mesh.Running))
+	m.Step(epoch, Event{Kind: Progressed, Progress: Progress{Service: "s", Version: "v2", Phase: Canary, StartedMs: 1000}, WallMs: 8000})
+	effects, at := tickUntil(m, 0, 12*time.Second, Standing{Calls: 50})
+	assert.Equal(t, effects[0].Progress.Phase, Shift)
+	assert.Assert(t, at <= time.Second, "%v", at)
+}
+
+// Guards against findings of an earlier order that are held against a new one.
+func TestNewOrderStartsAfresh(t *testing.T) {
+	m := start()
+	m.Step(epoch, Event{Kind: Bad, Service: "s", Version: "v2"})
+	next := usualOrder
+	next.Version = "v3"
+	m.Step(epoch, Event{Kind: Orders, Orders: []mesh.Rollout{next}})
+	assert.DeepEqual(t, m.Policies()["s"], Policy{Version: "v3", Share: CanaryShare})
+	m.Step(epoch, Event{Kind: Bad, Service: "s", Version: "v2"})
+	assert.Equal(t, m.Policies()["s"].Share, CanaryShare)
+}
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -53,7 +53,7 @@
 	// Unix time in nanoseconds of its last sample.
 	latency   atomic.Int64
 	learnedAt atomic.Int64
-	lastSeen time.Time
+	lastSeen  time.Time
 }
 
 // Begin counts a try as outstanding.
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -176,4 +176,3 @@
 	}
 	return &verdict.Error{Code: verdict.Canceled, Verdict: v, Detail: "the client gave up"}
 }
-
