Place by lateness and distance; learn configurations from other nodes; bound stops

(3) downloads went to a faster endpoint in another failure domain although the near one answers in time.

Ruled out: a lost change in the tracker (its log shows no event at all until the watch ended).

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -22,9 +23,13 @@
 const (
 	storeDialTimeout = 500 * time.Millisecond
 	storeCallTimeout = time.Second
-	// storeWatchWait is how long a watch waits in one call. A watch on a
-	// connection that went silent is replaced after it.
-	storeWatchWait = 10 * time.Second
+	// storeWatchWait is how long a watch waits in one call: one on a connection
+	// that went silent, or that the store forgot, hears nothing until then. Of
+	// configurations it is shorter and random, so that at any moment some node is
+	// about to ask anew; the others learn from it by their calls.
+	storeWatchWait          = 10 * time.Second
+	configurationWatchLeast = 2 * time.Second
+	configurationWatchSpan  = 2 * time.Second
 	// storeWatchPause lets changes gather that come in quick succession.
 	storeWatchPause = 150 * time.Millisecond
 )
@@ -33,6 +38,13 @@
 // change without a signal.
 const settingsPoll = 2 * time.Second
 
+func watchWait(kind store.Kind) time.Duration {
+	if kind == store.Configuration {
+		return configurationWatchLeast + rand.N(configurationWatchSpan)
+	}
+	return storeWatchWait
+}
+
 // nodeBudget bounds the store calls of one node, so that a faulty one does not
 // use up the rates that all nodes share.
 func nodeBudget() store.Budget {
@@ -64,7 +76,7 @@
 	}
 	client := platform.NewStore(platform.StoreOptions{
 		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
-		CallTimeout: storeCallTimeout, WatchWait: storeWatchWait, WatchPause: storeWatchPause,
+		CallTimeout: storeCallTimeout, WatchWait: watchWait, WatchPause: storeWatchPause,
 		StaleWatches: map[store.Kind]bool{store.MeshState: true},
 	})
 	defer client.Close()
--- a/pkg/mesh/placement/budget.go
+++ b/pkg/mesh/placement/budget.go
@@ -5,10 +5,14 @@
 	"time"
 )
 
-// budgetMargin is the part of the fleet's retry budget that nodes use. The rest
-// covers calls made by repeated runs, which count as repeats and cannot be told
-// apart here.
-const budgetMargin = 0.6
+// Parts of the fleet's retry budget that nodes use. The rest of the ratio covers
+// calls made by repeated runs, which count as repeats at the service that is
+// called and cannot be told apart there: with 0.6, two calls by each repeat of
+// one service used up the budget of another.
+const (
+	ratioMargin = 0.4
+	slackMargin = 0.8
+)
 
 // budgetParts is the number of parts in which a window slides.
 const budgetParts = 10
@@ -64,7 +68,7 @@
 			repeats += p.repeats
 		}
 	}
-	allowed := budgetMargin * (b.ratio*requests + b.slack/float64(max(nodes, 1)))
+	allowed := ratioMargin*b.ratio*requests + slackMargin*b.slack/float64(max(nodes, 1))
 	if repeats+1 > allowed {
 		return false
 	}
--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -8,17 +9,20 @@
 	"github.com/azurespring/azurespring/pkg/mesh"
 )
 
-// Penalties say how much longer a request may wait near by before a more
-// distant endpoint is preferred. Links between failure domains and regions are
-// paid by volume, and those between regions add a round trip of about 16 ms.
+// Penalties say how much an endpoint's distance counts against it, in the same
+// unit as cost. Links between failure domains and regions are paid by volume,
+// which is large for downloads, and those between regions are narrow and add a
+// round trip of about 16 ms.
 const (
-	penaltySameDomain  = 0
-	penaltySameRegion  = 12 * time.Millisecond
-	penaltyOtherRegion = 60 * time.Millisecond
-	// penaltyDownloadFactor multiplies the penalties for large answers.
-	penaltyDownloadFactor = 3
+	penaltySameRegion          = 12 * time.Millisecond
+	penaltyOtherRegion         = 60 * time.Millisecond
+	penaltyDownloadSameRegion  = 150 * time.Millisecond
+	penaltyDownloadOtherRegion = 300 * time.Millisecond
 )
 
+// roundTripOtherRegion is the time that another region adds to an answer.
+const roundTripOtherRegion = 16 * time.Millisecond
+
 // defaultService is the service time assumed of an endpoint before any is known.
 const defaultService = 50 * time.Millisecond
 
@@ -40,8 +44,10 @@
 // Request is what a choice depends on.
 type Request struct {
 	Kind mesh.Kind
-	// Left is the time until the request's deadline.
-	Left time.Duration
+	// Left is the time until the request's deadline, Target the time until an
+	// answer loses worth; 0 or less if it has lost it already.
+	Left   time.Duration
+	Target time.Duration
 	// Tried lists the endpoints that the request was already sent to.
 	Tried []*Endpoint
 }
@@ -61,8 +67,34 @@
 	endpoint *Endpoint
 	wait     time.Duration
 	service  time.Duration
-	score    time.Duration
-	ejected  bool
+	// fixed is the part of the score that does not depend on the time.
+	fixed   time.Duration
+	score   time.Duration
+	ejected bool
+}
+
+// horizon is the time that an answer is measured against.
+func (r Request) horizon() time.Duration {
+	if r.Target > 0 {
+		return r.Target
+	}
+	return max(r.Left, time.Millisecond)
+}
+
+// cost weighs the expected time of an answer. It grows with the square: far
+// below the target a difference in time is worth little to the caller, close to
+// it each millisecond makes late answers likely.
+func (r Request) cost(expected time.Duration) time.Duration {
+	share := float64(expected) / float64(r.horizon())
+	return time.Duration(share * float64(expected))
+}
+
+// timeOf is the inverse of cost.
+func (r Request) timeOf(cost time.Duration) time.Duration {
+	if cost <= 0 {
+		return 0
+	}
+	return time.Duration(math.Sqrt(float64(cost) * float64(r.horizon())))
 }
 
 // Choose returns the best endpoint for r among candidates. ok is false if there
@@ -70,8 +102,8 @@
 // there are no others.
 //
 // The load pattern it answers: traffic of one failure domain beyond the slots
-// near by. It spills over to the next domain, and over a region's border only
-// once the wait in the region exceeds the penalty.
+// near by, or beside slow endpoints. It spills over to the next domain, and over
+// a region's border only once answers from the region are likely to be late.
 func Choose(now time.Time, candidates []*Endpoint, r Request) (choice Choice, ok bool) {
 	list := score(now, candidates, r)
 	best, second := -1, -1
@@ -96,7 +128,7 @@
 	choice = Choice{Endpoint: b.endpoint, Wait: b.wait, Expected: b.wait + b.service}
 	choice.MaxWait = r.Left - b.service
 	if second >= 0 && !list[second].ejected {
-		choice.MaxWait = min(choice.MaxWait, list[second].score-(b.score-b.wait))
+		choice.MaxWait = min(choice.MaxWait, r.timeOf(list[second].score-b.fixed)-b.service)
 	}
 	choice.MaxWait = max(choice.MaxWait, 0)
 	return choice, true
@@ -122,12 +154,12 @@
 		usual = sum / weights
 	}
 	for i := range list {
-		list[i].estimate(now, views[i], usual, r.Kind)
+		list[i].estimate(now, views[i], usual, r)
 	}
 	return list
 }
 
-func (s *scored) estimate(now time.Time, v view, usual float64, kind mesh.Kind) {
+func (s *scored) estimate(now time.Time, v view, usual float64, r Request) {
 	w := v.speedWeight()
 	service := w*float64(v.service) + (1-w)*usual
 	if w == 0 && now.Before(s.endpoint.warmUntil) {
@@ -140,22 +172,24 @@
 		s.service = time.Duration(service * (1 + busyShare))
 		s.wait = time.Duration((v.load - slots + 1) / slots * service)
 	}
-	s.score = s.wait + s.service + s.endpoint.penalty(kind) +
-		time.Duration(v.failures*float64(failureCost)) + rand.N(tieSpan)
+	if s.endpoint.Distance == OtherRegion {
+		s.service += roundTripOtherRegion
+	}
+	s.fixed = s.endpoint.penalty(r.Kind) + time.Duration(v.failures*float64(failureCost)) + rand.N(tieSpan)
+	s.score = s.fixed + r.cost(s.wait+s.service)
 }
 
 func (e *Endpoint) penalty(kind mesh.Kind) time.Duration {
-	var p time.Duration
-	switch e.Distance {
-	case SameRegion:
-		p = penaltySameRegion
-	case OtherRegion:
-		p = penaltyOtherRegion
-	default:
-		p = penaltySameDomain
-	}
-	if kind == mesh.Download {
-		p *= penaltyDownloadFactor
+	download := kind == mesh.Download
+	switch {
+	case e.Distance == SameRegion && download:
+		return penaltyDownloadSameRegion
+	case e.Distance == SameRegion:
+		return penaltySameRegion
+	case e.Distance == OtherRegion && download:
+		return penaltyDownloadOtherRegion
+	case e.Distance == OtherRegion:
+		return penaltyOtherRegion
 	}
-	return p
+	return 0
 }
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -48,6 +48,8 @@
 	MaxWaitUs int64 `json:"w"`
 	// ReferenceUs is the old version's mean time on the route, for a canary.
 	ReferenceUs int64 `json:"f,omitempty"`
+	// Config is the configuration version in force at the entry node.
+	Config uint64 `json:"g,omitempty"`
 }
 
 // answer is an endpoint's answer.
@@ -75,6 +77,7 @@
 	hopLoadName  = hopPrefix + "Load"
 	hopTookName  = hopPrefix + "Took-Us"
 	hopErrorName = hopPrefix + "Error"
+	hopConfig    = hopPrefix + "Config"
 	hopNotRun    = hopPrefix + "Not-Run"
 )
 
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurespring/azurespring/pkg/exchange"
@@ -73,6 +74,7 @@
 	}
 	terms := c.hopTerms
 	terms.LeftUs = c.deadline.Sub(h.deps.now()).Microseconds()
+	terms.Config = h.deps.configVersion()
 	request.Header[hopTermsName] = []string{encodeHop(terms)}
 	sending := exchange.Request{Request: request}
 	if !c.Idempotent {
@@ -83,6 +85,9 @@
 		return nil, placement.Load{}, nodeFailure(ctx, failure)
 	}
 	load := parseLoad(response.Header.Get(hopLoadName))
+	if version, err := strconv.ParseUint(response.Header.Get(hopConfig), 10, 64); err == nil {
+		h.deps.heardConfiguration(version)
+	}
 	if text := response.Header.Get(hopErrorName); text != "" {
 		_, _ = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
@@ -144,17 +149,26 @@
 
 // hopServer takes the calls of other nodes for the endpoints beside this one.
 type hopServer struct {
-	deps *shared
-	gate *gateKeeper
+	deps     *shared
+	gate     *gateKeeper
+	inFlight atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
 func (s *hopServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	w.Header().Set(hopConfig, strconv.FormatUint(s.deps.configVersion(), 10))
 	c, err := s.decode(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.deps.heardConfiguration(c.Config)
+	if s.deps.stopping.Load() {
+		writeHopError(w, placement.Load{}, verdict.Refuse(verdict.NoTarget, "the endpoint's node is stopping"))
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if failure := c.readBody(w, r); failure != nil {
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -43,9 +43,14 @@
 // which come once per second, and a margin.
 const (
 	stopNotice = 2500 * time.Millisecond
+	// stopRefuse is when it no longer takes new requests; clients that still come
+	// are told that theirs have not run.
+	stopRefuse = 3500 * time.Millisecond
 	// stopMargin is what remains of the grace period for the end of the process.
-	stopMargin = 500 * time.Millisecond
-	stopPoll   = 50 * time.Millisecond
+	stopMargin = 900 * time.Millisecond
+	// stopClose bounds the end of connections on which a request is being read.
+	stopClose = 300 * time.Millisecond
+	stopPoll  = 50 * time.Millisecond
 )
 
 // housekeeping is the time between two sweeps of idle connections and endpoints.
@@ -104,6 +109,12 @@
 	n.tracker = do.MustInvoke[*tracker](n.injector)
 	n.hopsIn = &hopServer{deps: n.shared, gate: n.gate}
 	n.shared.endpointsChanged = n.tracker.endpointsChanged
+	n.shared.newerConfiguration = func(version uint64) {
+		select {
+		case n.tracker.newer <- version:
+		default: // A read is due already.
+		}
+	}
 	return n, nil
 }
 
@@ -167,7 +178,7 @@
 	n.stop(servers)
 	cancel()
 	running.Wait()
-	n.shared.log.event("stopped", fields{"inFlight": n.entry.inFlight.Load()})
+	n.shared.log.event("stopped", fields{"inFlight": n.inFlight()})
 	if err := n.shared.metrics.closer.Close(); err != nil {
 		n.shared.log.event("metrics_failed", fields{"error": err.Error()})
 	}
@@ -180,23 +191,37 @@
 func (n *Node) stop(servers []server) {
 	started := time.Now()
 	n.shared.stopping.Store(true)
-	n.shared.log.event("stopping", fields{"inFlight": n.entry.inFlight.Load()})
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	n.tracker.withdraw(ctx)
-	cancel()
-	last := n.shared.settings.Grace - stopMargin
+	n.shared.log.event("stopping", fields{"inFlight": n.inFlight()})
+	ctx, cancel := context.WithTimeout(context.Background(), n.shared.settings.Grace-stopMargin)
+	defer cancel()
+	go n.tracker.withdraw(ctx)
 	for {
 		elapsed := time.Since(started)
-		if elapsed >= last || elapsed >= stopNotice && n.entry.inFlight.Load() == 0 {
+		if elapsed >= stopRefuse {
+			n.shared.refusing.Store(true)
+		}
+		if ctx.Err() != nil || elapsed >= stopNotice && n.inFlight() == 0 {
 			break
 		}
 		time.Sleep(stopPoll)
 	}
+	n.shared.refusing.Store(true)
+	closing, cancelClosing := context.WithTimeout(context.Background(), stopClose)
+	defer cancelClosing()
+	var ending sync.WaitGroup
 	for _, server := range servers {
-		_ = server.http.Close()
+		ending.Go(func() {
+			if server.http.Shutdown(closing) != nil {
+				_ = server.http.Close()
+			}
+		})
 	}
+	ending.Wait()
 }
 
+// inFlight returns the number of requests that have not ended.
+func (n *Node) inFlight() int64 { return n.entry.inFlight.Load() + n.hopsIn.inFlight.Load() }
+
 func (n *Node) keepHouse(ctx context.Context) {
 	ticker := time.NewTicker(housekeeping)
 	defer ticker.Stop()
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -102,7 +102,9 @@
 	board := x.entry.deps.board.Load()
 	again := x.tries > 0
 	candidates, canary := x.entry.deps.rollouts.candidates(board, x.service, again)
-	choice, ok := placement.Choose(now, candidates, placement.Request{Kind: x.route.Kind, Left: left, Tried: x.tried})
+	choice, ok := placement.Choose(now, candidates, placement.Request{
+		Kind: x.route.Kind, Left: left, Target: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.tried,
+	})
 	if !ok {
 		err := verdict.Refuse(verdict.NoTarget, "service %q has no endpoint for the request", x.service)
 		err.RetryAfter = noEndpointRetryAfter
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -101,6 +101,9 @@
 
 // locate finds the route.
 func (x *request) locate() *verdict.Error {
+	if x.entry.deps.refusing.Load() {
+		return verdict.Refuse(verdict.Draining, "the node is stopping")
+	}
 	if x.snapshot = x.entry.deps.snapshot.Load(); x.snapshot == nil || x.entry.deps.board.Load() == nil {
 		err := verdict.Refuse(verdict.NoTarget, "the node has no configuration yet")
 		err.RetryAfter = startRetryAfter
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -23,6 +23,11 @@
 	// the settings may change.
 	service  atomic.Pointer[string]
 	stopping atomic.Bool
+	// refusing is set for the last part of a stop: new requests are not taken.
+	refusing atomic.Bool
+	// newerConfiguration is called with a version above the one in force that
+	// another node was heard to have.
+	newerConfiguration func(version uint64)
 	// endpointsChanged is called after the endpoints beside this node changed.
 	endpointsChanged func()
 }
@@ -34,3 +39,11 @@
 	}
 	return 0
 }
+
+// heardConfiguration takes in the configuration version of another node. A node
+// whose own watch hears nothing learns of a change from the nodes it calls.
+func (s *shared) heardConfiguration(version uint64) {
+	if version > s.configVersion() {
+		s.newerConfiguration(version)
+	}
+}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -54,9 +54,11 @@
 	progress  map[string]rollout.Progress
 	versions  map[string]string
 	loaded    map[platform.Kind]bool
-	// changed wakes the publisher, decide the deciding of rollouts.
+	// changed wakes the publisher, decide the deciding of rollouts, newer the
+	// reading of a configuration that another node has.
 	changed chan struct{}
 	decide  chan struct{}
+	newer   chan uint64
 }
 
 func newTracker(deps *shared, store platform.Store, docs Documents, gate *gateKeeper) *tracker {
@@ -68,7 +70,7 @@
 		instances: make(map[string]mesh.Instance), rollouts: make(map[string]mesh.Rollout),
 		progress: make(map[string]rollout.Progress), versions: make(map[string]string),
 		loaded:  make(map[platform.Kind]bool),
-		changed: make(chan struct{}, 1), decide: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), decide: make(chan struct{}, 1), newer: make(chan uint64, 1),
 	}
 }
 
@@ -87,6 +89,7 @@
 	}
 	running.Go(func() { t.publish(ctx) })
 	running.Go(func() { t.decideRollouts(ctx) })
+	running.Go(func() { t.fetchNewer(ctx) })
 	running.Wait()
 }
 
@@ -242,6 +245,33 @@
 	return nil
 }
 
+// fetchPause lets the node's own watch report a change before another node's
+// word of it costs a call, and bounds the calls if the store has not got it.
+const fetchPause = 400 * time.Millisecond
+
+// fetchNewer reads the configuration when another node has a newer one.
+func (t *tracker) fetchNewer(ctx context.Context) {
+	for {
+		var version uint64
+		select {
+		case <-ctx.Done():
+			return
+		case version = <-t.newer:
+		}
+		sleep(ctx, fetchPause)
+		if version <= t.deps.configVersion() || ctx.Err() != nil {
+			continue
+		}
+		o, err := t.store.Get(ctx, platform.Configuration, t.docs.ConfigurationName())
+		if err != nil {
+			t.deps.log.event("store_read_failed", fields{"name": t.docs.ConfigurationName(), "error": err.Error()})
+			continue
+		}
+		t.deps.log.event("configuration_fetched", fields{"heard": version, "revision": o.Version})
+		t.apply(platform.Configuration, platform.Event{Type: platform.Put, Object: o})
+	}
+}
+
 // refresh rebuilds what depends on a kind.
 func (t *tracker) refresh(kind platform.Kind) {
 	switch kind {
