--- /dev/null
+++ b/pkg/mesh/mesh_test.go
@@ -0,0 +1,139 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func route(name, host, prefix string, shares ...Share) Route {
+	if len(shares) == 0 {
+		shares = []Share{{Service: "s", Weight: 1}}
+	}
+	return Route{Name: name, Host: host, Prefix: prefix, Shares: shares}
+}
+
+// Guards against a route to a service that the node lacks, and against a
+// configuration that is applied in part.
+func TestCompileRefusesWhatDoesNotHold(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		route Route
+		ok    bool
+	}{
+		{"known service", route("r", "h", "/a/"), true},
+		{"split", route("r", "h", "/a/", Share{"s", 90}, Share{"t", 10}), true},
+		{"a part of nothing", route("r", "h", "/a/", Share{"s", 90}, Share{"t", 0}), true},
+		{"unknown service", route("r", "h", "/a/", Share{"gone", 1}), false},
+		{"unknown part", route("r", "h", "/a/", Share{"s", 90}, Share{"gone", 10}), false},
+		{"negative weight", route("r", "h", "/a/", Share{"s", 90}, Share{"t", -1}), false},
+		{"no weight", route("r", "h", "/a/", Share{"s", 0}), false},
+		{"no prefix", route("r", "h", ""), false},
+	} {
+		_, err := Compile(Configuration{
+			Version: 2, Services: []Service{{Name: "s"}, {Name: "t"}}, Routes: []Route{route("first", "h", "/"), c.route},
+		})
+		assert.Equal(t, err == nil, c.ok, "%s: %v", c.name, err)
+	}
+}
+
+// Guards against requests that take a shorter prefix's route, or another host's.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	s, err := Compile(Configuration{Services: []Service{{Name: "s"}}, Routes: []Route{
+		route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "o", "/c/"),
+	}})
+	assert.NilError(t, err)
+	for _, c := range []struct{ host, path, want string }{
+		{"h", "/a/x", "short"}, {"h", "/a/b/x", "long"}, {"h", "/a/bx", "short"}, {"h:80", "/a/", "short"},
+		{"h", "/a", ""}, {"h", "/c/", ""}, {"o", "/c/1", "other"}, {"none", "/a/", ""},
+	} {
+		name := ""
+		if r := s.Match(c.host, c.path); r != nil {
+			name = r.Name
+		}
+		assert.Equal(t, name, c.want, "%s%s", c.host, c.path)
+	}
+}
+
+const interval = time.Second
+
+func announce(id string, born, sequence int64, state State) Announcement {
+	return Announcement{
+		ID: id, Service: "s", Version: "v1", Address: "a", Slots: 4, State: state, Born: born, Sequence: sequence,
+	}
+}
+
+// Guards against an endpoint that has announced its end and gets requests again
+// by a late announcement, and against a new start under the same id or address
+// that gets none.
+func TestAnnouncementsOutOfOrder(t *testing.T) {
+	now := time.Now()
+	type step struct {
+		announce Announcement
+		leave    string
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+		want  string
+	}{
+		{"ready", []step{{announce: announce("a", 1, 1, Ready)}}, "a"},
+		{"draining", []step{{announce: announce("a", 1, 1, Ready)}, {announce: announce("a", 1, 2, Draining)}}, ""},
+		{"late ready after draining", []step{{announce: announce("a", 1, 2, Draining)}, {announce: announce("a", 1, 1, Ready)}}, ""},
+		{"ready again after draining", []step{{announce: announce("a", 1, 2, Draining)}, {announce: announce("a", 1, 3, Ready)}}, ""},
+		{"late ready after the end", []step{{announce: announce("a", 1, 1, Ready)}, {leave: "a"}, {announce: announce("a", 1, 2, Ready)}}, ""},
+		{"new start under the old id", []step{{announce: announce("a", 1, 9, Ready)}, {leave: "a"}, {announce: announce("a", 2, 1, Ready)}}, "a"},
+		{"new start without an end", []step{{announce: announce("a", 1, 9, Draining)}, {announce: announce("a", 2, 1, Ready)}}, "a"},
+		{"new endpoint at the address", []step{{announce: announce("a", 1, 9, Ready)}, {announce: announce("b", 2, 1, Ready)}}, "b"},
+		{"late announcement of the old one", []step{{announce: announce("b", 2, 1, Ready)}, {announce: announce("a", 1, 9, Ready)}}, "b"},
+		{"end of an unknown one", []step{{leave: "a"}, {announce: announce("a", 1, 1, Ready)}}, "a"},
+	} {
+		l := NewLocal(interval)
+		for _, s := range c.steps {
+			if s.leave != "" {
+				l.Leave(now, s.leave, 0)
+			} else {
+				l.Announce(now, s.announce)
+			}
+		}
+		got := ""
+		for _, e := range l.Published(now) {
+			got += e.ID
+		}
+		assert.Equal(t, got, c.want, c.name)
+	}
+}
+
+// Guards against requests to an endpoint that crashed without a word, and
+// against the loss of one whose announcement is seconds late.
+func TestSilentEndpointIsDropped(t *testing.T) {
+	now := time.Now()
+	l := NewLocal(interval)
+	assert.Assert(t, l.Announce(now, announce("a", 1, 1, Ready)))
+	assert.Assert(t, !l.Tick(now.Add(3*interval)))
+	assert.Assert(t, l.Ready("a") != nil)
+	assert.Assert(t, l.Tick(now.Add((beatsMissed+1)*interval)))
+	assert.Assert(t, l.Ready("a") == nil)
+	assert.Assert(t, l.Announce(now.Add(10*interval), announce("a", 1, 2, Ready)), "a paused endpoint comes back")
+}
+
+// Guards against entries of other writers that name an endpoint or harm others.
+func TestDecodeInstance(t *testing.T) {
+	for _, c := range []struct {
+		value     string
+		ok        bool
+		endpoints int
+	}{
+		{`{"name":"n","address":"a","endpoints":[{"id":"e","service":"s","slots":1}]}`, true, 1},
+		{`{"name":"n","address":"a","endpoints":[{"id":"e","slots":1},{"id":"f","service":"s"}]}`, true, 0},
+		{`{"name":"n","address":"a","endpoints":"none"}`, false, 0},
+		{`{"name":"n"}`, false, 0},
+		{`{`, false, 0},
+		{``, false, 0},
+	} {
+		i, err := DecodeInstance([]byte(c.value))
+		assert.Equal(t, err == nil, c.ok, c.value)
+		assert.Equal(t, len(i.Endpoints), c.endpoints, c.value)
+	}
+}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -54,6 +54,8 @@
 	progress  map[string]rollout.Progress
 	versions  map[string]string
 	loaded    map[platform.Kind]bool
+	// endpoints and nodes are what was logged last.
+	endpoints, nodes int
 	// changed wakes the publisher, decide the deciding of rollouts, newer the
 	// reading of a configuration that another node has.
 	changed chan struct{}
@@ -313,6 +315,14 @@
 	}
 	list = append(list, t.ownEntry())
 	t.deps.board.Store(t.builder.Build(t.deps.now(), list))
+	endpoints := 0
+	for _, i := range list {
+		endpoints += len(i.Endpoints)
+	}
+	if endpoints != t.endpoints || len(list) != t.nodes {
+		t.endpoints, t.nodes = endpoints, len(list)
+		t.deps.log.event("endpoints_known", fields{"endpoints": endpoints, "instances": len(list)})
+	}
 }
 
 func (t *tracker) ownName() string { return instancePrefix + t.deps.settings.Instance }
