--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -55,6 +55,12 @@
 
 // runSidecar runs the node beside an endpoint on the users' platform.
 func runSidecar(args []string) int {
+	// Signals are taken from the start and until the end of the process: without
+	// a handler, a SIGHUP during a start or stop ends it at once.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	flags := flag.NewFlagSet("azurespring-node "+sidecarCommand, flag.ContinueOnError)
 	path := flags.String("settings", os.Getenv(platform.SettingsVariable),
 		"path of the platform's settings file (environment: "+platform.SettingsVariable+")")
@@ -88,9 +94,7 @@
 		LogOutput:     os.Stdout, Version: static.Version(),
 	})
 	if err == nil {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		go watchSettings(ctx, *path, node)
+		go watchSettings(ctx, hangups, *path, node)
 		err = node.Run(ctx)
 	}
 	if err != nil {
@@ -101,10 +105,7 @@
 }
 
 // watchSettings reloads the settings file on SIGHUP and when it has changed.
-func watchSettings(ctx context.Context, path string, node *sidecar.Node) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, hangups <-chan os.Signal, path string, node *sidecar.Node) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	seen := modified(path)
--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -73,6 +73,12 @@
 	ejected bool
 }
 
+// tried reports whether the request was sent to e. Boards that are built anew
+// hold new values for the same endpoint; its observations stay the same.
+func (r Request) tried(e *Endpoint) bool {
+	return slices.ContainsFunc(r.Tried, func(t *Endpoint) bool { return t.Stats == e.Stats })
+}
+
 // horizon is the time that an answer is measured against.
 func (r Request) horizon() time.Duration {
 	if r.Target > 0 {
@@ -139,7 +145,7 @@
 	views := make([]view, 0, len(candidates))
 	var sum, weights float64
 	for _, e := range candidates {
-		if slices.Contains(r.Tried, e) {
+		if r.tried(e) {
 			continue
 		}
 		v := e.view(now)
--- a/pkg/mesh/placement/placement_test.go
+++ b/pkg/mesh/placement/placement_test.go
@@ -169,6 +169,16 @@
 	assert.Equal(t, second.view(epoch).load, 1.0)
 }
 
+// Guards against a second send to the same endpoint after the board was rebuilt.
+func TestTriedEndpointStaysTriedOnANewBoard(t *testing.T) {
+	builder := NewBuilder(self)
+	list := []mesh.Instance{instance("near", "d1", "r1", endpoint("near"))}
+	first := builder.Build(epoch, list).Versions("s")["v1"][0]
+	second := builder.Build(epoch, list)
+	_, ok := Choose(epoch, second.Versions("s")["v1"], Request{Left: time.Second, Tried: []*Endpoint{first}})
+	assert.Assert(t, !ok)
+}
+
 // Replays failures of all endpoints and guards against repeats beyond the share
 // of requests and the part of the slack, in any window.
 func TestBudgetOfRepeats(t *testing.T) {
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -232,6 +232,12 @@
 		f["retryAfterMs"] = failure.RetryAfter.Milliseconds()
 	} else {
 		f["status"] = x.status
+		if e := x.served.endpoint; e != nil {
+			f["endpoint"], f["endpointInstance"], f["version"] = e.ID, e.Instance, e.Version
+			f["distance"], f["endpointMs"] = distanceNames[e.Distance], x.served.answer.took.Milliseconds()
+			f["priority"] = x.route.Priority
+			f["client"] = x.r.RemoteAddr
+		}
 		if x.status >= http.StatusInternalServerError {
 			name, outcome = "request_failed", "endpoint-failure"
 		}
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -28,6 +28,7 @@
 			cancel := x.cancels[result.number]
 			delete(x.cancels, result.number)
 			if x.settle(result) {
+				x.served = result
 				return result.answer, nil
 			}
 			cancel()
@@ -272,7 +273,7 @@
 // known now.
 func (x *request) forget(e *placement.Endpoint) {
 	for i, tried := range x.tried {
-		if tried == e {
+		if tried.Stats == e.Stats {
 			x.tried = append(x.tried[:i], x.tried[i+1:]...)
 			return
 		}
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -70,6 +70,8 @@
 	// fallback is an endpoint's failure that is passed on if no repeat succeeds.
 	fallback *answer
 	status   int
+	// served is the try whose answer was passed on.
+	served tryResult
 }
 
 // tryResult is the end of one try.
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -227,6 +227,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes is set if the node closes the connection after the answer.
+	closes bool
 	err    error
 }
 
@@ -280,5 +282,5 @@
 	response, err := http.ReadResponse(c.reader, nil)
 	assert.NilError(t, err)
 	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), closes: response.Close, err: err}
 }
