--- a/pkg/mesh/placement/board.go
+++ b/pkg/mesh/placement/board.go
@@ -85,7 +85,7 @@
 // can be reached.
 func (b *Board) Canary(service, version string, now time.Time) *Endpoint {
 	for _, e := range b.ranks[versionKey{service, version}] {
-		if !e.view(now).ejected {
+		if !e.view(now, "").ejected {
 			return e
 		}
 	}
--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -15,7 +15,7 @@
 // round trip of about 16 ms.
 const (
 	penaltySameRegion          = 12 * time.Millisecond
-	penaltyOtherRegion         = 60 * time.Millisecond
+	penaltyOtherRegion         = 45 * time.Millisecond
 	penaltyDownloadSameRegion  = 150 * time.Millisecond
 	penaltyDownloadOtherRegion = 300 * time.Millisecond
 )
@@ -43,7 +43,9 @@
 
 // Request is what a choice depends on.
 type Request struct {
-	Kind mesh.Kind
+	// Route names requests that take similar times.
+	Route string
+	Kind  mesh.Kind
 	// Left is the time until the request's deadline, Target the time until an
 	// answer loses worth; 0 or less if it has lost it already.
 	Left   time.Duration
@@ -68,9 +70,10 @@
 	wait     time.Duration
 	service  time.Duration
 	// fixed is the part of the score that does not depend on the time.
-	fixed   time.Duration
-	score   time.Duration
-	ejected bool
+	fixed    time.Duration
+	score    time.Duration
+	failures float64
+	ejected  bool
 }
 
 // tried reports whether the request was sent to e. Boards that are built anew
@@ -130,6 +133,9 @@
 	if best < 0 {
 		return Choice{}, false
 	}
+	if i, ok := explore(list, r); ok && i != best {
+		return Choice{Endpoint: list[i].endpoint, Wait: list[i].wait, Expected: list[i].wait + list[i].service}, true
+	}
 	b := list[best]
 	choice = Choice{Endpoint: b.endpoint, Wait: b.wait, Expected: b.wait + b.service}
 	choice.MaxWait = r.Left - b.service
@@ -140,42 +146,74 @@
 	return choice, true
 }
 
+// explore returns a random endpoint for a small share of the requests, so that
+// the speed of endpoints which are not the best is known when one of them is
+// needed. It answers the pattern of a near endpoint that is slow while all
+// knowledge of faster ones elsewhere has become old.
+func explore(list []scored, r Request) (int, bool) {
+	if r.Kind != mesh.Safe || len(r.Tried) > 0 || rand.Float64() >= exploreShare {
+		return 0, false
+	}
+	i := rand.IntN(len(list))
+	e := list[i]
+	return i, !e.ejected && e.wait == 0 && e.failures < exploreFailures && e.service < r.horizon()/2
+}
+
+// Bounds of exploration: the share of requests, and the share of failures above
+// which an endpoint is not explored.
+const (
+	exploreShare    = 0.02
+	exploreFailures = 0.05
+)
+
 func score(now time.Time, candidates []*Endpoint, r Request) []scored {
 	list := make([]scored, 0, len(candidates))
 	views := make([]view, 0, len(candidates))
-	var sum, weights float64
+	var service, route mean
 	for _, e := range candidates {
 		if r.tried(e) {
 			continue
 		}
-		v := e.view(now)
-		w := v.speedWeight()
-		sum += w * float64(v.service)
-		weights += w
-		list = append(list, scored{endpoint: e, ejected: v.ejected})
+		v := e.view(now, r.Route)
+		service.add(v.service, v.serviceWeight)
+		route.add(v.route, v.routeWeight)
+		list = append(list, scored{endpoint: e, ejected: v.ejected, failures: v.failures})
 		views = append(views, v)
 	}
-	usual := float64(defaultService)
-	if weights > 0 {
-		usual = sum / weights
-	}
 	for i := range list {
-		list[i].estimate(now, views[i], usual, r)
+		list[i].estimate(now, views[i], service.value(), route.value(), r)
 	}
 	return list
 }
 
-func (s *scored) estimate(now time.Time, v view, usual float64, r Request) {
-	w := v.speedWeight()
-	service := w*float64(v.service) + (1-w)*usual
-	if w == 0 && now.Before(s.endpoint.warmUntil) {
-		service *= coldFactor
+// mean is a weighted mean of durations.
+type mean struct{ sum, weights float64 }
+
+func (m *mean) add(d time.Duration, weight float64) {
+	m.sum += weight * float64(d)
+	m.weights += weight
+}
+
+func (m mean) value() float64 {
+	if m.weights == 0 {
+		return float64(defaultService)
+	}
+	return m.sum / m.weights
+}
+
+// estimate fills in the score. usualService and usualRoute are the means over
+// all candidates, which stand in for what is not known of one.
+func (s *scored) estimate(now time.Time, v view, usualService, usualRoute float64, r Request) {
+	service := v.serviceWeight*float64(v.service) + (1-v.serviceWeight)*usualService
+	// What is known of other routes tells the speed of the host.
+	route := usualRoute * service / usualService
+	route = v.routeWeight*float64(v.route) + (1-v.routeWeight)*route
+	if v.serviceWeight == 0 && now.Before(s.endpoint.warmUntil) {
+		route *= coldFactor
 	}
 	slots := float64(s.endpoint.Slots)
-	if v.load < slots {
-		s.service = time.Duration(service * (1 + busyShare*v.load/slots))
-	} else {
-		s.service = time.Duration(service * (1 + busyShare))
+	s.service = time.Duration(route * (1 + busyShare*min(v.load/slots, 1)))
+	if v.load >= slots {
 		s.wait = time.Duration((v.load - slots + 1) / slots * service)
 	}
 	if s.endpoint.Distance == OtherRegion {
--- a/pkg/mesh/placement/stats.go
+++ b/pkg/mesh/placement/stats.go
@@ -8,13 +8,13 @@
 	"time"
 )
 
-// Lifetimes of what is known of an endpoint. Loads change within a service time;
-// speeds and failures within seconds, and an endpoint that gets no requests must
-// be tried again.
+// Lifetimes of what is known of an endpoint. Loads change within a service time,
+// failures within seconds. Speeds differ for good between hosts, but an endpoint
+// that was slow for a time must be tried again.
 const (
 	loadLifetime   = 400 * time.Millisecond
-	speedFresh     = time.Second
-	speedLifetime  = 4 * time.Second
+	speedFresh     = 3 * time.Second
+	speedLifetime  = 10 * time.Second
 	failureHalving = 2 * time.Second
 )
 
@@ -33,8 +33,10 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Service is the mean time that a request holds a slot; 0 if unknown.
+	// Service is the mean time that a request holds a slot, Route the mean time
+	// until the answer to a request of the route that was asked; 0 if unknown.
 	Service time.Duration
+	Route   time.Duration
 }
 
 // Stats are this node's observations of one endpoint. They outlive boards and
@@ -44,8 +46,8 @@
 	outstanding  int
 	others       float64
 	reportedAt   time.Time
-	service      time.Duration
-	serviceAt    time.Time
+	service      sample
+	routes       map[string]sample
 	failures     float64
 	failuresAt   time.Time
 	ejections    int
@@ -53,6 +55,24 @@
 	lastSeen     time.Time
 }
 
+// sample is a duration with the time at which it was learned.
+type sample struct {
+	value time.Duration
+	at    time.Time
+}
+
+// weight is 1 for a fresh sample and 0 for one that is unknown or too old.
+func (s sample) weight(now time.Time) float64 {
+	age := now.Sub(s.at)
+	switch {
+	case s.value <= 0 || age >= speedLifetime:
+		return 0
+	case age <= speedFresh:
+		return 1
+	}
+	return 1 - float64(age-speedFresh)/float64(speedLifetime-speedFresh)
+}
+
 // Begin counts a request as outstanding.
 func (s *Stats) Begin() {
 	s.mu.Lock()
@@ -67,15 +87,21 @@
 	s.mu.Unlock()
 }
 
-// Report takes in a load that the endpoint's node sent with an answer. It must
-// be called before End.
-func (s *Stats) Report(now time.Time, load Load) {
+// Report takes in a load that the endpoint's node sent with the answer to a
+// request of a route. It must be called before End.
+func (s *Stats) Report(now time.Time, route string, load Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.others = math.Max(float64(load.Running+load.Waiting-s.outstanding), 0)
 	s.reportedAt = now
 	if load.Service > 0 {
-		s.service, s.serviceAt = load.Service, now
+		s.service = sample{load.Service, now}
+	}
+	if load.Route > 0 {
+		if s.routes == nil {
+			s.routes = make(map[string]sample)
+		}
+		s.routes[route] = sample{load.Route, now}
 	}
 	s.ejections = 0
 	s.ejectedUntil = time.Time{}
@@ -111,20 +137,25 @@
 	return s.failures * math.Exp2(-float64(now.Sub(s.failuresAt))/float64(failureHalving))
 }
 
-// view is a consistent copy of what counts for a choice.
+// view is a consistent copy of what counts for a choice. The weights say how far
+// the times can be believed.
 type view struct {
-	load     float64
-	service  time.Duration
-	speedAge time.Duration
-	failures float64
-	ejected  bool
+	load          float64
+	service       time.Duration
+	serviceWeight float64
+	route         time.Duration
+	routeWeight   float64
+	failures      float64
+	ejected       bool
 }
 
-func (s *Stats) view(now time.Time) view {
+func (s *Stats) view(now time.Time, route string) view {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r := s.routes[route]
 	v := view{
-		load: float64(s.outstanding), service: s.service, speedAge: now.Sub(s.serviceAt),
+		load: float64(s.outstanding), service: s.service.value, serviceWeight: s.service.weight(now),
+		route: r.value, routeWeight: r.weight(now),
 		failures: s.failureShare(now), ejected: now.Before(s.ejectedUntil),
 	}
 	if age := now.Sub(s.reportedAt); s.others > 0 && age < loadLifetime {
@@ -132,14 +163,3 @@
 	}
 	return v
 }
-
-// speedWeight is 1 for a fresh service time and 0 for one that is too old.
-func (v view) speedWeight() float64 {
-	switch {
-	case v.service <= 0 || v.speedAge >= speedLifetime:
-		return 0
-	case v.speedAge <= speedFresh:
-		return 1
-	}
-	return 1 - float64(v.speedAge-speedFresh)/float64(speedLifetime-speedFresh)
-}
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -127,16 +127,16 @@
 
 func formatLoad(l placement.Load) string {
 	return strconv.Itoa(l.Running) + "," + strconv.Itoa(l.Waiting) + "," + strconv.Itoa(l.Slots) + "," +
-		strconv.FormatInt(l.Service.Microseconds(), 10)
+		strconv.FormatInt(l.Service.Microseconds(), 10) + "," + strconv.FormatInt(l.Route.Microseconds(), 10)
 }
 
 // parseLoad reads what formatLoad wrote; anything else is an unknown load.
 func parseLoad(text string) placement.Load {
 	parts := strings.Split(text, ",")
-	if len(parts) != 4 {
+	var n [5]int
+	if len(parts) != len(n) {
 		return placement.Load{}
 	}
-	var n [4]int
 	for i, part := range parts {
 		value, err := strconv.Atoi(part)
 		if err != nil {
@@ -144,7 +144,10 @@
 		}
 		n[i] = value
 	}
-	return placement.Load{Running: n[0], Waiting: n[1], Slots: n[2], Service: time.Duration(n[3]) * time.Microsecond}
+	return placement.Load{
+		Running: n[0], Waiting: n[1], Slots: n[2],
+		Service: time.Duration(n[3]) * time.Microsecond, Route: time.Duration(n[4]) * time.Microsecond,
+	}
 }
 
 // hopServer takes the calls of other nodes for the endpoints beside this one.
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -104,7 +104,7 @@
 	again := x.tries > 0
 	candidates, canary := x.entry.deps.rollouts.candidates(board, x.service, again)
 	choice, ok := placement.Choose(now, candidates, placement.Request{
-		Kind: x.route.Kind, Left: left, Target: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.tried,
+		Route: x.route.Name, Kind: x.route.Kind, Left: left, Target: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.tried,
 	})
 	if !ok {
 		err := verdict.Refuse(verdict.NoTarget, "service %q has no endpoint for the request", x.service)
@@ -181,7 +181,7 @@
 	}
 	now := x.entry.deps.now()
 	if load.Slots > 0 {
-		result.endpoint.Report(now, load)
+		result.endpoint.Report(now, x.route.Name, load)
 	}
 	result.endpoint.End()
 	x.results <- result
