Work on pipelined requests of a client at the same time; fewer store calls in storms

Change: a server of clients on net/http's codec that answers in order. The watch of configurations pauses 500 ms after a change.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -30,8 +30,11 @@
 	storeWatchWait          = 10 * time.Second
 	configurationWatchLeast = 2 * time.Second
 	configurationWatchSpan  = 2 * time.Second
-	// storeWatchPause lets changes gather that come in quick succession.
-	storeWatchPause = 150 * time.Millisecond
+	// The pauses let changes gather that come in quick succession: operators send
+	// storms of configurations some 200 ms apart, and one must be in force within
+	// 2 s; endpoints that come and go are wanted sooner.
+	configurationWatchPause = 500 * time.Millisecond
+	storeWatchPause         = 150 * time.Millisecond
 )
 
 // settingsPoll is the time between two looks at the settings file, which may
@@ -45,6 +48,13 @@
 	return storeWatchWait
 }
 
+func watchPause(kind store.Kind) time.Duration {
+	if kind == store.Configuration {
+		return configurationWatchPause
+	}
+	return storeWatchPause
+}
+
 // nodeBudget bounds the store calls of one node, so that a faulty one does not
 // use up the rates that all nodes share.
 func nodeBudget() store.Budget {
@@ -82,7 +92,7 @@
 	}
 	client := platform.NewStore(platform.StoreOptions{
 		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
-		CallTimeout: storeCallTimeout, WatchWait: watchWait, WatchPause: storeWatchPause,
+		CallTimeout: storeCallTimeout, WatchWait: watchWait, WatchPause: watchPause,
 		StaleWatches: map[store.Kind]bool{store.MeshState: true},
 	})
 	defer client.Close()
--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -14,8 +14,7 @@
 const prefetchBytes = 64 << 10
 
 // clientConn reads ahead of the server, so that a client's close is noticed
-// while further requests of it wait in line: net/http's server stops watching a
-// connection once a byte of the next request has arrived.
+// while further requests of it wait in line.
 type clientConn struct {
 	net.Conn
 	// ctx ends when the client has closed the connection.
@@ -158,15 +157,3 @@
 		c.idle = time.AfterFunc(d, func() { _ = c.Close() })
 	}
 }
-
-// clientListener wraps accepted connections.
-type clientListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l clientListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return newClientConn(c), nil
-}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -56,11 +57,12 @@
 // housekeeping is the time between two sweeps of idle connections and endpoints.
 const housekeeping = time.Second
 
-// headerTimeout bounds the time of a client to send a request's head.
-const headerTimeout = 10 * time.Second
-
-// maxHeaderBytes bounds the head of a request.
-const maxHeaderBytes = 64 << 10
+// headerTimeout bounds the time of a node or endpoint to send a request's head,
+// maxHeaderBytes its size: a client's head and what a hop adds.
+const (
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 2 * headBytes
+)
 
 // memoryShare is the part of the machine's memory that the heap may take; the
 // rest is for stacks, the C library and bytes in sockets.
@@ -144,10 +146,17 @@
 
 // server is one listening address.
 type server struct {
-	http     *http.Server
+	http     httpServer
 	listener net.Listener
 }
 
+// httpServer is what net/http's server and the server of clients have in common.
+type httpServer interface {
+	Serve(listener net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // Run serves until ctx ends, then stops gracefully. The error says what could
 // not be started.
 func (n *Node) Run(ctx context.Context) error {
@@ -239,27 +248,19 @@
 // listen opens all addresses.
 func (n *Node) listen() ([]server, error) {
 	s := n.shared.settings
-	clients := &http.Server{
-		Handler: n.entry, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: n.watchIdle,
-		ConnContext: func(_ context.Context, c net.Conn) context.Context {
-			return c.(*clientConn).ctx
-		},
-	}
 	type listening struct {
 		address string
-		http    *http.Server
-		wrap    func(net.Listener) net.Listener
+		http    httpServer
 	}
 	addresses := []listening{
-		{s.Control, &http.Server{Handler: n.deps.Announcements(n.gate), ReadHeaderTimeout: headerTimeout}, nil},
-		{s.Inbound, &http.Server{Handler: n.hopsIn, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 2 * maxHeaderBytes}, nil},
-		{s.Outbound, clients, func(l net.Listener) net.Listener { return clientListener{l} }},
-		{s.Readiness, &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}, nil},
+		{s.Control, &http.Server{Handler: n.deps.Announcements(n.gate), ReadHeaderTimeout: headerTimeout}},
+		{s.Inbound, &http.Server{Handler: n.hopsIn, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
+		{s.Outbound, newClientServer(n.entry, n.limits, n.panicked)},
+		{s.Readiness, &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}},
 	}
 	if address := metricsAddress(s); address != "" {
 		addresses = append(addresses, listening{
-			address, &http.Server{Handler: n.shared.metrics.handler, ReadHeaderTimeout: headerTimeout}, nil,
+			address, &http.Server{Handler: n.shared.metrics.handler, ReadHeaderTimeout: headerTimeout},
 		})
 	}
 	var servers []server
@@ -268,26 +269,21 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s", each.address)
 		}
-		if each.wrap != nil {
-			listener = each.wrap(listener)
-		}
 		servers = append(servers, server{http: each.http, listener: listener})
 	}
 	return servers, nil
 }
 
-// watchIdle closes connections of clients that are idle for longer than the
-// configuration allows, which may change while they are open.
-func (n *Node) watchIdle(c net.Conn, state http.ConnState) {
-	conn, ok := c.(*clientConn)
-	if !ok {
-		return
-	}
-	idle := time.Duration(0)
-	if snapshot := n.shared.snapshot.Load(); state == http.StateIdle && snapshot != nil {
-		idle = snapshot.Limits().IdleTimeout
+func (n *Node) panicked(reason any, stack []byte) {
+	n.shared.log.event("handler_panicked", fields{"reason": fmt.Sprint(reason), "stack": string(stack)})
+}
+
+// limits returns the configuration's bounds on clients.
+func (n *Node) limits() mesh.Limits {
+	if snapshot := n.shared.snapshot.Load(); snapshot != nil {
+		return snapshot.Limits()
 	}
-	conn.watchIdle(idle)
+	return mesh.Limits{}
 }
 
 func (n *Node) serveReadiness(w http.ResponseWriter, r *http.Request) {
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -247,9 +247,9 @@
 	return nil
 }
 
-// fetchPause lets the node's own watch report a change before another node's
-// word of it costs a call, and bounds the calls if the store has not got it.
-const fetchPause = 400 * time.Millisecond
+// fetchPause lets the node's own watch, which pauses for up to 500 ms after a
+// change, report the next one before another node's word of it costs a call.
+const fetchPause = 800 * time.Millisecond
 
 // fetchNewer reads the configuration when another node has a newer one.
 func (t *tracker) fetchNewer(ctx context.Context) {
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -137,7 +137,7 @@
 	n.output, n.done = &output{}, make(chan struct{})
 	client := platform.NewStore(platform.StoreOptions{
 		Address: n.settings.StoreAddress, Dial: exchange.Dialer{Timeout: time.Second}.DialContext, CallTimeout: time.Second,
-		WatchWait: func(store.Kind) time.Duration { return 5 * time.Second }, WatchPause: 10 * time.Millisecond,
+		WatchWait: func(store.Kind) time.Duration { return 5 * time.Second }, WatchPause: func(store.Kind) time.Duration { return 10 * time.Millisecond },
 	})
 	running, err := sidecar.New(sidecar.Deps{
 		Settings: n.settings, Headers: platform.Headers(), Store: client, Docs: platform.Documents{},
--- a/test/sidecar/path_test.go
+++ b/test/sidecar/path_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -192,6 +193,87 @@
 	}
 }
 
+// Replays clients that send requests one behind the other, and guards against
+// requests that wait for the work on those in front of them.
+func TestPipelinedRequestsAreWorkedOnTogether(t *testing.T) {
+	const together = 4
+	var arrived sync.WaitGroup
+	arrived.Add(together)
+	e := endpoint("e")
+	e.Slots = together
+	e.Handle = func(w http.ResponseWriter, r *http.Request) {
+		arrived.Done()
+		arrived.Wait()
+		e.Sign(w, r)
+	}
+	_, entry := remote(t, e)
+	c := entry.dial(t)
+	ids := []string{"id0", "id1", "id2", "id3"}
+	c.send(t, "/safe/x", ids...)
+	for _, id := range ids {
+		a := c.read(t)
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Equal(t, a.header.Get(platformtest.HeaderRequestID), id)
+	}
+}
+
+// Guards against bytes that are no request and harm a node or get a silent end.
+func TestMalformedRequests(t *testing.T) {
+	_, entry := remote(t, endpoint("e"))
+	for _, c := range []struct {
+		bytes  string
+		status int
+	}{
+		{"garbage\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/2.0\r\nHost: h\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 100<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"GET /safe/x HTTP/1.0\r\nHost: h.example\r\n\r\n", http.StatusOK},
+	} {
+		conn := entry.dial(t)
+		_, _ = io.WriteString(conn, c.bytes)
+		a := conn.read(t)
+		assert.Equal(t, a.status, c.status, "%.40q", c.bytes)
+		assert.Assert(t, a.closes, "%.40q", c.bytes)
+	}
+}
+
+// Guards against bodies that are mixed up with the next request, whatever their
+// framing and whether or not the endpoint reads them.
+func TestBodiesOnOneConnection(t *testing.T) {
+	e := endpoint("e")
+	e.Handle = func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/unsafe/unread" {
+			e.Sign(w, r)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		e.Sign(w, r)
+		_, _ = fmt.Fprint(w, len(body))
+	}
+	_, entry := remote(t, e)
+	c := entry.dial(t)
+	for i, size := range []int{0, 10, 100_000, 200_000} {
+		for _, chunked := range []bool{false, true} {
+			head := fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n%s: id%d%v\r\n%s: 2000\r\n",
+				platformtest.HeaderRequestID, i, chunked, platformtest.HeaderDeadline)
+			body := strings.Repeat("b", size)
+			if chunked {
+				chunk := ""
+				if size > 0 {
+					chunk = fmt.Sprintf("%x\r\n%s\r\n", size, body)
+				}
+				_, _ = io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n"+chunk+"0\r\n\r\n")
+			} else {
+				_, _ = io.WriteString(c, head+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, body))
+			}
+			a := c.read(t)
+			assert.Equal(t, a.status, http.StatusOK, "%d bytes, chunked %v", size, chunked)
+			assert.Equal(t, a.body, strconv.Itoa(size), "chunked %v", chunked)
+		}
+	}
+}
+
 // Guards against an answer that ends early and looks complete.
 func TestLongAnswerThatIsCutDoesNotLookWhole(t *testing.T) {
 	for _, length := range []string{"1000000", ""} {
--- a/test/sidecar/program_test.go
+++ b/test/sidecar/program_test.go
@@ -141,4 +141,3 @@
 		assert.Assert(t, strings.Contains(p.output.text.String(), want), "%s is not named in %q", want, p.output.text.String())
 	}
 }
-
