Take ports of test nodes from below the ephemeral range; keep logs of failed tests

Cause: a test of test/sidecar failed once (30 s, output not kept). 14 copies at the same time showed it in 5 of 14 runs: 'address already in use', because a connection took the free port before the node listened on it.

Open: in the same runs TestFaultyEndpoints/sheds_once saw 3 runs of a safe request instead of 2, once; 42 further runs of it did not show it again. Logs are now kept when a test fails.

--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -8,11 +8,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,6 +87,9 @@
 		for _, n := range f.nodes {
 			<-n.done
 			n.endpoint.Close()
+			if t.Failed() {
+				t.Logf("log of %s:\n%s", n.settings.Instance, n.output.text.String())
+			}
 		}
 		f.store.Close()
 		f.server.Close()
@@ -107,12 +112,30 @@
 		`"clusters":[{"name":"s","max_connections":110},{"name":"t","max_connections":110}]}`, f.version, strings.Join(rules, ",")))
 }
 
+// Ports of nodes are taken from below the range of ephemeral ports: a free port
+// of that range may be taken by a connection before the node listens.
+const (
+	firstPort = 20_000
+	portSpan  = 12_000
+)
+
+var nextPort = func() *atomic.Int64 {
+	n := &atomic.Int64{}
+	n.Store(rand.Int64N(portSpan))
+	return n
+}()
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range portSpan {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portSpan)
+		if l, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, l.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // add starts a node in a failure domain with an endpoint beside it.
