Keep announced ends of endpoints in the store for the node's next process

Change: an end of an unknown start is remembered, ends are part of the node's entry, they are stored before the acknowledgement, and no endpoint takes requests before they are known.

--- a/pkg/mesh/instance.go
+++ b/pkg/mesh/instance.go
@@ -44,16 +44,23 @@
 	WarmupMs int64 `json:"warmupMs,omitempty"`
 }
 
+// Ended is a start of an endpoint that has announced its end.
+type Ended struct {
+	ID string `json:"id"`
+	// Born is the start in Unix milliseconds; earlier ones have ended as well.
+	Born int64 `json:"born"`
+}
+
 // Instance is the entry that a node publishes for its machine. It lists the
-// endpoints that accept new requests.
+// endpoints that accept new requests, and those that no longer do, for the next
+// process of the node.
 type Instance struct {
-	Name          string `json:"name"`
-	Address       string `json:"address"`
-	FailureDomain string `json:"failureDomain"`
-	Region        string `json:"region"`
-	// Incarnation is the start of the node's process in Unix milliseconds.
-	Incarnation int64      `json:"incarnation"`
-	Endpoints   []Endpoint `json:"endpoints"`
+	Name          string     `json:"name"`
+	Address       string     `json:"address"`
+	FailureDomain string     `json:"failureDomain"`
+	Region        string     `json:"region"`
+	Endpoints     []Endpoint `json:"endpoints"`
+	Ended         []Ended    `json:"ended,omitempty"`
 }
 
 // Encode returns the stored form of the entry.
--- a/pkg/mesh/local.go
+++ b/pkg/mesh/local.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Bounds on what the node remembers of its own endpoints.
 const (
@@ -81,9 +85,11 @@
 func (l *Local) Leave(now time.Time, id string, born int64) (changed bool) {
 	current := l.endpoints[id]
 	if current == nil {
-		if born > l.ended[id].born {
-			l.ended[id] = tombstone{born: born, at: now}
+		if born == 0 {
+			// Which start ends is not known: any that began before now.
+			born = now.UnixMilli()
 		}
+		l.end(now, id, max(born, l.ended[id].born))
 		return false
 	}
 	if born != 0 && born < current.Born {
@@ -93,6 +99,34 @@
 	return true
 }
 
+// Ended returns the starts that have announced their end, in order of their ids.
+func (l *Local) Ended() []Ended {
+	list := make([]Ended, 0, len(l.ended))
+	for id, t := range l.ended {
+		list = append(list, Ended{ID: id, Born: t.born})
+	}
+	for id, e := range l.endpoints {
+		if _, ok := l.ended[id]; !ok && e.State == Draining {
+			list = append(list, Ended{ID: id, Born: e.Born})
+		}
+	}
+	slices.SortFunc(list, func(a, b Ended) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Restore takes in the ends that were announced to an earlier process of the
+// node, and removes endpoints that are among them.
+func (l *Local) Restore(now time.Time, ended []Ended) {
+	for _, e := range ended {
+		if current := l.endpoints[e.ID]; current != nil && current.Born <= e.Born {
+			delete(l.endpoints, e.ID)
+		}
+		if e.Born > l.ended[e.ID].born {
+			l.ended[e.ID] = tombstone{born: e.Born, at: now}
+		}
+	}
+}
+
 func (l *Local) end(now time.Time, id string, born int64) {
 	delete(l.endpoints, id)
 	l.ended[id] = tombstone{born: born, at: now}
--- a/pkg/mesh/placement/board.go
+++ b/pkg/mesh/placement/board.go
@@ -96,7 +96,7 @@
 // endpoints. The result must not be changed.
 func (b *Board) Versions(service string) map[string][]*Endpoint { return b.services[service] }
 
-// Instances returns the names of all known instances in order.
+// Instances returns the names of the instances with endpoints, in order.
 func (b *Board) Instances() []string { return b.instances }
 
 // Builder builds boards and keeps the observations that outlive them.
@@ -122,7 +122,9 @@
 	board := &Board{services: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint)}
 	for i := range instances {
 		instance := &instances[i]
-		board.instances = append(board.instances, instance.Name)
+		if len(instance.Endpoints) > 0 {
+			board.instances = append(board.instances, instance.Name)
+		}
 		for _, e := range instance.Endpoints {
 			versions := board.services[e.Service]
 			if versions == nil {
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -34,6 +34,10 @@
 	local *mesh.Local
 	doors map[string]*door
 	next  uint64
+	// restored is set once the ends that an earlier process was told of are known.
+	// Until then no endpoint takes requests: a late announcement may be of one
+	// that has ended.
+	restored bool
 }
 
 // door holds the admission and the connections of one endpoint.
@@ -51,17 +55,41 @@
 	return &gateKeeper{deps: deps, local: mesh.NewLocal(deps.settings.HeartbeatInterval), doors: make(map[string]*door)}
 }
 
-// Announce implements platform.Registry.
+// Announce implements Registry.
 func (g *gateKeeper) Announce(a mesh.Announcement) {
-	g.change("announcement", a.ID, string(a.State), func(now time.Time) bool { return g.local.Announce(now, a) })
+	changed := g.change("announcement", a.ID, string(a.State), func(now time.Time) bool { return g.local.Announce(now, a) })
+	if changed && a.State == mesh.Draining {
+		g.deps.awaitPublished(ackWait)
+	}
 }
 
-// Leave implements platform.Registry.
+// Leave implements Registry. It returns once the end is stored, because
+// the acknowledgement binds the node's next process as well.
 func (g *gateKeeper) Leave(id string, born int64) {
-	g.change("announcement", id, "gone", func(now time.Time) bool { return g.local.Leave(now, id, born) })
+	g.change("announcement", id, "gone", func(now time.Time) bool {
+		g.local.Leave(now, id, born)
+		return true
+	})
+	g.deps.awaitPublished(ackWait)
+}
+
+// ackWait is how long an acknowledgement waits for the store. Endpoints turn to
+// nobody else, and take an answer within a second.
+const ackWait = 700 * time.Millisecond
+
+// restore takes in the ends that were stored by an earlier process of this node.
+func (g *gateKeeper) restore(ended []mesh.Ended) {
+	g.change("endpoints_restored", "", "ready", func(now time.Time) bool {
+		if g.restored {
+			return false
+		}
+		g.restored = true
+		g.local.Restore(now, ended)
+		return true
+	})
 }
 
-// Malformed implements platform.Registry.
+// Malformed implements Registry.
 func (g *gateKeeper) Malformed(id string, err error) {
 	g.deps.log.event("announcement_malformed", fields{"endpoint": id, "error": err.Error()})
 }
@@ -77,7 +105,7 @@
 }
 
 // change applies a change of the local endpoints and brings the doors in line.
-func (g *gateKeeper) change(event, id, state string, apply func(now time.Time) bool) {
+func (g *gateKeeper) change(event, id, state string, apply func(now time.Time) bool) bool {
 	now := g.deps.now()
 	g.mu.Lock()
 	changed := apply(now)
@@ -89,11 +117,15 @@
 		g.deps.log.event(event, fields{"endpoint": id, "state": state})
 		g.deps.endpointsChanged()
 	}
+	return changed
 }
 
 // syncDoors opens a door for each endpoint that takes requests, and rejects what
 // waits at the others. Running requests go on.
 func (g *gateKeeper) syncDoors() {
+	if !g.restored {
+		return
+	}
 	for id, d := range g.doors {
 		e := g.local.Ready(id)
 		if e != nil && e.Born == d.endpoint.Born && e.Address == d.endpoint.Address {
@@ -156,11 +188,15 @@
 	d.routes[route] = mean + time.Duration(routeWeight*float64(took-mean))
 }
 
-// published returns the endpoints beside this node that take requests.
-func (g *gateKeeper) published() []mesh.Endpoint {
+// published returns the endpoints beside this node that take requests, and the
+// ends that the next process must know.
+func (g *gateKeeper) published() ([]mesh.Endpoint, []mesh.Ended) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.local.Published(g.deps.now())
+	if !g.restored {
+		return nil, nil
+	}
+	return g.local.Published(g.deps.now()), g.local.Ended()
 }
 
 // judged returns the number of answers that the judge of a version saw here.
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -111,6 +111,7 @@
 	n.tracker = do.MustInvoke[*tracker](n.injector)
 	n.hopsIn = &hopServer{deps: n.shared, gate: n.gate}
 	n.shared.endpointsChanged = n.tracker.endpointsChanged
+	n.shared.awaitPublished = n.tracker.awaitPublished
 	n.shared.newerConfiguration = func(version uint64) {
 		select {
 		case n.tracker.newer <- version:
@@ -203,7 +204,7 @@
 	n.shared.log.event("stopping", fields{"inFlight": n.inFlight()})
 	ctx, cancel := context.WithTimeout(context.Background(), n.shared.settings.Grace-stopMargin)
 	defer cancel()
-	go n.tracker.withdraw(ctx)
+	n.tracker.withdraw()
 	for {
 		elapsed := time.Since(started)
 		if elapsed >= stopRefuse {
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -30,6 +30,9 @@
 	newerConfiguration func(version uint64)
 	// endpointsChanged is called after the endpoints beside this node changed.
 	endpointsChanged func()
+	// awaitPublished returns once this node's entry is stored as it is now, or
+	// after the given time.
+	awaitPublished func(wait time.Duration)
 }
 
 // configVersion returns the configuration version in force; 0 if there is none.
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -61,6 +61,10 @@
 	changed chan struct{}
 	decide  chan struct{}
 	newer   chan uint64
+	// wanted counts the changes of the endpoints beside this node, stored those
+	// that are in the store; published is closed and replaced when it grows.
+	wanted, stored uint64
+	published      chan struct{}
 }
 
 func newTracker(deps *shared, store platform.Store, docs Documents, gate *gateKeeper) *tracker {
@@ -72,7 +76,7 @@
 		instances: make(map[string]mesh.Instance), rollouts: make(map[string]mesh.Rollout),
 		progress: make(map[string]rollout.Progress), versions: make(map[string]string),
 		loaded:  make(map[platform.Kind]bool),
-		changed: make(chan struct{}, 1), decide: make(chan struct{}, 1), newer: make(chan uint64, 1),
+		changed: make(chan struct{}, 1), decide: make(chan struct{}, 1), newer: make(chan uint64, 1), published: make(chan struct{}),
 	}
 }
 
@@ -154,8 +158,12 @@
 		t.put(kind, o)
 	}
 	t.loaded[kind] = true
+	ended := t.instances[t.ownName()].Ended
 	t.mu.Unlock()
 	t.refresh(kind)
+	if kind == platform.MeshState {
+		t.gate.restore(ended)
+	}
 }
 
 func (t *tracker) apply(kind platform.Kind, event platform.Event) {
@@ -329,10 +337,10 @@
 
 func (t *tracker) ownEntry() mesh.Instance {
 	s := t.deps.settings
-	endpoints := t.gate.published()
+	endpoints, ended := t.gate.published()
 	slices.SortFunc(endpoints, func(a, b mesh.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return mesh.Instance{
-		Name: s.Instance, Address: s.Inbound, FailureDomain: s.FailureDomain, Region: s.Region, Endpoints: endpoints,
+		Name: s.Instance, Address: s.Inbound, FailureDomain: s.FailureDomain, Region: s.Region, Endpoints: endpoints, Ended: ended,
 	}
 }
 
@@ -345,6 +353,9 @@
 
 // endpointsChanged takes in a change of the endpoints beside this node.
 func (t *tracker) endpointsChanged() {
+	t.mu.Lock()
+	t.wanted++
+	t.mu.Unlock()
 	t.rebuild()
 	poke(t.changed)
 }
@@ -359,9 +370,13 @@
 		case <-t.changed:
 		}
 		retry.Reset()
-		for ctx.Err() == nil && !t.deps.stopping.Load() {
+		for ctx.Err() == nil {
+			t.mu.Lock()
+			wanted := t.wanted
+			t.mu.Unlock()
 			err := t.publishOnce(ctx)
 			if err == nil {
+				t.notePublished(wanted)
 				break
 			}
 			t.deps.log.event("publish_failed", fields{"error": err.Error()})
@@ -370,15 +385,49 @@
 	}
 }
 
+// notePublished records that the changes up to a number are stored.
+func (t *tracker) notePublished(number uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stored = number
+	close(t.published)
+	t.published = make(chan struct{})
+}
+
+// awaitPublished returns once all changes made so far are stored, or after wait.
+func (t *tracker) awaitPublished(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	t.mu.Lock()
+	wanted := t.wanted
+	t.mu.Unlock()
+	for {
+		t.mu.Lock()
+		stored, published := t.stored, t.published
+		t.mu.Unlock()
+		if stored >= wanted {
+			return
+		}
+		select {
+		case <-published:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 func (t *tracker) publishOnce(ctx context.Context) error {
 	t.mu.Lock()
 	entry, name := t.ownEntry(), t.ownName()
+	if t.deps.stopping.Load() {
+		entry.Endpoints = nil
+	}
 	stored, version, loaded := t.instances[name], t.versions[name], t.loaded[platform.MeshState]
 	t.mu.Unlock()
 	if !loaded {
 		return eris.New("the store has not been read yet")
 	}
-	if version != "" && sameEntry(stored, entry) {
+	if version != "" && sameEntry(stored, entry) || version == "" && len(entry.Endpoints) == 0 && len(entry.Ended) == 0 {
 		return nil
 	}
 	value, err := entry.Encode()
@@ -426,22 +475,12 @@
 	return slices.EqualFunc(a.Endpoints, b.Endpoints, func(x, y mesh.Endpoint) bool {
 		x.WarmupMs, y.WarmupMs = 0, 0
 		return x == y
-	})
+	}) && slices.Equal(a.Ended, b.Ended)
 }
 
-// withdraw removes this node's entry when it stops.
-func (t *tracker) withdraw(ctx context.Context) {
-	t.mu.Lock()
-	name := t.ownName()
-	version := t.versions[name]
-	t.mu.Unlock()
-	if version == "" {
-		return
-	}
-	if err := t.store.Delete(ctx, platform.MeshState, name, version); err != nil {
-		t.deps.log.event("withdraw_failed", fields{"error": err.Error()})
-	}
-}
+// withdraw takes this node's endpoints out of its entry when it stops. The ends
+// that they announced stay stored for the next process.
+func (t *tracker) withdraw() { t.endpointsChanged() }
 
 // rolloutTick is the time between two looks at open rollouts.
 const rolloutTick = 200 * time.Millisecond
--- a/test/sidecar/path_test.go
+++ b/test/sidecar/path_test.go
@@ -323,3 +323,27 @@
 	assert.Assert(t, time.Since(started) < 1500*time.Millisecond)
 	assert.Equal(t, e.Runs(), 1)
 }
+
+// Guards against requests to an endpoint whose end was acknowledged: the node's
+// next process took a late announcement for a new endpoint.
+func TestAcknowledgedEndBindsTheNextProcess(t *testing.T) {
+	f := newFleet(t)
+	leaving, other := endpoint("leaving"), endpoint("other")
+	n := f.add("a", leaving)
+	f.add("b", other)
+	f.ready()
+	n.stop()
+	status, err := leaving.Leave(context.Background(), n.settings.Control)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	<-n.done
+	runs := leaving.Runs()
+	// The endpoint's announcements go on as if they were late.
+	f.start(n)
+	f.wait("the node is ready again", n.isReady)
+	for i := range 50 {
+		a := f.nodes[i%2].get("/safe/x", fmt.Sprint("id", i))
+		assert.NilError(t, a.err)
+	}
+	assert.Equal(t, leaving.Runs(), runs, "an endpoint that has ended got requests")
+}
