Use the gate's word on waits; let endpoints outlive their node's process

Cause 3: a stopping node rejected the calls of other nodes for its whole notice of 2.5 s although its endpoint was sound.

Change: rejections count in the next choice. The stored entry keeps the endpoints for the next process; an end is acknowledged only once it is stored, so that the entry never names an endpoint whose end was acknowledged. Calls of other nodes are taken for the first 1.5 s of a stop.

--- a/pkg/mesh/instance.go
+++ b/pkg/mesh/instance.go
@@ -40,6 +40,10 @@
 	Service string `json:"service"`
 	Version string `json:"version"`
 	Slots   int    `json:"slots"`
+	// Address and Born let the next process of the node use the endpoint before
+	// it announces itself again.
+	Address string `json:"address,omitempty"`
+	Born    int64  `json:"born,omitempty"`
 	// WarmupMs is how long the endpoint stays slow after it was published.
 	WarmupMs int64 `json:"warmupMs,omitempty"`
 }
@@ -55,12 +59,15 @@
 // endpoints that accept new requests, and those that no longer do, for the next
 // process of the node.
 type Instance struct {
-	Name          string     `json:"name"`
-	Address       string     `json:"address"`
-	FailureDomain string     `json:"failureDomain"`
-	Region        string     `json:"region"`
-	Endpoints     []Endpoint `json:"endpoints"`
-	Ended         []Ended    `json:"ended,omitempty"`
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	Region        string `json:"region"`
+	// Stopping is set while the node's process is being replaced: its endpoints
+	// take no requests of other nodes until the next process has started.
+	Stopping  bool       `json:"stopping,omitempty"`
+	Endpoints []Endpoint `json:"endpoints"`
+	Ended     []Ended    `json:"ended,omitempty"`
 }
 
 // Encode returns the stored form of the entry.
--- a/pkg/mesh/local.go
+++ b/pkg/mesh/local.go
@@ -16,6 +16,9 @@
 	tombstoneLifetime = 10 * time.Minute
 )
 
+// beforeFirst is below the sequence of every announcement.
+const beforeFirst = -1
+
 // LocalEndpoint is an endpoint beside this node.
 type LocalEndpoint struct {
 	Announcement
@@ -114,10 +117,20 @@
 	return list
 }
 
-// Restore takes in the ends that were announced to an earlier process of the
-// node, and removes endpoints that are among them.
-func (l *Local) Restore(now time.Time, ended []Ended) {
-	for _, e := range ended {
+// Restore takes in what an earlier process of the node stored: the ends that were
+// announced to it, and the endpoints that took requests. The latter count until
+// they have been silent for too long. An end is stored before it is
+// acknowledged, so that no endpoint of the entry has an acknowledged end.
+func (l *Local) Restore(now time.Time, entry Instance) {
+	for _, e := range entry.Endpoints {
+		if l.endpoints[e.ID] == nil && e.Address != "" {
+			l.Announce(now, Announcement{
+				ID: e.ID, Service: e.Service, Version: e.Version, Address: e.Address, Slots: e.Slots, State: Ready, Born: e.Born,
+				Sequence: beforeFirst,
+			})
+		}
+	}
+	for _, e := range entry.Ended {
 		if current := l.endpoints[e.ID]; current != nil && current.Born <= e.Born {
 			delete(l.endpoints, e.ID)
 		}
@@ -166,7 +179,7 @@
 			continue
 		}
 		published = append(published, Endpoint{
-			ID: e.ID, Service: e.Service, Version: e.Version, Slots: e.Slots,
+			ID: e.ID, Service: e.Service, Version: e.Version, Slots: e.Slots, Address: e.Address, Born: e.Born,
 			WarmupMs: max(e.WarmUntil.Sub(now), 0).Milliseconds(),
 		})
 	}
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -45,8 +45,14 @@
 	}})
 	assert.NilError(t, err)
 	for _, c := range []struct{ host, path, want string }{
-		{"h", "/a/x", "short"}, {"h", "/a/b/x", "long"}, {"h", "/a/bx", "short"}, {"h:80", "/a/", "short"},
-		{"h", "/a", ""}, {"h", "/c/", ""}, {"o", "/c/1", "other"}, {"none", "/a/", ""},
+		{"h", "/a/x", "short"},
+		{"h", "/a/b/x", "long"},
+		{"h", "/a/bx", "short"},
+		{"h:80", "/a/", "short"},
+		{"h", "/a", ""},
+		{"h", "/c/", ""},
+		{"o", "/c/1", "other"},
+		{"none", "/a/", ""},
 	} {
 		name := ""
 		if r := s.Match(c.host, c.path); r != nil {
@@ -121,7 +127,7 @@
 
 	next := NewLocal(interval)
 	next.Announce(now, announce("gone", 1, 2, Ready))
-	next.Restore(now, stored.Ended)
+	next.Restore(now, stored)
 	assert.Equal(t, len(next.Published(now)), 0, "an announcement before the store was read counts")
 	next.Announce(now, announce("gone", 1, 3, Ready))
 	next.Announce(now, announce("drains", 1, 3, Ready))
@@ -130,6 +136,29 @@
 	assert.Equal(t, len(next.Published(now)), 1, "a new start is kept out")
 }
 
+// Guards against an endpoint that is not used after a restart of its node until
+// it announces itself, and against one that replaced it meanwhile.
+func TestEndpointsOutliveTheProcess(t *testing.T) {
+	now := time.Now()
+	first := NewLocal(interval)
+	first.Announce(now, announce("a", 1, 5, Ready))
+	entry := Instance{Name: "n", Address: "a", Endpoints: first.Published(now)}
+	next := NewLocal(interval)
+	next.Restore(now, entry)
+	assert.Equal(t, len(next.Published(now)), 1)
+	assert.Assert(t, next.Announce(now, announce("a", 1, 6, Draining)), "its own word counts")
+	assert.Equal(t, len(next.Published(now)), 0)
+	replaced := NewLocal(interval)
+	replaced.Announce(now, announce("b", 2, 1, Ready))
+	replaced.Restore(now, entry)
+	assert.Equal(t, replaced.Published(now)[0].ID, "b")
+	assert.Equal(t, len(replaced.Published(now)), 1)
+	silent := NewLocal(interval)
+	silent.Restore(now, entry)
+	silent.Tick(now.Add((beatsMissed + 1) * interval))
+	assert.Equal(t, len(silent.Published(now)), 0)
+}
+
 // Guards against requests to an endpoint that crashed without a word, and
 // against the loss of one whose announcement is seconds late.
 func TestSilentEndpointIsDropped(t *testing.T) {
--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -52,6 +52,15 @@
 	Target time.Duration
 	// Tried lists the endpoints that the request was already sent to.
 	Tried []*Endpoint
+	// Rejected lists the waits that gates rejected the request for. They are known
+	// better there than here.
+	Rejected []Rejection
+}
+
+// Rejection is the wait for a slot that a gate told with its rejection.
+type Rejection struct {
+	Endpoint *Endpoint
+	Wait     time.Duration
 }
 
 // Choice is an endpoint for a request.
@@ -216,6 +225,11 @@
 	if v.load >= slots {
 		s.wait = time.Duration((v.load - slots + 1) / slots * service)
 	}
+	for _, rejection := range r.Rejected {
+		if rejection.Endpoint.Stats == s.endpoint.Stats {
+			s.wait = max(s.wait, rejection.Wait)
+		}
+	}
 	if s.endpoint.Distance == OtherRegion {
 		s.service += roundTripOtherRegion
 	}
--- a/pkg/mesh/placement/placement_test.go
+++ b/pkg/mesh/placement/placement_test.go
@@ -207,6 +207,21 @@
 	assert.Equal(t, choose(t, b, epoch, 20, false, r)["near"], 20)
 }
 
+// Guards against a request that goes to the same full endpoint again and again,
+// because its gate knows of a longer wait than the node that places it.
+func TestRejectionsCountInTheNextChoice(t *testing.T) {
+	b := threeDistances()
+	near := find(t, b, "near")
+	r := usual
+	r.Rejected = []Rejection{{near, 300 * time.Millisecond}}
+	assert.Equal(t, choose(t, b, epoch, 20, false, r)["near"], 0)
+	// Where there is no other endpoint, the wait is accepted.
+	one := board(instance("near", "d1", "r1", endpoint("near")))
+	r.Rejected = []Rejection{{find(t, one, "near"), 300 * time.Millisecond}}
+	c, ok := Choose(epoch, one.Versions("s")["v1"], r)
+	assert.Assert(t, ok && c.MaxWait >= 300*time.Millisecond, "%v", c.MaxWait)
+}
+
 // Guards against a second send to the same endpoint after the board was rebuilt.
 func TestTriedEndpointStaysTriedOnANewBoard(t *testing.T) {
 	builder := NewBuilder(self)
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -56,35 +56,42 @@
 }
 
 // Announce implements Registry.
-func (g *gateKeeper) Announce(a mesh.Announcement) {
-	changed := g.change("announcement", a.ID, string(a.State), func(now time.Time) bool { return g.local.Announce(now, a) })
-	if changed && a.State == mesh.Draining {
-		g.deps.awaitPublished(ackWait)
-	}
+func (g *gateKeeper) Announce(a mesh.Announcement) bool {
+	g.change("announcement", a.ID, string(a.State), func(now time.Time) bool { return g.local.Announce(now, a) })
+	return a.State != mesh.Draining || g.endStored(a.ID)
 }
 
-// Leave implements Registry. It returns once the end is stored, because
-// the acknowledgement binds the node's next process as well.
-func (g *gateKeeper) Leave(id string, born int64) {
+// Leave implements Registry.
+func (g *gateKeeper) Leave(id string, born int64) bool {
 	g.change("announcement", id, "gone", func(now time.Time) bool {
 		g.local.Leave(now, id, born)
 		return true
 	})
-	g.deps.awaitPublished(ackWait)
+	return g.endStored(id)
+}
+
+// endStored reports whether the end of an endpoint is stored. Only then may it
+// be acknowledged, because the acknowledgement binds the next process as well.
+func (g *gateKeeper) endStored(id string) bool {
+	stored := g.deps.awaitPublished(ackWait)
+	if !stored {
+		g.deps.log.event("end_not_stored", fields{"endpoint": id, "waitedMs": ackWait.Milliseconds()})
+	}
+	return stored
 }
 
 // ackWait is how long an acknowledgement waits for the store. Endpoints turn to
 // nobody else, and take an answer within a second.
 const ackWait = 700 * time.Millisecond
 
-// restore takes in the ends that were stored by an earlier process of this node.
-func (g *gateKeeper) restore(ended []mesh.Ended) {
+// restore takes in what an earlier process of this node stored.
+func (g *gateKeeper) restore(entry mesh.Instance) {
 	g.change("endpoints_restored", "", "ready", func(now time.Time) bool {
 		if g.restored {
 			return false
 		}
 		g.restored = true
-		g.local.Restore(now, ended)
+		g.local.Restore(now, entry)
 		return true
 	})
 }
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -168,7 +168,7 @@
 		return
 	}
 	s.deps.heardConfiguration(c.Config)
-	if s.deps.stopping.Load() {
+	if s.deps.withdrawn.Load() {
 		writeHopError(w, placement.Load{}, verdict.Refuse(verdict.NoTarget, "the endpoint's node is stopping"))
 		return
 	}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -44,6 +44,9 @@
 // which come once per second, and a margin.
 const (
 	stopNotice = 2500 * time.Millisecond
+	// stopWithdraw is when other nodes are told to send no more requests for the
+	// endpoints beside it; until then the endpoints are of use.
+	stopWithdraw = 1500 * time.Millisecond
 	// stopRefuse is when it no longer takes new requests; clients that still come
 	// are told that theirs have not run.
 	stopRefuse = 3500 * time.Millisecond
@@ -82,9 +85,11 @@
 
 // Registry takes what endpoints announce.
 type Registry interface {
-	Announce(a mesh.Announcement)
-	// Leave ends an endpoint; born is 0 if it did not say which start ends.
-	Leave(id string, born int64)
+	// Announce reports whether the announcement may be acknowledged.
+	Announce(a mesh.Announcement) bool
+	// Leave ends an endpoint and reports whether that may be acknowledged. born is
+	// 0 if the endpoint did not say which start ends.
+	Leave(id string, born int64) bool
 	// Malformed is told of an announcement that names no endpoint to use.
 	Malformed(id string, err error)
 }
@@ -204,9 +209,11 @@
 	n.shared.log.event("stopping", fields{"inFlight": n.inFlight()})
 	ctx, cancel := context.WithTimeout(context.Background(), n.shared.settings.Grace-stopMargin)
 	defer cancel()
-	n.tracker.withdraw()
 	for {
 		elapsed := time.Since(started)
+		if elapsed >= stopWithdraw && !n.shared.withdrawn.Swap(true) {
+			n.tracker.withdraw()
+		}
 		if elapsed >= stopRefuse {
 			n.shared.refusing.Store(true)
 		}
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -104,7 +104,7 @@
 	again := x.tries > 0
 	candidates, canary := x.entry.deps.rollouts.candidates(board, x.service, again)
 	choice, ok := placement.Choose(now, candidates, placement.Request{
-		Route: x.route.Name, Kind: x.route.Kind, Left: left, Target: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.tried,
+		Route: x.route.Name, Kind: x.route.Kind, Left: left, Target: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.tried, Rejected: x.rejected,
 	})
 	if !ok {
 		err := verdict.Refuse(verdict.NoTarget, "service %q has no endpoint for the request", x.service)
@@ -251,6 +251,7 @@
 			result.endpoint.Eject(now)
 		} else {
 			x.forget(result.endpoint)
+			x.rejected = append(x.rejected, placement.Rejection{Endpoint: result.endpoint, Wait: result.failure.RetryAfter})
 		}
 	case tryShed, tryFailed, tryLost:
 		x.arrivals++
@@ -334,6 +335,9 @@
 	if x.mayHaveRun {
 		failure.Verdict = verdict.MayHaveRun
 	}
+	if failure.Code == verdict.NoTarget && failure.RetryAfter == 0 {
+		failure.RetryAfter = noEndpointRetryAfter
+	}
 	return nil, failure
 }
 
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -61,6 +61,7 @@
 	arrivals   int
 	pending    int
 	rejections int
+	rejected   []placement.Rejection
 	tries      int
 	// cancels ends the tries that have not ended.
 	cancels map[int]context.CancelFunc
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -23,6 +23,8 @@
 	// the settings may change.
 	service  atomic.Pointer[string]
 	stopping atomic.Bool
+	// withdrawn is set once calls of other nodes are no longer taken.
+	withdrawn atomic.Bool
 	// refusing is set for the last part of a stop: new requests are not taken.
 	refusing atomic.Bool
 	// newerConfiguration is called with a version above the one in force that
@@ -30,9 +32,9 @@
 	newerConfiguration func(version uint64)
 	// endpointsChanged is called after the endpoints beside this node changed.
 	endpointsChanged func()
-	// awaitPublished returns once this node's entry is stored as it is now, or
-	// after the given time.
-	awaitPublished func(wait time.Duration)
+	// awaitPublished reports whether this node's entry is stored as it is now
+	// within the given time.
+	awaitPublished func(wait time.Duration) bool
 }
 
 // configVersion returns the configuration version in force; 0 if there is none.
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -158,11 +158,11 @@
 		t.put(kind, o)
 	}
 	t.loaded[kind] = true
-	ended := t.instances[t.ownName()].Ended
+	own := t.instances[t.ownName()]
 	t.mu.Unlock()
 	t.refresh(kind)
 	if kind == platform.MeshState {
-		t.gate.restore(ended)
+		t.gate.restore(own)
 	}
 }
 
@@ -317,9 +317,13 @@
 	}
 	list := make([]mesh.Instance, 0, len(t.instances)+1)
 	for name, i := range t.instances {
-		if name != t.ownName() {
-			list = append(list, i)
+		if name == t.ownName() {
+			continue
+		}
+		if i.Stopping {
+			i.Endpoints = nil
 		}
+		list = append(list, i)
 	}
 	list = append(list, t.ownEntry())
 	t.deps.board.Store(t.builder.Build(t.deps.now(), list))
@@ -394,8 +398,8 @@
 	t.published = make(chan struct{})
 }
 
-// awaitPublished returns once all changes made so far are stored, or after wait.
-func (t *tracker) awaitPublished(wait time.Duration) {
+// awaitPublished reports whether all changes made so far are stored within wait.
+func (t *tracker) awaitPublished(wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	t.mu.Lock()
@@ -406,12 +410,12 @@
 		stored, published := t.stored, t.published
 		t.mu.Unlock()
 		if stored >= wanted {
-			return
+			return true
 		}
 		select {
 		case <-published:
 		case <-timer.C:
-			return
+			return false
 		}
 	}
 }
@@ -419,9 +423,7 @@
 func (t *tracker) publishOnce(ctx context.Context) error {
 	t.mu.Lock()
 	entry, name := t.ownEntry(), t.ownName()
-	if t.deps.stopping.Load() {
-		entry.Endpoints = nil
-	}
+	entry.Stopping = t.deps.withdrawn.Load()
 	stored, version, loaded := t.instances[name], t.versions[name], t.loaded[platform.MeshState]
 	t.mu.Unlock()
 	if !loaded {
@@ -469,7 +471,7 @@
 
 // sameEntry compares entries apart from the time that a slow start still takes.
 func sameEntry(a, b mesh.Instance) bool {
-	if a.Address != b.Address || a.FailureDomain != b.FailureDomain || a.Region != b.Region {
+	if a.Stopping != b.Stopping || a.Address != b.Address || a.FailureDomain != b.FailureDomain || a.Region != b.Region {
 		return false
 	}
 	return slices.EqualFunc(a.Endpoints, b.Endpoints, func(x, y mesh.Endpoint) bool {
@@ -478,8 +480,8 @@
 	}) && slices.Equal(a.Ended, b.Ended)
 }
 
-// withdraw takes this node's endpoints out of its entry when it stops. The ends
-// that they announced stay stored for the next process.
+// withdraw marks this node's entry as stopping. What it says of endpoints stays
+// stored for the next process.
 func (t *tracker) withdraw() { t.endpointsChanged() }
 
 // rolloutTick is the time between two looks at open rollouts.
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -154,8 +154,19 @@
 	return n
 }
 
-// start runs the node's program.
+// start runs the node's program and lets its endpoint announce itself.
 func (f *fleet) start(n *node) {
+	f.t.Helper()
+	ctx := f.run(n)
+	f.wait("the node takes announcements", func() bool {
+		status, err := n.endpoint.Announce(ctx, n.settings.Control)
+		return err == nil && status == http.StatusOK
+	})
+	go announce(ctx, n)
+}
+
+// run runs the node's program without announcements until n.stop.
+func (f *fleet) run(n *node) context.Context {
 	f.t.Helper()
 	n.output, n.done = &output{}, make(chan struct{})
 	client := platform.NewStore(platform.StoreOptions{
@@ -179,11 +190,7 @@
 			f.t.Errorf("node %s: %v", n.settings.Instance, err)
 		}
 	}()
-	f.wait("the node takes announcements", func() bool {
-		status, err := n.endpoint.Announce(ctx, n.settings.Control)
-		return err == nil && status == http.StatusOK
-	})
-	go announce(ctx, n)
+	return ctx
 }
 
 func announce(ctx context.Context, n *node) {
--- a/test/sidecar/path_test.go
+++ b/test/sidecar/path_test.go
@@ -347,3 +347,18 @@
 	}
 	assert.Equal(t, leaving.Runs(), runs, "an endpoint that has ended got requests")
 }
+
+// Guards against an endpoint that stays unused after its node was replaced until
+// it announces itself again, and against calls that reach a stopping node.
+func TestEndpointIsUsedAfterARestartOfItsNode(t *testing.T) {
+	f := newFleet(t)
+	entry := f.add("a", &platformtest.Endpoint{ID: "other", Service: "t", Version: "v1"})
+	n := f.add("a", endpoint("e"))
+	f.ready()
+	n.stop()
+	<-n.done
+	a := entry.get("/safe/x", "id1")
+	assert.Equal(t, a.status, http.StatusServiceUnavailable, "the endpoint's node is away")
+	f.run(n)
+	f.wait("the endpoint answers without a new announcement", func() bool { return entry.get("/safe/x", "id2").status == http.StatusOK })
+}
