--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -98,7 +98,7 @@
 	defer client.Close()
 	node, err := sidecar.New(sidecar.Deps{
 		Settings: settings, Headers: platform.Headers(),
-		Store: store.NewBudgeted(client, nodeBudget()), Docs: platform.Documents{},
+		Store: client, Budget: nodeBudget(), Docs: platform.Documents{},
 		ReadinessPath: platform.ReadinessPath,
 		Announcements: func(r sidecar.Registry) http.Handler { return platform.AnnouncementHandler(r) },
 		LogOutput:     os.Stdout, Version: static.Version(),
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -206,6 +206,19 @@
 	return g.local.Published(g.deps.now()), g.local.Ended()
 }
 
+// occupancy returns the running and waiting requests and the slots of all
+// endpoints beside this node.
+func (g *gateKeeper) occupancy() (running, waiting, slots float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, d := range g.doors {
+		running += float64(d.queue.Running())
+		waiting += float64(d.queue.Waiting())
+		slots += float64(d.queue.Slots())
+	}
+	return running, waiting, slots
+}
+
 // judged returns the number of answers that the judge of a version saw here.
 func (g *gateKeeper) judged(service, version string) int {
 	g.mu.Lock()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -27,7 +27,9 @@
 	Settings Settings
 	Headers  Headers
 	Store    platform.Store
-	Docs     Documents
+	// Budget bounds the store calls of this node.
+	Budget platform.Budget
+	Docs   Documents
 	// ReadinessPath is where the readiness address answers.
 	ReadinessPath string
 	// Announcements returns the handler of the control address; registry takes
@@ -104,7 +106,9 @@
 		return newEntry(do.MustInvoke[*shared](i), do.MustInvoke[*gateKeeper](i), do.MustInvoke[*hopClient](i)), nil
 	})
 	do.Provide(n.injector, func(i do.Injector) (*tracker, error) {
-		return newTracker(do.MustInvoke[*shared](i), deps.Store, deps.Docs, do.MustInvoke[*gateKeeper](i)), nil
+		s := do.MustInvoke[*shared](i)
+		store := platform.NewBudgeted(platform.NewCounted(deps.Store, s.metrics.scope), deps.Budget)
+		return newTracker(s, store, deps.Docs, do.MustInvoke[*gateKeeper](i)), nil
 	})
 	var err error
 	if n.shared, err = do.Invoke[*shared](n.injector); err != nil {
@@ -250,6 +254,21 @@
 		}
 		n.gate.tick()
 		n.hops.sweep()
+		n.updateGauges()
+	}
+}
+
+func (n *Node) updateGauges() {
+	m := n.shared.metrics
+	running, waiting, slots := n.gate.occupancy()
+	m.gauge("endpoints_running", running)
+	m.gauge("endpoints_waiting", waiting)
+	m.gauge("endpoints_slots", slots)
+	m.gauge("configuration_version", float64(n.shared.configVersion()))
+	m.gauge("requests_in_flight", float64(n.inFlight()))
+	m.gauge("log_lines_dropped", float64(n.shared.log.output.dropped.Load()))
+	if board := n.shared.board.Load(); board != nil {
+		m.gauge("instances_known", float64(len(board.Instances())))
 	}
 }
 
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -174,7 +174,9 @@
 		WatchWait: func(store.Kind) time.Duration { return 5 * time.Second }, WatchPause: func(store.Kind) time.Duration { return 10 * time.Millisecond },
 	})
 	running, err := sidecar.New(sidecar.Deps{
-		Settings: n.settings, Headers: platform.Headers(), Store: client, Docs: platform.Documents{},
+		Settings: n.settings, Headers: platform.Headers(), Store: client, Budget: store.Budget{
+			Default: store.Rates{WritesPerSecond: 50, ReadsPerSecond: 50, WriteBurst: 50, ReadBurst: 50}, Watches: 3,
+		}, Docs: platform.Documents{},
 		ReadinessPath: platform.ReadinessPath,
 		Announcements: func(r sidecar.Registry) http.Handler { return platform.AnnouncementHandler(r) },
 		LogOutput:     n.output,
