--- /dev/null
+++ b/pkg/sidecar/decide.go
@@ -0,0 +1,116 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/pkg/mesh/rollout"
+	"github.com/azurespring/azurespring/pkg/platform"
+)
+
+// rolloutTick is the time between two looks at open rollouts.
+const rolloutTick = 200 * time.Millisecond
+
+// decideRollouts carries out the writes that the machine of rollouts asks for.
+func (t *tracker) decideRollouts(ctx context.Context) {
+	for {
+		open := t.deps.rollouts.open()
+		wait := time.Hour
+		if len(open) > 0 {
+			wait = rolloutTick
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-t.decide:
+			timer.Stop()
+		}
+		if t.deps.board.Load() == nil {
+			continue
+		}
+		effects := t.deps.rollouts.step(rollout.Event{Kind: rollout.Tick, Standing: t.standing()})
+		for _, effect := range effects {
+			t.carryOut(ctx, effect)
+		}
+	}
+}
+
+func (t *tracker) standing() map[string]rollout.Standing {
+	standing := make(map[string]rollout.Standing)
+	board := t.deps.board.Load()
+	for _, r := range t.deps.rollouts.open() {
+		standing[r.Service] = rollout.Standing{
+			Rank:  slices.Index(board.Ranks(r.Service, r.Version), t.deps.settings.Instance),
+			Calls: t.gate.judged(r.Service, r.Version),
+		}
+	}
+	return standing
+}
+
+func (t *tracker) carryOut(ctx context.Context, effect rollout.Effect) {
+	f := fields{
+		"service": effect.Rollout.Service, "version": effect.Rollout.Version, "reason": effect.Reason,
+	}
+	var err error
+	if effect.Kind == rollout.WriteState {
+		f["state"] = string(effect.State)
+		err = t.writeState(ctx, effect)
+	} else {
+		f["phase"] = string(effect.Progress.Phase)
+		err = t.writeProgress(ctx, effect.Progress)
+	}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	t.deps.log.event("rollout_step", f)
+}
+
+func (t *tracker) writeState(ctx context.Context, effect rollout.Effect) error {
+	value, err := t.docs.EncodeRolloutState(effect.Rollout.Version, effect.State)
+	if err != nil {
+		return err
+	}
+	_, err = t.store.Update(ctx, platform.Object{
+		Kind: platform.RolloutState, Name: effect.Rollout.Service, Version: effect.Rollout.Revision, Value: value,
+	})
+	if err == nil || !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	// Another node wrote meanwhile; what it wrote decides the next step.
+	o, getErr := t.store.Get(ctx, platform.Rollout, effect.Rollout.Service)
+	if getErr == nil {
+		t.apply(platform.Rollout, platform.Event{Type: platform.Put, Object: o})
+	}
+	return errors.Join(err, getErr)
+}
+
+func (t *tracker) writeProgress(ctx context.Context, p rollout.Progress) error {
+	value, err := json.Marshal(p)
+	if err != nil {
+		return eris.Wrap(err, "encode rollout progress")
+	}
+	name := rolloutPrefix + p.Service
+	t.mu.Lock()
+	version := t.versions[name]
+	t.mu.Unlock()
+	var written platform.Object
+	if version == "" {
+		written, err = t.store.Create(ctx, platform.MeshState, name, value)
+	} else {
+		written, err = t.store.Update(ctx, platform.Object{Kind: platform.MeshState, Name: name, Version: version, Value: value})
+	}
+	if err != nil {
+		t.reread(ctx, name)
+		return err
+	}
+	t.apply(platform.MeshState, platform.Event{Type: platform.Put, Object: written})
+	return nil
+}
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -379,7 +379,7 @@
 	}
 	response, failure := d.pool.Do(ctx, sending)
 	if failure != nil {
-		return nil, endpointFailure(ctx, failure)
+		return nil, exchangeFailure(ctx, failure, "the endpoint")
 	}
 	a := &answer{
 		status: response.StatusCode, header: forwardable(response.Header),
@@ -393,22 +393,6 @@
 	return a, nil
 }
 
-func endpointFailure(ctx context.Context, failure *exchange.Error) *verdict.Error {
-	v := verdict.NotRun
-	if failure.Sent {
-		v = verdict.MayHaveRun
-	}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &verdict.Error{Code: verdict.DeadlineExceeded, Verdict: v, Detail: "the deadline has passed"}
-	case ctx.Err() != nil:
-		return &verdict.Error{Code: verdict.Canceled, Verdict: v, Detail: "the caller gave up"}
-	case failure.Dial:
-		return &verdict.Error{Code: verdict.NoTarget, Verdict: v, Detail: "the endpoint accepts no connection", Cause: failure}
-	}
-	return &verdict.Error{Code: verdict.TargetFailed, Verdict: v, Detail: "the endpoint did not answer", Cause: failure}
-}
-
 // request builds the request to the endpoint or to its node.
 func (c *call) request(ctx context.Context) (*http.Request, error) {
 	uri, err := url.ParseRequestURI(c.uri)
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -82,7 +82,7 @@
 	}
 	response, failure := h.pool(address).Do(ctx, sending)
 	if failure != nil {
-		return nil, placement.Load{}, nodeFailure(ctx, failure)
+		return nil, placement.Load{}, exchangeFailure(ctx, failure, "the endpoint's node")
 	}
 	load := parseLoad(response.Header.Get(hopLoadName))
 	if version, err := strconv.ParseUint(response.Header.Get(hopConfig), 10, 64); err == nil {
@@ -109,7 +109,8 @@
 	}, load, nil
 }
 
-func nodeFailure(ctx context.Context, failure *exchange.Error) *verdict.Error {
+// exchangeFailure translates a failed exchange with peer.
+func exchangeFailure(ctx context.Context, failure *exchange.Error, peer string) *verdict.Error {
 	v := verdict.NotRun
 	if failure.Sent {
 		v = verdict.MayHaveRun
@@ -120,9 +121,9 @@
 	case ctx.Err() != nil:
 		return &verdict.Error{Code: verdict.Canceled, Verdict: v, Detail: "the caller gave up"}
 	case v == verdict.NotRun:
-		return &verdict.Error{Code: verdict.NoTarget, Verdict: v, Detail: "the endpoint's node cannot be reached", Cause: failure}
+		return &verdict.Error{Code: verdict.NoTarget, Verdict: v, Detail: peer + " cannot be reached", Cause: failure}
 	}
-	return &verdict.Error{Code: verdict.TargetFailed, Verdict: v, Detail: "the endpoint's node did not answer", Cause: failure}
+	return &verdict.Error{Code: verdict.TargetFailed, Verdict: v, Detail: peer + " did not answer", Cause: failure}
 }
 
 func formatLoad(l placement.Load) string {
