--- a/pkg/mesh/local.go
+++ b/pkg/mesh/local.go
@@ -59,7 +59,9 @@
 		return false
 	}
 	current := l.endpoints[a.ID]
-	if current != nil && (a.Born < current.Born || a.Born == current.Born && a.Sequence <= current.Sequence) {
+	// That a start is leaving holds whatever it said before or after.
+	late := current != nil && a.Born == current.Born && a.Sequence <= current.Sequence && a.State != Draining
+	if current != nil && a.Born < current.Born || late {
 		return false
 	}
 	for id, other := range l.endpoints {
@@ -74,8 +76,11 @@
 		changed = true
 	}
 	before := current != nil && current.State == Ready
-	if current != nil && current.Born == a.Born && current.State == Draining {
-		a.State = Draining
+	if current != nil && current.Born == a.Born {
+		a.Sequence = max(a.Sequence, current.Sequence)
+		if current.State == Draining {
+			a.State = Draining
+		}
 	}
 	next := &LocalEndpoint{Announcement: a, LastSeen: now, WarmUntil: now.Add(a.Warmup)}
 	l.endpoints[a.ID] = next
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -87,6 +87,7 @@
 		{"ready", []step{{announce: announce("a", 1, 1, Ready)}}, "a"},
 		{"draining", []step{{announce: announce("a", 1, 1, Ready)}, {announce: announce("a", 1, 2, Draining)}}, ""},
 		{"late ready after draining", []step{{announce: announce("a", 1, 2, Draining)}, {announce: announce("a", 1, 1, Ready)}}, ""},
+		{"draining overtaken by ready", []step{{announce: announce("a", 1, 2, Ready)}, {announce: announce("a", 1, 1, Draining)}}, ""},
 		{"ready again after draining", []step{{announce: announce("a", 1, 2, Draining)}, {announce: announce("a", 1, 3, Ready)}}, ""},
 		{"late ready after the end", []step{{announce: announce("a", 1, 1, Ready)}, {leave: "a"}, {announce: announce("a", 1, 2, Ready)}}, ""},
 		{"new start under the old id", []step{{announce: announce("a", 1, 9, Ready)}, {leave: "a"}, {announce: announce("a", 2, 1, Ready)}}, "a"},
--- a/pkg/sidecar/rollouts.go
+++ b/pkg/sidecar/rollouts.go
@@ -55,9 +55,11 @@
 	policies := make(map[string]keptPolicy)
 	for service, p := range k.machine.Policies() {
 		kept := keptPolicy{Policy: p, since: now, open: open[service]}
-		if old, ok := k.policies[service]; ok && old.Policy == p {
+		old, ok := k.policies[service]
+		if ok && old.Policy == p {
 			kept.since = old.since
-		} else {
+		}
+		if !ok || old.Policy != p || old.open != kept.open {
 			k.log.event("rollout_policy", fields{
 				"service": service, "version": p.Version, "share": p.Share, "open": kept.open,
 			})
