Let nodes that start without the store learn its objects from their callers

Ruled out: the drained endpoints alone; rejections without reason (the gates were full).

Change: a node that lacks the store's objects says so in its answers to calls; the caller offers what it last saw. Its own endpoint takes requests after three announcements, because a single late one may be of an endpoint that has ended.

Before: TestNodeReplacedWhileTheStoreIsAway failed.

--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -78,6 +78,7 @@
 	hopTookName  = hopPrefix + "Took-Us"
 	hopErrorName = hopPrefix + "Error"
 	hopConfig    = hopPrefix + "Config"
+	hopLacks     = hopPrefix + "Lacks-State"
 	hopNotRun    = hopPrefix + "Not-Run"
 )
 
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -35,11 +35,23 @@
 	doors map[string]*door
 	next  uint64
 	// restored is set once the ends that an earlier process was told of are known.
-	// Until then no endpoint takes requests: a late announcement may be of one
-	// that has ended.
+	// Until then an endpoint takes requests only after provenBy announcements: a
+	// single late one may be of an endpoint that has ended.
 	restored bool
+	heard    map[string]hearing
 }
 
+// hearing counts the announcements of one start.
+type hearing struct {
+	born, sequence int64
+	count          int
+	last           time.Time
+}
+
+// provenBy is the number of announcements, half an interval apart or more, that
+// prove that an endpoint still announces itself.
+const provenBy = 3
+
 // door holds the admission and the connections of one endpoint.
 type door struct {
 	endpoint *mesh.LocalEndpoint
@@ -52,15 +64,47 @@
 }
 
 func newGateKeeper(deps *shared) *gateKeeper {
-	return &gateKeeper{deps: deps, local: mesh.NewLocal(deps.settings.HeartbeatInterval), doors: make(map[string]*door)}
+	return &gateKeeper{deps: deps, local: mesh.NewLocal(deps.settings.HeartbeatInterval), doors: make(map[string]*door), heard: make(map[string]hearing)}
 }
 
 // Announce implements Registry.
 func (g *gateKeeper) Announce(a mesh.Announcement) bool {
-	g.change("announcement", a.ID, string(a.State), func(now time.Time) bool { return g.local.Announce(now, a) })
+	g.change("announcement", a.ID, string(a.State), func(now time.Time) bool {
+		changed := g.local.Announce(now, a)
+		return g.hear(now, a) || changed
+	})
 	return a.State != mesh.Draining || g.endStored(a.ID)
 }
 
+// hear counts an announcement while the stored entry is not known, and reports
+// whether the endpoint has become proven by it.
+func (g *gateKeeper) hear(now time.Time, a mesh.Announcement) bool {
+	h := g.heard[a.ID]
+	switch {
+	case g.restored || a.State != mesh.Ready:
+		delete(g.heard, a.ID)
+		return false
+	case h.born != a.Born:
+		h = hearing{born: a.Born}
+	case a.Sequence <= h.sequence || now.Sub(h.last) < g.deps.settings.HeartbeatInterval/2:
+		return false
+	}
+	h.sequence, h.last = a.Sequence, now
+	h.count++
+	g.heard[a.ID] = h
+	return h.count == provenBy
+}
+
+// usable reports whether what is known of the endpoint allows requests to it.
+func (g *gateKeeper) usable(id string) bool { return g.restored || g.heard[id].count >= provenBy }
+
+// isRestored reports whether the stored entry of this node is known.
+func (g *gateKeeper) isRestored() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.restored
+}
+
 // Leave implements Registry.
 func (g *gateKeeper) Leave(id string, born int64) bool {
 	g.change("announcement", id, "gone", func(now time.Time) bool {
@@ -130,9 +174,6 @@
 // syncDoors opens a door for each endpoint that takes requests, and rejects what
 // waits at the others. Running requests go on.
 func (g *gateKeeper) syncDoors() {
-	if !g.restored {
-		return
-	}
 	for id, d := range g.doors {
 		e := g.local.Ready(id)
 		if e != nil && e.Born == d.endpoint.Born && e.Address == d.endpoint.Address {
@@ -147,7 +188,7 @@
 		delete(g.doors, id)
 	}
 	for _, published := range g.local.Published(g.deps.now()) {
-		if g.doors[published.ID] != nil {
+		if g.doors[published.ID] != nil || !g.usable(published.ID) {
 			continue
 		}
 		e := g.local.Ready(published.ID)
@@ -200,10 +241,13 @@
 func (g *gateKeeper) published() ([]mesh.Endpoint, []mesh.Ended) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.restored {
-		return nil, nil
+	var usable []mesh.Endpoint
+	for _, e := range g.local.Published(g.deps.now()) {
+		if g.usable(e.ID) {
+			usable = append(usable, e)
+		}
 	}
-	return g.local.Published(g.deps.now()), g.local.Ended()
+	return usable, g.local.Ended()
 }
 
 // occupancy returns the running and waiting requests and the slots of all
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -29,6 +29,8 @@
 	deps  *shared
 	mu    sync.Mutex
 	pools map[string]*hopPool
+	// offered is when state was last offered to an address.
+	offered map[string]time.Time
 }
 
 type hopPool struct {
@@ -37,7 +39,7 @@
 }
 
 func newHopClient(deps *shared) *hopClient {
-	return &hopClient{deps: deps, pools: make(map[string]*hopPool)}
+	return &hopClient{deps: deps, pools: make(map[string]*hopPool), offered: make(map[string]time.Time)}
 }
 
 func (h *hopClient) pool(address string) *exchange.Pool {
@@ -62,6 +64,7 @@
 		if now.Sub(p.lastUsed) > poolLifetime {
 			p.Close()
 			delete(h.pools, address)
+			delete(h.offered, address)
 		}
 	}
 }
@@ -88,6 +91,9 @@
 	if version, err := strconv.ParseUint(response.Header.Get(hopConfig), 10, 64); err == nil {
 		h.deps.heardConfiguration(version)
 	}
+	if response.Header.Get(hopLacks) != "" {
+		h.offer(address)
+	}
 	if text := response.Header.Get(hopErrorName); text != "" {
 		_, _ = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
@@ -162,7 +168,14 @@
 func (s *hopServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if r.Method == http.MethodPost && r.RequestURI == offerPath {
+		s.takeOffer(w, r)
+		return
+	}
 	w.Header().Set(hopConfig, strconv.FormatUint(s.deps.configVersion(), 10))
+	if !s.deps.known() {
+		w.Header().Set(hopLacks, "1")
+	}
 	c, err := s.decode(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -120,6 +120,7 @@
 	n.tracker = do.MustInvoke[*tracker](n.injector)
 	n.hopsIn = &hopServer{deps: n.shared, gate: n.gate}
 	n.shared.endpointsChanged = n.tracker.endpointsChanged
+	n.shared.known, n.shared.state, n.shared.adopt = n.tracker.ready, n.tracker.offer, n.tracker.adopt
 	n.shared.awaitPublished = n.tracker.awaitPublished
 	n.shared.newerConfiguration = func(version uint64) {
 		select {
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -86,7 +86,8 @@
 	entry.Stopping = t.deps.withdrawn.Load()
 	stored, version, loaded := t.instances[name], t.versions[name], t.loaded[platform.MeshState]
 	t.mu.Unlock()
-	if !loaded {
+	if !loaded || !t.gate.isRestored() {
+		// Until then the stored entry may tell of ends that are not known here.
 		return eris.New("the store has not been read yet")
 	}
 	if version != "" && sameEntry(stored, entry) || version == "" && len(entry.Endpoints) == 0 && len(entry.Ended) == 0 {
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -32,6 +32,11 @@
 	newerConfiguration func(version uint64)
 	// endpointsChanged is called after the endpoints beside this node changed.
 	endpointsChanged func()
+	// known reports whether all that requests depend on is known; state encodes it
+	// for another node, and adopt takes it in from one.
+	known func() bool
+	state func() ([]byte, error)
+	adopt func(encoded []byte) error
 	// awaitPublished reports whether this node's entry is stored as it is now
 	// within the given time.
 	awaitPublished func(wait time.Duration) bool
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -52,7 +52,10 @@
 	rollouts  map[string]mesh.Rollout
 	progress  map[string]rollout.Progress
 	versions  map[string]string
-	loaded    map[platform.Kind]bool
+	// objects are the objects of each kind as last seen, for nodes that start while
+	// they cannot reach the store.
+	objects map[platform.Kind]map[string]platform.Object
+	loaded  map[platform.Kind]bool
 	// endpoints and nodes are what was logged last.
 	endpoints, nodes int
 	// changed wakes the publisher, decide the deciding of rollouts, newer the
@@ -74,6 +77,7 @@
 		}),
 		instances: make(map[string]mesh.Instance), rollouts: make(map[string]mesh.Rollout),
 		progress: make(map[string]rollout.Progress), versions: make(map[string]string),
+		objects: make(map[platform.Kind]map[string]platform.Object),
 		loaded:  make(map[platform.Kind]bool),
 		changed: make(chan struct{}, 1), decide: make(chan struct{}, 1), newer: make(chan uint64, 1), published: make(chan struct{}),
 	}
@@ -144,7 +148,20 @@
 }
 
 func (t *tracker) replace(kind platform.Kind, objects []platform.Object) {
+	t.take(kind, objects)
 	t.mu.Lock()
+	own := t.instances[t.ownName()]
+	t.mu.Unlock()
+	t.refresh(kind)
+	if kind == platform.MeshState {
+		t.gate.restore(own)
+	}
+}
+
+// take replaces the view of a kind.
+func (t *tracker) take(kind platform.Kind, objects []platform.Object) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	switch kind {
 	case platform.Rollout:
 		clear(t.rollouts)
@@ -153,16 +170,11 @@
 		clear(t.progress)
 		clear(t.versions)
 	}
+	t.objects[kind] = make(map[string]platform.Object, len(objects))
 	for _, o := range objects {
 		t.put(kind, o)
 	}
 	t.loaded[kind] = true
-	own := t.instances[t.ownName()]
-	t.mu.Unlock()
-	t.refresh(kind)
-	if kind == platform.MeshState {
-		t.gate.restore(own)
-	}
 }
 
 func (t *tracker) apply(kind platform.Kind, event platform.Event) {
@@ -179,6 +191,10 @@
 // put takes in one object; t.mu is held. Objects that cannot be read change
 // nothing.
 func (t *tracker) put(kind platform.Kind, o platform.Object) {
+	if t.objects[kind] == nil {
+		t.objects[kind] = make(map[string]platform.Object)
+	}
+	t.objects[kind][o.Name] = o
 	var err error
 	switch kind {
 	case platform.Configuration:
@@ -219,6 +235,7 @@
 }
 
 func (t *tracker) remove(kind platform.Kind, name string) {
+	delete(t.objects[kind], name)
 	switch kind {
 	case platform.Rollout:
 		delete(t.rollouts, name)
--- a/test/sidecar/store_test.go
+++ b/test/sidecar/store_test.go
@@ -254,3 +254,28 @@
 	assert.Equal(t, entry.get("/safe/x", "id").status, http.StatusOK)
 	assert.Equal(t, len(f.store.List("azurespring-mesh")), 2)
 }
+
+// Guards against a node that serves nobody because it was replaced while the
+// store was away, and against an endpoint beside it that stays unused.
+func TestNodeReplacedWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(t)
+	caller := f.add("a", &platformtest.Endpoint{ID: "other", Service: "t", Version: "v1"})
+	n := f.add("a", endpoint("e"))
+	f.add("b", endpoint("far"))
+	f.ready()
+	f.store.SetFault(func(*http.Request) platformtest.Fault {
+		return platformtest.Fault{Status: http.StatusServiceUnavailable}
+	})
+	n.stop()
+	<-n.done
+	f.start(n)
+	f.wait("the node is ready by what others know", func() bool {
+		caller.get("/safe/x", "id1")
+		return n.isReady()
+	})
+	assert.Equal(t, n.get("/safe/x", "id2").status, http.StatusOK)
+	before := n.endpoint.Runs()
+	f.wait("its endpoint is used", func() bool { n.get("/safe/x", "id3"); return n.endpoint.Runs() > before })
+	f.store.SetFault(nil)
+	f.wait("the stored entry is read", func() bool { return len(n.output.lines("endpoints_restored")) > 0 })
+}
