Give nodes of tests a loopback address of their process

Cause: four copies of test/sidecar at the same time failed in two: 'address already in use', and one request of TestFaultyEndpoints/sheds_once was answered by an endpoint of another copy ('503' signed, log of n0), because a node there had taken the port.

Ruled out: the node: its log shows one try at each endpoint.

--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -125,10 +126,15 @@
 	return n
 }()
 
+// nodeIP is a loopback address of this process's own, so that copies of the
+// tests that run at the same time do not meet at a port: a node of one was taken
+// for a node of another.
+var nodeIP = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8%250, os.Getpid()%256)
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range portSpan {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portSpan)
+		address := fmt.Sprintf("%s:%d", nodeIP, firstPort+nextPort.Add(1)%portSpan)
 		if l, err := net.Listen("tcp", address); err == nil {
 			assert.NilError(t, l.Close())
 			return address
