Close the answers of tries that end after the request was decided

Cause, found by reading: with two tries under way, or a client that leaves, the answer of a late try lay in a channel that nobody read. If it was longer than 64 KB and its endpoint beside the entry node, its slot stayed taken for ever.

Ruled out: shorter answers (read whole before they are reported) and endpoints one hop away (the closed connection ends them).

--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -14,7 +14,7 @@
 func (x *request) place() (*answer, *verdict.Error) {
 	x.cancels = make(map[int]context.CancelFunc)
 	x.results = make(chan tryResult, maxRejections+max(x.route.Attempts, 1)+1)
-	defer x.cancelTries()
+	defer x.endTries()
 	expected, failure := x.launch()
 	if failure != nil {
 		return nil, failure
@@ -56,10 +56,40 @@
 	}
 }
 
-func (x *request) cancelTries() {
+// deliver reports the end of a try. Once the request has been decided, nobody
+// reads the answer: it is closed, which frees its slot and connection.
+func (x *request) deliver(result tryResult) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.decided {
+		x.results <- result
+		return
+	}
+	result.discard()
+}
+
+// endTries ends all tries but the one whose answer was chosen.
+func (x *request) endTries() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.decided = true
 	for _, cancel := range x.cancels {
 		cancel()
 	}
+	for {
+		select {
+		case result := <-x.results:
+			result.discard()
+		default:
+			return
+		}
+	}
+}
+
+func (r tryResult) discard() {
+	if r.answer != nil {
+		_ = r.answer.body.Close()
+	}
 }
 
 // hedgeDelay returns the time after which the answer is overdue. Requests that
@@ -184,7 +214,7 @@
 		result.endpoint.Report(now, x.route.Name, load)
 	}
 	result.endpoint.End()
-	x.results <- result
+	x.deliver(result)
 }
 
 // buffer reads the start of the answer, or all of a short one, so that a cut
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
@@ -66,6 +67,9 @@
 	// cancels ends the tries that have not ended.
 	cancels map[int]context.CancelFunc
 	results chan tryResult
+	// decided is set once no further result is taken; mu guards it.
+	mu      sync.Mutex
+	decided bool
 	// mayHaveRun is set once a failed try may have run at an endpoint.
 	mayHaveRun bool
 	// fallback is an endpoint's failure that is passed on if no repeat succeeds.
