Answer all pipelined requests that were begun before a stop closes a connection

Change: only the answer to the request that was begun last ends the connection; none is begun after it.

Ruled out: clients that treat such requests as unread; they have run.

Before: TestStopAnswersAllPipelinedRequests failed. After: it passes.

--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -141,6 +141,32 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	inFlight atomic.Int64
+
+	// last is the request that was begun last. Once closing is set, its answer ends
+	// the connection and no further request is begun.
+	mu      sync.Mutex
+	last    *answerWriter
+	closing bool
+}
+
+// begin reports whether work on w's request may begin.
+func (s *session) begin(w *answerWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.last = w
+	return true
+}
+
+// close reports whether w's answer may end the connection: not while requests
+// behind it have been begun, because their answers would be lost.
+func (s *session) close(w *answerWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = s.closing || s.last == w
+	return s.closing
 }
 
 // headReader fails once more bytes are read than allowed.
@@ -188,10 +214,14 @@
 			s.refuse(err)
 			return
 		}
-		s.inFlight.Add(1)
-		s.conn.watchIdle(0)
 		slots <- struct{}{}
 		w := &answerWriter{session: s, request: r, header: make(http.Header), turn: previous, done: make(chan struct{})}
+		if !s.begin(w) {
+			<-previous
+			return
+		}
+		s.inFlight.Add(1)
+		s.conn.watchIdle(0)
 		previous = w.done
 		end := func() {
 			<-slots
@@ -364,6 +394,10 @@
 	default:
 		w.closes = true
 	}
+	if w.closes && !w.session.close(w) {
+		w.closes = false
+		w.header.Del("Connection")
+	}
 	if w.closes {
 		w.header.Set("Connection", "close")
 	} else if w.request.ProtoMinor == 0 {
--- a/test/sidecar/path_test.go
+++ b/test/sidecar/path_test.go
@@ -362,3 +362,32 @@
 	f.run(n)
 	f.wait("the endpoint answers without a new announcement", func() bool { return entry.get("/safe/x", "id2").status == http.StatusOK })
 }
+
+// Guards against a stop that cuts requests which were begun behind another one of
+// the same client: the answer in front closed the connection.
+func TestStopAnswersAllPipelinedRequests(t *testing.T) {
+	var arrived sync.WaitGroup
+	arrived.Add(3)
+	release := make(chan struct{})
+	e := endpoint("e")
+	e.Handle = func(w http.ResponseWriter, r *http.Request) {
+		arrived.Done()
+		<-release
+		e.Sign(w, r)
+	}
+	_, entry := remote(t, e)
+	c := entry.dial(t)
+	c.send(t, "/safe/x", "id0", "id1", "id2")
+	arrived.Wait()
+	entry.stop()
+	for entry.isReady() {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	for i := range 3 {
+		a := c.read(t)
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Equal(t, a.closes, i == 2, "answer %d", i)
+	}
+}
