--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -85,7 +85,7 @@
 	ejected  bool
 }
 
-// tried reports whether the request was sent to e. Boards that are built anew
+// tried reports whether the request was sent to e. Tables that are built anew
 // hold new values for the same endpoint; its observations stay the same.
 func (r Request) tried(e *Endpoint) bool {
 	return slices.ContainsFunc(r.Tried, func(t *Endpoint) bool { return t.Stats == e.Stats })
--- a/pkg/mesh/placement/placement_test.go
+++ b/pkg/mesh/placement/placement_test.go
@@ -23,16 +23,16 @@
 	return mesh.Endpoint{ID: id, Service: "s", Version: "v1", Slots: 4}
 }
 
-func board(instances ...mesh.Instance) *Board { return NewBuilder(self).Build(epoch, instances) }
+func table(instances ...mesh.Instance) *Table { return NewBuilder(self).Build(epoch, instances) }
 
-func threeDistances() *Board {
-	return board(
+func threeDistances() *Table {
+	return table(
 		instance("far", "d9", "r2", endpoint("far")), instance("near", "d1", "r1", endpoint("near")),
 		instance("region", "d2", "r1", endpoint("region")),
 	)
 }
 
-func find(t *testing.T, b *Board, id string) *Endpoint {
+func find(t *testing.T, b *Table, id string) *Endpoint {
 	t.Helper()
 	for _, e := range b.Versions("s")["v1"] {
 		if e.ID == id {
@@ -44,7 +44,7 @@
 }
 
 // choose counts where n requests go; each stays outstanding if hold is set.
-func choose(t *testing.T, b *Board, now time.Time, n int, hold bool, r Request) map[string]int {
+func choose(t *testing.T, b *Table, now time.Time, n int, hold bool, r Request) map[string]int {
 	t.Helper()
 	counts := make(map[string]int)
 	for range n {
@@ -119,7 +119,7 @@
 // Guards against a refusal while an endpoint is left, and against a second send
 // to an endpoint that has had the request.
 func TestEjectedEndpointsAreTheLastResort(t *testing.T) {
-	b := board(instance("near", "d1", "r1", endpoint("near")))
+	b := table(instance("near", "d1", "r1", endpoint("near")))
 	e := find(t, b, "near")
 	e.Eject(epoch)
 	c, ok := Choose(epoch, b.Versions("s")["v1"], usual)
@@ -131,7 +131,7 @@
 // Guards against a wait at a full endpoint that is longer than the way to a free
 // one, and against no wait at all where there is no other.
 func TestMaxWaitEndsWhereAnotherEndpointIsBetter(t *testing.T) {
-	one := board(instance("near", "d1", "r1", endpoint("near")))
+	one := table(instance("near", "d1", "r1", endpoint("near")))
 	c, _ := Choose(epoch, one.Versions("s")["v1"], usual)
 	assert.Assert(t, c.MaxWait > 900*time.Millisecond, "%v", c.MaxWait)
 	c, _ = Choose(epoch, threeDistances().Versions("s")["v1"], usual)
@@ -163,8 +163,8 @@
 	assert.Equal(t, len(used), 60)
 }
 
-// Guards against observations lost when the board is built anew.
-func TestStatsOutliveBoards(t *testing.T) {
+// Guards against observations lost when the table is built anew.
+func TestStatsOutliveTables(t *testing.T) {
 	builder := NewBuilder(self)
 	list := []mesh.Instance{instance("near", "d1", "r1", endpoint("near"))}
 	first := builder.Build(epoch, list).Versions("s")["v1"][0]
@@ -216,14 +216,14 @@
 	r.Rejected = []Rejection{{near, 300 * time.Millisecond}}
 	assert.Equal(t, choose(t, b, epoch, 20, false, r)["near"], 0)
 	// Where there is no other endpoint, the wait is accepted.
-	one := board(instance("near", "d1", "r1", endpoint("near")))
+	one := table(instance("near", "d1", "r1", endpoint("near")))
 	r.Rejected = []Rejection{{find(t, one, "near"), 300 * time.Millisecond}}
 	c, ok := Choose(epoch, one.Versions("s")["v1"], r)
 	assert.Assert(t, ok && c.MaxWait >= 300*time.Millisecond, "%v", c.MaxWait)
 }
 
-// Guards against a second send to the same endpoint after the board was rebuilt.
-func TestTriedEndpointStaysTriedOnANewBoard(t *testing.T) {
+// Guards against a second send to the same endpoint after the table was rebuilt.
+func TestTriedEndpointStaysTriedOnANewTable(t *testing.T) {
 	builder := NewBuilder(self)
 	list := []mesh.Instance{instance("near", "d1", "r1", endpoint("near"))}
 	first := builder.Build(epoch, list).Versions("s")["v1"][0]
--- a/pkg/mesh/placement/board.go
+++ b/pkg/mesh/placement/table.go
@@ -23,7 +23,7 @@
 
 // The distances.
 const (
-	Beside Distance = iota
+	SameInstance Distance = iota
 	SameDomain
 	SameRegion
 	OtherRegion
@@ -39,7 +39,7 @@
 func (l Locality) distance(i *mesh.Instance) Distance {
 	switch {
 	case i.Name == l.Instance:
-		return Beside
+		return SameInstance
 	case i.FailureDomain == l.FailureDomain:
 		return SameDomain
 	case i.Region == l.Region:
@@ -59,8 +59,8 @@
 	warmUntil time.Time
 }
 
-// Board is an immutable view of all endpoints, by service and version.
-type Board struct {
+// Table is an immutable view of all endpoints, by service and version.
+type Table struct {
 	services  map[string]map[string][]*Endpoint
 	instances []string
 	// ranks orders the endpoints of each service and version alike on all nodes.
@@ -71,7 +71,7 @@
 
 // Ranks returns the instances beside endpoints of a version in an order that is
 // the same on all nodes.
-func (b *Board) Ranks(service, version string) []string {
+func (b *Table) Ranks(service, version string) []string {
 	ranked := b.ranks[versionKey{service, version}]
 	names := make([]string, len(ranked))
 	for i, e := range ranked {
@@ -83,7 +83,7 @@
 // Canary returns the endpoint that takes the canary requests of a version: one
 // for all nodes, so that the node beside it sees all of them. It is nil if none
 // can be reached.
-func (b *Board) Canary(service, version string, now time.Time) *Endpoint {
+func (b *Table) Canary(service, version string, now time.Time) *Endpoint {
 	for _, e := range b.ranks[versionKey{service, version}] {
 		if !e.view(now, "").ejected {
 			return e
@@ -94,12 +94,12 @@
 
 // Versions returns the versions of a service with the number of their
 // endpoints. The result must not be changed.
-func (b *Board) Versions(service string) map[string][]*Endpoint { return b.services[service] }
+func (b *Table) Versions(service string) map[string][]*Endpoint { return b.services[service] }
 
 // Instances returns the names of the instances with endpoints, in order.
-func (b *Board) Instances() []string { return b.instances }
+func (b *Table) Instances() []string { return b.instances }
 
-// Builder builds boards and keeps the observations that outlive them.
+// Builder builds tables and keeps the observations that outlive them.
 type Builder struct {
 	self Locality
 
@@ -115,34 +115,34 @@
 	return &Builder{self: self, stats: make(map[statsKey]*Stats), warm: make(map[statsKey]time.Time)}
 }
 
-// Build returns the board of the given instances.
-func (b *Builder) Build(now time.Time, instances []mesh.Instance) *Board {
+// Build returns the table of the given instances.
+func (b *Builder) Build(now time.Time, instances []mesh.Instance) *Table {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	board := &Board{services: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint)}
+	table := &Table{services: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint)}
 	for i := range instances {
 		instance := &instances[i]
 		if len(instance.Endpoints) > 0 {
-			board.instances = append(board.instances, instance.Name)
+			table.instances = append(table.instances, instance.Name)
 		}
 		for _, e := range instance.Endpoints {
-			versions := board.services[e.Service]
+			versions := table.services[e.Service]
 			if versions == nil {
 				versions = make(map[string][]*Endpoint)
-				board.services[e.Service] = versions
+				table.services[e.Service] = versions
 			}
 			versions[e.Version] = append(versions[e.Version], b.endpoint(now, instance, e))
 		}
 	}
-	slices.Sort(board.instances)
-	for service, versions := range board.services {
+	slices.Sort(table.instances)
+	for service, versions := range table.services {
 		for version, endpoints := range versions {
-			board.ranks[versionKey{service, version}] = ranked(endpoints)
+			table.ranks[versionKey{service, version}] = ranked(endpoints)
 			versions[version] = b.bound(endpoints)
 		}
 	}
 	b.prune(now)
-	return board
+	return table
 }
 
 func (b *Builder) endpoint(now time.Time, instance *mesh.Instance, e mesh.Endpoint) *Endpoint {
--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -33,7 +33,7 @@
 		case <-t.decide:
 			timer.Stop()
 		}
-		if t.deps.board.Load() == nil {
+		if t.deps.table.Load() == nil {
 			continue
 		}
 		effects := t.deps.rollouts.step(rollout.Event{Kind: rollout.Tick, Standing: t.standing()})
@@ -45,10 +45,10 @@
 
 func (t *tracker) standing() map[string]rollout.Standing {
 	standing := make(map[string]rollout.Standing)
-	board := t.deps.board.Load()
+	table := t.deps.table.Load()
 	for _, r := range t.deps.rollouts.open() {
 		standing[r.Service] = rollout.Standing{
-			Rank:  slices.Index(board.Ranks(r.Service, r.Version), t.deps.settings.Instance),
+			Rank:  slices.Index(table.Ranks(r.Service, r.Version), t.deps.settings.Instance),
 			Calls: t.gate.judged(r.Service, r.Version),
 		}
 	}
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -17,7 +17,7 @@
 // Entry takes the requests that begin on this machine.
 type Entry struct {
 	deps *shared
-	gate *gateKeeper
+	gate *localGate
 	hops *hopClient
 
 	inFlight atomic.Int64
@@ -28,7 +28,7 @@
 	turns      map[string]uint64
 }
 
-func newEntry(deps *shared, gate *gateKeeper, hops *hopClient) *Entry {
+func newEntry(deps *shared, gate *localGate, hops *hopClient) *Entry {
 	return &Entry{
 		deps: deps, gate: gate, hops: hops, budgets: make(map[string]*placement.Budget),
 		references: make(map[string]time.Duration), turns: make(map[string]uint64),
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -89,7 +89,7 @@
 	}
 	load := parseLoad(response.Header.Get(hopLoadName))
 	if version, err := strconv.ParseUint(response.Header.Get(hopConfig), 10, 64); err == nil {
-		h.deps.heardConfiguration(version)
+		h.deps.observeConfiguration(version)
 	}
 	if response.Header.Get(hopLacks) != "" {
 		h.offer(address)
@@ -160,7 +160,7 @@
 // hopServer takes the calls of other nodes for the endpoints beside this one.
 type hopServer struct {
 	deps     *shared
-	gate     *gateKeeper
+	gate     *localGate
 	inFlight atomic.Int64
 }
 
@@ -181,7 +181,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.deps.heardConfiguration(c.Config)
+	s.deps.observeConfiguration(c.Config)
 	if s.deps.withdrawn.Load() {
 		writeHopError(w, placement.Load{}, verdict.Refuse(verdict.NoTarget, "the endpoint's node is stopping"))
 		return
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -59,8 +59,8 @@
 	stopPoll  = 50 * time.Millisecond
 )
 
-// housekeeping is the time between two sweeps of idle connections and endpoints.
-const housekeeping = time.Second
+// maintenanceInterval is the time between two sweeps of idle connections and endpoints.
+const maintenanceInterval = time.Second
 
 // headerTimeout bounds the time of a node or endpoint to send a request's head,
 // maxHeaderBytes its size: a client's head and what a hop adds.
@@ -78,7 +78,7 @@
 	deps     Deps
 	injector *do.RootScope
 	shared   *shared
-	gate     *gateKeeper
+	gate     *localGate
 	hops     *hopClient
 	entry    *Entry
 	tracker  *tracker
@@ -100,21 +100,21 @@
 func New(deps Deps) (*Node, error) {
 	n := &Node{deps: deps, injector: do.New()}
 	do.Provide(n.injector, n.newShared)
-	do.Provide(n.injector, func(i do.Injector) (*gateKeeper, error) { return newGateKeeper(do.MustInvoke[*shared](i)), nil })
+	do.Provide(n.injector, func(i do.Injector) (*localGate, error) { return newLocalGate(do.MustInvoke[*shared](i)), nil })
 	do.Provide(n.injector, func(i do.Injector) (*hopClient, error) { return newHopClient(do.MustInvoke[*shared](i)), nil })
 	do.Provide(n.injector, func(i do.Injector) (*Entry, error) {
-		return newEntry(do.MustInvoke[*shared](i), do.MustInvoke[*gateKeeper](i), do.MustInvoke[*hopClient](i)), nil
+		return newEntry(do.MustInvoke[*shared](i), do.MustInvoke[*localGate](i), do.MustInvoke[*hopClient](i)), nil
 	})
 	do.Provide(n.injector, func(i do.Injector) (*tracker, error) {
 		s := do.MustInvoke[*shared](i)
 		store := platform.NewBudgeted(platform.NewCounted(deps.Store, s.metrics.scope), deps.Budget)
-		return newTracker(s, store, deps.Docs, do.MustInvoke[*gateKeeper](i)), nil
+		return newTracker(s, store, deps.Docs, do.MustInvoke[*localGate](i)), nil
 	})
 	var err error
 	if n.shared, err = do.Invoke[*shared](n.injector); err != nil {
 		return nil, err
 	}
-	n.gate = do.MustInvoke[*gateKeeper](n.injector)
+	n.gate = do.MustInvoke[*localGate](n.injector)
 	n.hops = do.MustInvoke[*hopClient](n.injector)
 	n.entry = do.MustInvoke[*Entry](n.injector)
 	n.tracker = do.MustInvoke[*tracker](n.injector)
@@ -139,7 +139,7 @@
 	}, s.configVersion)
 	scope, handler, closer := admin.NewMetrics(s.log.logger)
 	s.metrics = &metrics{scope: scope, handler: handler, closer: closer}
-	s.rollouts = newRolloutKeeper(s.now, s.log, func() { poke(n.tracker.decide) })
+	s.rollouts = newRolloutTracker(s.now, s.log, func() { notify(n.tracker.decide) })
 	return s, nil
 }
 
@@ -186,7 +186,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { n.tracker.run(background) })
-	running.Go(func() { n.keepHouse(background) })
+	running.Go(func() { n.maintain(background) })
 	for _, server := range servers {
 		running.Go(func() {
 			if err := server.http.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -244,8 +244,8 @@
 // inFlight returns the number of requests that have not ended.
 func (n *Node) inFlight() int64 { return n.entry.inFlight.Load() + n.hopsIn.inFlight.Load() }
 
-func (n *Node) keepHouse(ctx context.Context) {
-	ticker := time.NewTicker(housekeeping)
+func (n *Node) maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -268,8 +268,8 @@
 	m.gauge("configuration_version", float64(n.shared.configVersion()))
 	m.gauge("requests_in_flight", float64(n.inFlight()))
 	m.gauge("log_lines_dropped", float64(n.shared.log.output.dropped.Load()))
-	if board := n.shared.board.Load(); board != nil {
-		m.gauge("instances_known", float64(len(board.Instances())))
+	if table := n.shared.table.Load(); table != nil {
+		m.gauge("instances_known", float64(len(table.Instances())))
 	}
 }
 
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -130,9 +130,9 @@
 func (x *request) launch() (time.Duration, *verdict.Error) {
 	now := x.entry.deps.now()
 	left := x.deadline.Sub(now)
-	board := x.entry.deps.board.Load()
+	table := x.entry.deps.table.Load()
 	again := x.tries > 0
-	candidates, canary := x.entry.deps.rollouts.candidates(board, x.service, again)
+	candidates, canary := x.entry.deps.rollouts.candidates(table, x.service, again)
 	choice, ok := placement.Choose(now, candidates, placement.Request{
 		Route: x.route.Name, Kind: x.route.Kind, Left: left, Target: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.tried, Rejected: x.rejected,
 	})
@@ -166,7 +166,7 @@
 
 func (x *request) takeBudget() bool {
 	deps := x.entry.deps
-	allowed := x.entry.budget(x.service).Take(deps.now(), len(deps.board.Load().Instances()))
+	allowed := x.entry.budget(x.service).Take(deps.now(), len(deps.table.Load().Instances()))
 	word := "yes"
 	if !allowed {
 		word = "no"
@@ -198,7 +198,7 @@
 // try runs one try and reports its end.
 func (x *request) try(ctx context.Context, result tryResult, c *call) {
 	var load placement.Load
-	if result.endpoint.Distance == placement.Beside {
+	if result.endpoint.Distance == placement.SameInstance {
 		result.answer, load, result.failure = x.entry.gate.serve(ctx, c)
 	} else {
 		result.answer, load, result.failure = x.entry.hops.send(ctx, result.endpoint.Address, c)
@@ -372,7 +372,7 @@
 }
 
 var distanceNames = map[placement.Distance]string{
-	placement.Beside: "beside", placement.SameDomain: "domain", placement.SameRegion: "region", placement.OtherRegion: "other-region",
+	placement.SameInstance: "beside", placement.SameDomain: "domain", placement.SameRegion: "region", placement.OtherRegion: "other-region",
 }
 
 func (x *request) logTry(result tryResult, outcome tryOutcome) {
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -111,7 +111,7 @@
 	if x.entry.deps.refusing.Load() {
 		return verdict.Refuse(verdict.Draining, "the node is stopping")
 	}
-	if x.snapshot = x.entry.deps.snapshot.Load(); x.snapshot == nil || x.entry.deps.board.Load() == nil {
+	if x.snapshot = x.entry.deps.snapshot.Load(); x.snapshot == nil || x.entry.deps.table.Load() == nil {
 		err := verdict.Refuse(verdict.NoTarget, "the node has no configuration yet")
 		err.RetryAfter = startRetryAfter
 		return err
--- a/pkg/sidecar/rollouts.go
+++ b/pkg/sidecar/rollouts.go
@@ -14,9 +14,9 @@
 // requests after all traffic was moved: other nodes learn of the move later.
 const handover = time.Second
 
-// rolloutKeeper holds the machine of rollouts and answers for it on the path of
+// rolloutTracker holds the machine of rollouts and answers for it on the path of
 // requests.
-type rolloutKeeper struct {
+type rolloutTracker struct {
 	now func() time.Time
 	log *eventLog
 	// wake is called after a finding that must be written at once.
@@ -24,25 +24,25 @@
 
 	mu       sync.Mutex
 	machine  *rollout.Machine
-	policies map[string]keptPolicy
+	policies map[string]trackedPolicy
 	sent     map[string]uint64
 }
 
-type keptPolicy struct {
+type trackedPolicy struct {
 	rollout.Policy
 	since time.Time
 	open  bool
 }
 
-func newRolloutKeeper(now func() time.Time, log *eventLog, wake func()) *rolloutKeeper {
-	return &rolloutKeeper{
+func newRolloutTracker(now func() time.Time, log *eventLog, wake func()) *rolloutTracker {
+	return &rolloutTracker{
 		now: now, log: log, wake: wake, machine: rollout.NewMachine(),
-		policies: make(map[string]keptPolicy), sent: make(map[string]uint64),
+		policies: make(map[string]trackedPolicy), sent: make(map[string]uint64),
 	}
 }
 
 // step applies an event and returns the writes that are due.
-func (k *rolloutKeeper) step(event rollout.Event) []rollout.Effect {
+func (k *rolloutTracker) step(event rollout.Event) []rollout.Effect {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
@@ -52,9 +52,9 @@
 	for _, r := range k.machine.Open() {
 		open[r.Service] = true
 	}
-	policies := make(map[string]keptPolicy)
+	policies := make(map[string]trackedPolicy)
 	for service, p := range k.machine.Policies() {
-		kept := keptPolicy{Policy: p, since: now, open: open[service]}
+		kept := trackedPolicy{Policy: p, since: now, open: open[service]}
 		old, ok := k.policies[service]
 		if ok && old.Policy == p {
 			kept.since = old.since
@@ -71,14 +71,14 @@
 }
 
 // open returns the orders that are not yet decided.
-func (k *rolloutKeeper) open() []mesh.Rollout {
+func (k *rolloutTracker) open() []mesh.Rollout {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.machine.Open()
 }
 
 // allowed reports whether endpoints of the version take requests.
-func (k *rolloutKeeper) allowed(service, version string) bool {
+func (k *rolloutTracker) allowed(service, version string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p, ok := k.policies[service]
@@ -92,7 +92,7 @@
 }
 
 // judging reports whether answers of the version decide an open rollout.
-func (k *rolloutKeeper) judging(service, version string) bool {
+func (k *rolloutTracker) judging(service, version string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p, ok := k.policies[service]
@@ -100,7 +100,7 @@
 }
 
 // foundBad stops all requests from this node to the version and has it rolled back.
-func (k *rolloutKeeper) foundBad(service, version string, evidence fields) {
+func (k *rolloutTracker) foundBad(service, version string, evidence fields) {
 	evidence["service"], evidence["version"] = service, version
 	k.log.event("rollout_bad", evidence)
 	k.step(rollout.Event{Kind: rollout.Bad, Service: service, Version: version})
@@ -109,8 +109,8 @@
 
 // candidates returns the endpoints that a request for a service may be sent to.
 // canary is set if they are the new version's before it has all traffic.
-func (k *rolloutKeeper) candidates(board *placement.Board, service string, repeat bool) (list []*placement.Endpoint, canary bool) {
-	versions := board.Versions(service)
+func (k *rolloutTracker) candidates(table *placement.Table, service string, repeat bool) (list []*placement.Endpoint, canary bool) {
+	versions := table.Versions(service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p, ok := k.policies[service]
@@ -125,7 +125,7 @@
 	if p.Share > 0 && p.Share < 1 && !repeat && len(versions[p.Version]) > 0 {
 		k.sent[service]++
 		if position(k.sent[service]) < p.Share {
-			if e := board.Canary(service, p.Version, k.now()); e != nil {
+			if e := table.Canary(service, p.Version, k.now()); e != nil {
 				return []*placement.Endpoint{e}, true
 			}
 		}
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -15,10 +15,10 @@
 	now      func() time.Time
 	log      *eventLog
 	metrics  *metrics
-	rollouts *rolloutKeeper
-	// snapshot and board are nil until the store was read.
+	rollouts *rolloutTracker
+	// snapshot and table are nil until the store was read.
 	snapshot atomic.Pointer[mesh.Snapshot]
-	board    atomic.Pointer[placement.Board]
+	table    atomic.Pointer[placement.Table]
 	// service is the service of the endpoint beside this node, which a reload of
 	// the settings may change.
 	service  atomic.Pointer[string]
@@ -50,9 +50,9 @@
 	return 0
 }
 
-// heardConfiguration takes in the configuration version of another node. A node
+// observeConfiguration takes in the configuration version of another node. A node
 // whose own watch hears nothing learns of a change from the nodes it calls.
-func (s *shared) heardConfiguration(version uint64) {
+func (s *shared) observeConfiguration(version uint64) {
 	if version > s.configVersion() {
 		s.newerConfiguration(version)
 	}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -44,7 +44,7 @@
 	deps    *shared
 	store   platform.Store
 	docs    Documents
-	gate    *gateKeeper
+	gate    *localGate
 	builder *placement.Builder
 
 	mu        sync.Mutex
@@ -69,7 +69,7 @@
 	published      chan struct{}
 }
 
-func newTracker(deps *shared, store platform.Store, docs Documents, gate *gateKeeper) *tracker {
+func newTracker(deps *shared, store platform.Store, docs Documents, gate *localGate) *tracker {
 	return &tracker{
 		deps: deps, store: store, docs: docs, gate: gate,
 		builder: placement.NewBuilder(placement.Locality{
@@ -83,7 +83,7 @@
 	}
 }
 
-func poke(c chan struct{}) {
+func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
@@ -244,7 +244,7 @@
 		delete(t.progress, name)
 		delete(t.versions, name)
 		if name == t.ownName() && !t.deps.stopping.Load() {
-			poke(t.changed)
+			notify(t.changed)
 		}
 	}
 }
@@ -316,14 +316,14 @@
 		for _, p := range progress {
 			t.deps.rollouts.step(rollout.Event{Kind: rollout.Progressed, Progress: p})
 		}
-		poke(t.decide)
+		notify(t.decide)
 	}
 	if kind == platform.MeshState {
 		t.rebuild()
 	}
 }
 
-// rebuild compiles the board from the entries of all instances. This node's own
+// rebuild compiles the table from the entries of all instances. This node's own
 // endpoints are taken from the gate, which knows them first.
 func (t *tracker) rebuild() {
 	t.mu.Lock()
@@ -342,7 +342,7 @@
 		list = append(list, i)
 	}
 	list = append(list, t.ownEntry())
-	t.deps.board.Store(t.builder.Build(t.deps.now(), list))
+	t.deps.table.Store(t.builder.Build(t.deps.now(), list))
 	endpoints := 0
 	for _, i := range list {
 		endpoints += len(i.Endpoints)
@@ -366,5 +366,5 @@
 	t.wanted++
 	t.mu.Unlock()
 	t.rebuild()
-	poke(t.changed)
+	notify(t.changed)
 }
