--- a/pkg/ctl/await.go
+++ b/pkg/ctl/await.go
@@ -46,12 +46,17 @@
 	defer cancel()
 	p := &memberPoll{c: c, version: version, confirmed: make(map[string]bool)}
 	shown := ""
+	var missing []string
 	for {
-		missing := p.round(ctx)
-		if len(missing) == 0 {
+		latest := p.round(ctx)
+		if len(latest) == 0 {
 			return len(p.members), nil
 		}
-		if text := nodeNames(missing); text != shown {
+		if ctx.Err() == nil || missing == nil {
+			// A round that the end of the time cut short knows less than the last one.
+			missing = latest
+		}
+		if text := nodeNames(missing); text != shown && ctx.Err() == nil {
 			shown = text
 			s.progress("version %d is in force on %d of %d nodes; missing: %s",
 				version, max(0, len(p.members)-len(missing)), len(p.members), text)
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -40,6 +40,10 @@
 	members  []membership.Member
 	moves    [][]move.State
 	events   []timeline.Event
+	// stall, if set, is called before each question after the first round, which
+	// asks for members and for the status.
+	stall     func()
+	questions int
 }
 
 func startNode(t *testing.T) *node {
@@ -79,7 +83,17 @@
 	return n.current
 }
 
-func (n *node) View() *membership.View   { return &membership.View{Members: n.members} }
+func (n *node) View() *membership.View {
+	n.mu.Lock()
+	n.questions++
+	stall := n.stall != nil && n.questions > 2
+	n.mu.Unlock()
+	if stall {
+		n.stall()
+	}
+	return &membership.View{Members: n.members}
+}
+
 func (n *node) Events() []timeline.Event { return n.events }
 
 // States returns the states one after the other, and the last again and again.
@@ -219,6 +233,19 @@
 	run(nodes(a.URL), "apply", "-wait", customerFile, entitlementFile).check(t, ctl.ExitOK, "in force on all 3 nodes")
 }
 
+// Guards against a message that names no node because the time was up in the
+// middle of the last round, as on a busy machine.
+func TestApplyNamesMissingNodesAfterACutRound(t *testing.T) {
+	a, late := startNode(t), startNode(t)
+	late.members[0].Instance = "late"
+	a.members = append(a.members, late.members[0])
+	release := make(chan struct{})
+	a.stall = func() { <-release }
+	r := run(nodes(a.URL), "apply", "-wait", "-wait-for", "500ms", customerFile, entitlementFile)
+	close(release)
+	r.check(t, ctl.ExitNotInForce, "not known to be in force on: late")
+}
+
 // Guards against lists that cannot be read from one system and checked again.
 func TestGetAndValidate(t *testing.T) {
 	n := startNode(t)
--- a/pkg/routing/stats.go
+++ b/pkg/routing/stats.go
@@ -81,8 +81,9 @@
 	}
 }
 
-// latencyWeight is the inverse weight of a new latency in the running mean.
-const latencyWeight = 8
+// latencyWeight is the inverse of the least weight of a new latency in the
+// running mean.
+const latencyWeight = 8.0
 
 // latencyLifetime is the time over which a mean latency loses its weight. Without
 // it, an endpoint whose first calls were slow loses each comparison, gets no
@@ -95,13 +96,13 @@
 	if latency <= 0 {
 		return
 	}
+	old := s.latencyWeightAt(now.UnixNano())
 	s.learnedAt.Store(now.UnixNano())
-	mean := s.latency.Load()
-	if mean == 0 {
-		s.latency.Store(int64(latency))
-		return
-	}
-	s.latency.Store(mean + (int64(latency)-mean)/latencyWeight)
+	// An old mean counts for less, so that an endpoint which is tried only from time
+	// to time is soon known again.
+	weight := max(1/latencyWeight, 1-old)
+	mean := float64(s.latency.Load())
+	s.latency.Store(int64(mean + weight*(float64(latency)-mean)))
 }
 
 // latencyWeightAt returns the weight of the mean latency at now, from 1 for a
