Derive times from the terms' bounds; start without bounds of terms not in force

Cause, found by reading: the waits and pauses of the watch of configurations and the time of refusal during a stop were constants that fit bounds of 2 s and 6 s only, and a deployment whose terms set no bound of repeats would have ended the program (division by a window of 0) or been refused by the check of settings.

Change: they are parts of the bounds, with defaults where none are set; settings and headers that nobody used are gone.

Ruled out: keeping the check of bounds: contracts that are not in force leave them out.

Before: TestBoundsHaveDefaults would panic. After: it passes.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -24,33 +24,36 @@
 	storeDialTimeout = 500 * time.Millisecond
 	storeCallTimeout = time.Second
 	// storeWatchWait is how long a watch waits in one call: one on a connection
-	// that went silent, or that the store forgot, hears nothing until then. Of
-	// configurations it is shorter and random, so that at any moment some node is
-	// about to ask anew; the others learn from it by their calls.
-	storeWatchWait          = 10 * time.Second
-	configurationWatchLeast = 2 * time.Second
-	configurationWatchSpan  = 2 * time.Second
-	// The pauses let changes gather that come in quick succession: operators send
-	// storms of configurations some 200 ms apart, and one must be in force within
-	// 2 s; endpoints that come and go are wanted sooner.
-	configurationWatchPause = 500 * time.Millisecond
-	storeWatchPause         = 150 * time.Millisecond
+	// that went silent, or that the store forgot, hears nothing until then.
+	storeWatchWait = 10 * time.Second
+	// storeWatchPause lets changes gather that come in quick succession.
+	storeWatchPause = 150 * time.Millisecond
 )
 
+// configurationPauseShare is the part of the time within which a configuration
+// must be in force that its watch pauses after a change: operators send storms of
+// configurations some 200 ms apart.
+const configurationPauseShare = 0.25
+
 // settingsPoll is the time between two looks at the settings file, which may
 // change without a signal.
 const settingsPoll = 2 * time.Second
 
-func watchWait(kind store.Kind) time.Duration {
+// watchWait returns how long a watch of a kind waits. lag is the time within which
+// a configuration must be in force. A watch of configurations waits once to twice
+// as long, at random, so that at any moment some node is about to ask anew; the
+// others learn from it by their calls.
+func watchWait(kind store.Kind, lag time.Duration) time.Duration {
 	if kind == store.Configuration {
-		return configurationWatchLeast + rand.N(configurationWatchSpan)
+		return min(lag+rand.N(lag), storeWatchWait)
 	}
 	return storeWatchWait
 }
 
-func watchPause(kind store.Kind) time.Duration {
+// watchPause returns the pause of a watch of a kind after changes.
+func watchPause(kind store.Kind, lag time.Duration) time.Duration {
 	if kind == store.Configuration {
-		return configurationWatchPause
+		return time.Duration(configurationPauseShare * float64(lag))
 	}
 	return storeWatchPause
 }
@@ -86,13 +89,16 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	settings = settings.WithDefaults()
 	if *check {
 		fmt.Println("settings are valid")
 		return 0
 	}
 	client := platform.NewStore(platform.StoreOptions{
 		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
-		CallTimeout: storeCallTimeout, WatchWait: watchWait, WatchPause: watchPause,
+		CallTimeout:  storeCallTimeout,
+		WatchWait:    func(kind store.Kind) time.Duration { return watchWait(kind, settings.ConfigurationLag) },
+		WatchPause:   func(kind store.Kind) time.Duration { return watchPause(kind, settings.ConfigurationLag) },
 		StaleWatches: map[store.Kind]bool{store.MeshState: true},
 	})
 	defer client.Close()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -49,9 +49,9 @@
 	// stopWithdraw is when other nodes are told to send no more requests for the
 	// endpoints beside it; until then the endpoints are of use.
 	stopWithdraw = 1500 * time.Millisecond
-	// stopRefuse is when it no longer takes new requests; clients that still come
-	// are told that theirs have not run.
-	stopRefuse = 3500 * time.Millisecond
+	// stopRefuseShare is the part of the grace period after which it no longer takes
+	// new requests; clients that still come are told that theirs have not run.
+	stopRefuseShare = 0.58
 	// stopMargin is what remains of the grace period for the end of the process.
 	stopMargin = 900 * time.Millisecond
 	// stopClose bounds the end of connections on which a request is being read.
@@ -98,6 +98,7 @@
 
 // New composes a node. It opens no connection.
 func New(deps Deps) (*Node, error) {
+	deps.Settings = deps.Settings.WithDefaults()
 	n := &Node{deps: deps, injector: do.New()}
 	do.Provide(n.injector, n.newShared)
 	do.Provide(n.injector, func(i do.Injector) (*localGate, error) { return newLocalGate(do.MustInvoke[*shared](i)), nil })
@@ -219,7 +220,7 @@
 		if elapsed >= stopWithdraw && !n.shared.withdrawn.Swap(true) {
 			n.tracker.withdraw()
 		}
-		if elapsed >= stopRefuse {
+		if elapsed >= time.Duration(stopRefuseShare*float64(n.shared.settings.Grace)) {
 			n.shared.refusing.Store(true)
 		}
 		if ctx.Err() != nil || elapsed >= stopNotice && n.inFlight() == 0 {
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -29,8 +29,6 @@
 	StoreAddress string
 	// HeartbeatInterval is the usual time between two announcements.
 	HeartbeatInterval time.Duration
-	// Drain is how long an endpoint serves after its leaving was acknowledged.
-	Drain time.Duration
 	// Grace is the time from the signal to stop to the kill.
 	Grace time.Duration
 	// ConfigurationLag is the time within which a stored configuration must be in
@@ -45,7 +43,6 @@
 
 	Cores       int
 	MemoryBytes int64
-	Descriptors int
 }
 
 // Headers are the names of the headers that clients, endpoints and nodes share.
@@ -62,6 +59,31 @@
 	NotRun string
 	// Caller names the service of the machine where the request began.
 	Caller string
-	// Load holds an endpoint's load.
-	Load string
+}
+
+// Bounds for deployments whose terms set none. They are those of the users'
+// present deployments.
+const (
+	defaultHeartbeat        = 1500 * time.Millisecond
+	defaultGrace            = 6 * time.Second
+	defaultConfigurationLag = 2 * time.Second
+	defaultRetryRatio       = 0.2
+	defaultRetryWindow      = 10 * time.Second
+)
+
+// WithDefaults returns the settings with the bounds filled in that are not set.
+func (s Settings) WithDefaults() Settings {
+	fill := func(d *time.Duration, value time.Duration) {
+		if *d <= 0 {
+			*d = value
+		}
+	}
+	fill(&s.HeartbeatInterval, defaultHeartbeat)
+	fill(&s.Grace, defaultGrace)
+	fill(&s.ConfigurationLag, defaultConfigurationLag)
+	fill(&s.RetryWindow, defaultRetryWindow)
+	if s.RetryRatio <= 0 {
+		s.RetryRatio = defaultRetryRatio
+	}
+	return s
 }
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -271,9 +271,10 @@
 	return nil
 }
 
-// fetchPause lets the node's own watch, which pauses for up to 500 ms after a
-// change, report the next one before another node's word of it costs a call.
-const fetchPause = 800 * time.Millisecond
+// fetchPauseShare is the part of the time within which a configuration must be in
+// force that a node waits before another node's word of a newer one costs a call.
+// Its own watch, which pauses for a quarter of that time, usually reports it first.
+const fetchPauseShare = 0.4
 
 // fetchNewer reads the configuration when another node has a newer one.
 func (t *tracker) fetchNewer(ctx context.Context) {
@@ -284,7 +285,7 @@
 			return
 		case version = <-t.newer:
 		}
-		sleep(ctx, fetchPause)
+		sleep(ctx, time.Duration(fetchPauseShare*float64(t.deps.settings.ConfigurationLag)))
 		if version <= t.deps.configVersion() || ctx.Err() != nil {
 			continue
 		}
