Wake those who wait for a configuration once it is in force

Ruled out: a version that was skipped (the callbacks run for each, in the loop's order).

Change: the waiters are woken last.

Before: TestApplyReturnsOnceInForce fails (0 instead of 1). After: it passes, as does the whole package.

--- a/pkg/distribution/distribution_test.go
+++ b/pkg/distribution/distribution_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/azurespring/azurespring/internal/teststore"
+	"github.com/azurespring/azurespring/pkg/config/dynamic"
 	"github.com/azurespring/azurespring/pkg/distribution"
 	"github.com/azurespring/azurespring/pkg/platform"
 	"gotest.tools/v3/assert"
@@ -30,6 +33,23 @@
 	assert.Equal(t, len(other.counted.Counts()), 0)
 }
 
+// TestApplyReturnsOnceInForce guards against an Apply that returns before its
+// node uses the version: the operator's next call would meet the old one.
+func TestApplyReturnsOnceInForce(t *testing.T) {
+	f := newFleet(t)
+	n := f.add(nil)
+	var told atomic.Uint64
+	n.OnActivate(func(s *dynamic.Snapshot) {
+		time.Sleep(50 * time.Millisecond) // A slow user of the snapshot widens the gap.
+		told.Store(s.Version())
+	})
+	for version := range uint64(3) {
+		apply(t, n, version, string(rune('a'+version)))
+		assert.Equal(t, told.Load(), version+1)
+		assert.Equal(t, n.Version(), version+1)
+	}
+}
+
 // TestApplyOutcomes guards that Apply reports what the platform holds.
 func TestApplyOutcomes(t *testing.T) {
 	f := newFleet(t)
--- a/pkg/distribution/fleet_test.go
+++ b/pkg/distribution/fleet_test.go
@@ -204,10 +204,15 @@
 	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(time.Minute))
 }
 
+// awaitVersion waits until the nodes have a version in force and have told so:
+// a version can be read a moment before the callbacks run.
 func (f *fleet) awaitVersion(version uint64, nodes ...*node) {
 	f.t.Helper()
 	for _, n := range nodes {
-		f.await(fmt.Sprintf("%s to reach version %d", n.address, version), func() bool { return n.Version() >= version })
+		f.await(fmt.Sprintf("%s to reach version %d", n.address, version), func() bool {
+			told := n.activated()
+			return n.Version() >= version && len(told) > 0 && told[len(told)-1] >= version
+		})
 	}
 }
 
--- a/pkg/distribution/service.go
+++ b/pkg/distribution/service.go
@@ -262,9 +262,10 @@
 }
 
 // activate swaps in a prepared version. The versions refuse anything that is
-// not above the version in force, whatever the reducer decided.
+// not above the version in force, whatever the reducer decided. Those who wait
+// for the version, such as Apply, are woken last, so that they find it in force.
 func (s *Service) activate(id Version) {
-	c := s.versions.activate(id)
+	c := s.versions.next(id)
 	if c == nil {
 		return
 	}
@@ -275,6 +276,7 @@
 	for _, callback := range s.callbacks {
 		callback(c.snapshot)
 	}
+	s.versions.activate(c)
 }
 
 func (s *Service) peers() []string { return slices.Clone(s.o.Peers()) }
--- a/pkg/distribution/versions.go
+++ b/pkg/distribution/versions.go
@@ -83,15 +83,22 @@
 	delete(v.prepared, id)
 }
 
-// activate puts a prepared version in force and returns it, or nil if it is not
-// above the version in force.
-func (v *versions) activate(id Version) *candidate {
+// next returns a prepared version that is above the version in force, or nil.
+func (v *versions) next(id Version) *candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := v.prepared[id]
-	if c == nil || (v.active != nil && v.active.manifest.Version >= id.Number) {
+	if v.active != nil && v.active.manifest.Version >= id.Number {
 		return nil
 	}
+	return v.prepared[id]
+}
+
+// activate records that c, which next returned, is in force, and wakes those who
+// wait for it. Only the service's loop calls next and activate.
+func (v *versions) activate(c *candidate) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	id := versionOf(c.manifest)
 	v.active = c
 	v.recent = append(v.recent, c.manifest)
 	if len(v.recent) > keptManifests {
@@ -104,7 +111,6 @@
 	}
 	close(v.raised)
 	v.raised = make(chan struct{})
-	return c
 }
 
 // manifest returns a recent manifest.
