Count slow answers of a new version that nobody waited for

The entry asks another endpoint after three times the expected time and then cancels the canary; or the deadline of 2 s passes. The judge took such calls for neither slow nor failed, and even counted them as good ones between failures.

Ruled out: missing references (each entry serves the route from the start), too few answers (about 190 at the canary).

Change: a call that its caller leaves counts as slow once it has taken longer than slow answers do, and as nothing before. A try at a judged version is left alone for that long before a second one starts. The old version's times are no longer learned from the new one after the shift, so that slowness also shows there, with more evidence asked for.

Before: TestBadVersionIsRolledBack/slower_than_callers_wait times out after 20 s. After: it passes; TestJudge has rows for early leavers, slowness under full load, and good versions beside both.

--- a/pkg/mesh/rollout/rollout_test.go
+++ b/pkg/mesh/rollout/rollout_test.go
@@ -47,6 +47,31 @@
 			}
 			return Answer{Route: "a", Took: took, Reference: 90 * time.Millisecond}
 		}, 100},
+		{"eight times slower than callers wait", func(r *rand.Rand, _ int) Answer {
+			took := spread(r, 290)
+			if r.Float64() < 0.5 {
+				return Answer{Route: "a", Took: min(8*took, 1300*time.Millisecond), Reference: 290 * time.Millisecond, Unfinished: true}
+			}
+			return Answer{Route: "a", Took: took, Reference: 290 * time.Millisecond}
+		}, 100},
+		{"slow only under the load of all requests", func(r *rand.Rand, i int) Answer {
+			took := spread(r, 90)
+			if i > 100 && r.Float64() < 0.6 {
+				took *= 8
+			}
+			return Answer{Route: "a", Took: took, Reference: 90 * time.Millisecond, Shifted: i > 100}
+		}, 200},
+		{"good, a fifth of the answers waits for a slow call", func(r *rand.Rand, _ int) Answer {
+			took := spread(r, 90)
+			if r.Float64() < 0.2 {
+				took += 300 * time.Millisecond
+			}
+			return Answer{Route: "a", Took: took, Reference: 90 * time.Millisecond, Shifted: true}
+		}, 0},
+		{"good, callers that leave early", func(r *rand.Rand, _ int) Answer {
+			took := spread(r, 290)
+			return Answer{Route: "a", Took: took / 2, Reference: 290 * time.Millisecond, Unfinished: r.Float64() < 0.5}
+		}, 0},
 	} {
 		for seed := range uint64(200) {
 			r := rand.New(rand.NewPCG(seed, 1))
@@ -66,6 +91,19 @@
 	}
 }
 
+// Guards against callers that leave early being taken for good answers: they hide
+// the failures between them.
+func TestUnfinishedAnswersAreNoEvidenceOfAGoodVersion(t *testing.T) {
+	j := NewJudge()
+	for i := range 10 * failureCount {
+		if j.Add(Answer{Route: "a", Failed: i%10 == 9, Took: time.Millisecond, Reference: time.Second, Unfinished: i%10 != 9}) {
+			assert.Equal(t, i, 10*failureCount-1)
+			return
+		}
+	}
+	t.Fatal("the failures were not noticed")
+}
+
 // spread draws a service time with the given mean in milliseconds; a hundredth
 // takes three times as long.
 func spread(r *rand.Rand, mean float64) time.Duration {
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -46,7 +46,8 @@
 	LeftUs    int64 `json:"l"`
 	TargetUs  int64 `json:"t"`
 	MaxWaitUs int64 `json:"w"`
-	// ReferenceUs is the old version's mean time on the route, for a canary.
+	// ReferenceUs is the old version's mean time on the route, for a version that
+	// is being judged.
 	ReferenceUs int64 `json:"f,omitempty"`
 	// Config is the configuration version in force at the entry node.
 	Config uint64 `json:"g,omitempty"`
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -157,7 +157,7 @@
 			held = g.deps.now().Sub(started)
 		}
 		g.finish(eg, held)
-		g.judge(eg, c, rollout.Answer{Route: c.Route, Failed: failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil})
+		g.judgeFailure(ctx, eg, c, failure, g.deps.now().Sub(started))
 		return nil, g.loadOf(eg, c.Route), failure
 	}
 	a.took = g.deps.now().Sub(started)
@@ -338,21 +338,39 @@
 }
 
 func (g *localGate) judgeAnswer(eg *endpointGate, c *call, a *answer) {
-	judged := rollout.Answer{Route: c.Route, Failed: !a.notRun && a.status >= http.StatusInternalServerError}
 	if a.notRun {
 		return
 	}
+	judged := rollout.Answer{Route: c.Route, Failed: a.status >= http.StatusInternalServerError}
+	g.judge(eg, c, g.timed(judged, eg, c, a.took))
+}
+
+// judgeFailure judges a call that ended without an answer after took.
+func (g *localGate) judgeFailure(ctx context.Context, eg *endpointGate, c *call, failure *verdict.Error, took time.Duration) {
+	switch {
+	case failure.Verdict != verdict.MayHaveRun:
+	case ctx.Err() != nil:
+		g.judge(eg, c, g.timed(rollout.Answer{Route: c.Route, Unfinished: true}, eg, c, took))
+	default:
+		g.judge(eg, c, rollout.Answer{Route: c.Route, Failed: true})
+	}
+}
+
+// timed adds the time to a judged answer, unless the endpoint is still warming up.
+func (g *localGate) timed(judged rollout.Answer, eg *endpointGate, c *call, took time.Duration) rollout.Answer {
 	if g.deps.now().After(eg.endpoint.WarmUntil) {
-		judged.Took, judged.Reference = a.took, time.Duration(c.ReferenceUs)*time.Microsecond
+		judged.Took, judged.Reference = took, time.Duration(c.ReferenceUs)*time.Microsecond
 	}
-	g.judge(eg, c, judged)
+	return judged
 }
 
 // judge counts an answer of a version that is being rolled out.
 func (g *localGate) judge(eg *endpointGate, c *call, judged rollout.Answer) {
-	if !g.deps.rollouts.judging(c.Service, c.Version) {
+	judging, shifted := g.deps.rollouts.judging(c.Service, c.Version)
+	if !judging {
 		return
 	}
+	judged.Shifted = shifted
 	g.mu.Lock()
 	bad := eg.judge.Add(judged)
 	calls := eg.judge.Calls()
@@ -360,7 +378,7 @@
 	if bad {
 		g.deps.rollouts.foundBad(c.Service, c.Version, fields{
 			"requestId": c.id, "route": c.Route, "answers": calls, "tookMs": judged.Took.Milliseconds(),
-			"referenceMs": judged.Reference.Milliseconds(), "failed": judged.Failed,
+			"referenceMs": judged.Reference.Milliseconds(), "failed": judged.Failed, "unfinished": judged.Unfinished, "shifted": shifted,
 		})
 	}
 }
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -98,7 +99,7 @@
 	if !x.route.Kind.Idempotent() || x.rest != nil {
 		return time.Until(x.deadline) + time.Second
 	}
-	delay := max(hedgeFactor*expected, hedgeLeast)
+	delay := max(hedgeFactor*expected, hedgeLeast, x.judgedFor)
 	if latest := time.Duration(hedgeLatest * float64(x.deadline.Sub(x.started))); delay > latest {
 		delay = latest
 	}
@@ -132,7 +133,7 @@
 	left := x.deadline.Sub(now)
 	table := x.entry.deps.table.Load()
 	again := x.tries > 0
-	candidates, canary := x.entry.deps.rollouts.candidates(table, x.service, again)
+	candidates := x.entry.deps.rollouts.candidates(table, x.service, again)
 	choice, ok := placement.Choose(now, candidates, placement.Request{
 		Route: x.route.Name, Kind: x.route.Kind, Left: left, Target: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.tried, Rejected: x.rejected,
 	})
@@ -156,7 +157,7 @@
 	x.cancels[x.tries] = cancel
 	x.tried = append(x.tried, choice.Endpoint)
 	choice.Endpoint.Begin()
-	go x.try(ctx, tryResult{number: x.tries, endpoint: choice.Endpoint, canary: canary, repeat: repeat}, x.call(now, choice, canary))
+	go x.try(ctx, tryResult{number: x.tries, endpoint: choice.Endpoint, repeat: repeat}, x.call(now, choice))
 	return choice.Expected, nil
 }
 
@@ -176,7 +177,7 @@
 }
 
 // call builds the try for the chosen endpoint.
-func (x *request) call(now time.Time, choice placement.Choice, canary bool) *call {
+func (x *request) call(now time.Time, choice placement.Choice) *call {
 	e := choice.Endpoint
 	c := &call{
 		id: x.id, method: x.r.Method, uri: x.r.RequestURI, host: x.r.Host, header: x.header,
@@ -189,8 +190,12 @@
 			MaxWaitUs: choice.MaxWait.Microseconds(),
 		},
 	}
-	if canary {
-		c.ReferenceUs = x.entry.reference(x.route.Name).Microseconds()
+	if judged, _ := x.entry.deps.rollouts.judging(e.Service, e.Version); judged {
+		reference := x.entry.reference(x.route.Name)
+		c.ReferenceUs = reference.Microseconds()
+		if reference > 0 {
+			x.judgedFor = rollout.SlowBound(reference)
+		}
 	}
 	return c
 }
@@ -268,7 +273,7 @@
 	case tryAnswered:
 		x.arrivals++
 		result.endpoint.Outcome(now, true)
-		if !result.canary {
+		if judged, _ := deps.rollouts.judging(result.endpoint.Service, result.endpoint.Version); !judged {
 			x.entry.learnReference(x.route.Name, result.answer.took)
 		}
 		return true
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -67,6 +67,9 @@
 	// cancels ends the tries that have not ended.
 	cancels map[int]context.CancelFunc
 	results chan tryResult
+	// judgedFor is the time for which a try at a new version is left alone, so that
+	// a slow answer shows; 0 for other tries.
+	judgedFor time.Duration
 	// decided is set once no further result is taken; mu guards it.
 	mu      sync.Mutex
 	decided bool
@@ -83,7 +86,6 @@
 type tryResult struct {
 	number   int
 	endpoint *placement.Endpoint
-	canary   bool
 	repeat   bool
 	answer   *answer
 	failure  *verdict.Error
--- a/pkg/sidecar/rollouts.go
+++ b/pkg/sidecar/rollouts.go
@@ -91,12 +91,13 @@
 	return p.Share < 1 || k.now().Sub(p.since) < handover
 }
 
-// judging reports whether answers of the version decide an open rollout.
-func (k *rolloutTracker) judging(service, version string) bool {
+// judging reports whether answers of the version decide an open rollout, and
+// whether the version gets all requests.
+func (k *rolloutTracker) judging(service, version string) (judging, shifted bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p, ok := k.policies[service]
-	return ok && p.open && version == p.Version && p.Share > 0
+	return ok && p.open && version == p.Version && p.Share > 0, p.Share >= 1
 }
 
 // foundBad stops all requests from this node to the version and has it rolled back.
@@ -108,25 +109,24 @@
 }
 
 // candidates returns the endpoints that a request for a service may be sent to.
-// canary is set if they are the new version's before it has all traffic.
-func (k *rolloutTracker) candidates(table *placement.Table, service string, repeat bool) (list []*placement.Endpoint, canary bool) {
+func (k *rolloutTracker) candidates(table *placement.Table, service string, repeat bool) (list []*placement.Endpoint) {
 	versions := table.Versions(service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p, ok := k.policies[service]
 	if !ok {
-		return mostCommon(versions), false
+		return mostCommon(versions)
 	}
 	if p.Share >= 1 {
 		if list = versions[p.Version]; len(list) > 0 {
-			return list, false
+			return list
 		}
 	}
 	if p.Share > 0 && p.Share < 1 && !repeat && len(versions[p.Version]) > 0 {
 		k.sent[service]++
 		if position(k.sent[service]) < p.Share {
 			if e := table.Canary(service, p.Version, k.now()); e != nil {
-				return []*placement.Endpoint{e}, true
+				return []*placement.Endpoint{e}
 			}
 		}
 	}
@@ -135,7 +135,7 @@
 			list = append(list[:len(list):len(list)], endpoints...)
 		}
 	}
-	return list, false
+	return list
 }
 
 // position spreads the n-th request over the unit interval: the fractional parts
