Send large answers in turn on narrow links and free the endpoint's slot first

Ruled out: slots (endpoints were not full once transfers ended), distance (requests in the same domain were as slow).

Change: the node reads a large answer ahead within bounds of memory, which frees the slot, and sends it in chunks when its link has room, first those answers that can be in time. Small answers pass between two chunks. The time of a route now includes the transfer, so that placement sees busy links. The unused setting EndpointAddress is gone.

--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -154,6 +154,7 @@
 	}
 	x.status = a.status
 	x.w.WriteHeader(a.status)
+	x.entry.deps.uplink.spend(len(a.buffered))
 	if _, err := x.w.Write(a.buffered); err != nil && x.r.Method != http.MethodHead && len(a.buffered) > 0 {
 		return verdict.Fail(verdict.Canceled, err, "the client did not take the answer")
 	}
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -39,6 +39,7 @@
 	// single late one may be of an endpoint that has ended.
 	restored  bool
 	announced map[string]announcementCount
+	spools    *spools
 }
 
 // announcementCount counts the announcements of one start.
@@ -59,12 +60,13 @@
 	pool     *exchange.Pool
 	waiting  map[uint64]chan *verdict.Error
 	judge    *rollout.Judge
-	// routes are the mean times until the answer, by route.
+	// routes are the mean times from the request's slot until its answer has left
+	// this node, by route.
 	routes map[string]time.Duration
 }
 
 func newLocalGate(deps *shared) *localGate {
-	return &localGate{deps: deps, local: mesh.NewLocal(deps.settings.HeartbeatInterval), gates: make(map[string]*endpointGate), announced: make(map[string]announcementCount)}
+	return &localGate{deps: deps, local: mesh.NewLocal(deps.settings.HeartbeatInterval), gates: make(map[string]*endpointGate), announced: make(map[string]announcementCount), spools: newSpools()}
 }
 
 func (eg *endpointGate) deliver(grants []gate.Grant) {
@@ -90,7 +92,7 @@
 	maxRoutes   = 1000
 )
 
-// learn takes the time until an answer into the mean of its route.
+// learn takes the time until an answer has left this node into the mean of its route.
 func (eg *endpointGate) learn(route string, took time.Duration) {
 	mean, ok := eg.routes[route]
 	if !ok {
@@ -150,8 +152,10 @@
 		return nil, load, rejection
 	}
 	started := g.deps.now()
+	ctx, cancel := context.WithCancel(ctx)
 	a, failure := g.send(ctx, eg, c)
 	if failure != nil {
+		defer cancel()
 		held := time.Duration(0)
 		if failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil {
 			held = g.deps.now().Sub(started)
@@ -161,14 +165,20 @@
 		return nil, g.loadOf(eg, c.Route), failure
 	}
 	a.took = g.deps.now().Sub(started)
-	if !a.notRun {
+	a.delivered = func() {
+		if a.notRun {
+			return
+		}
 		g.mu.Lock()
-		eg.learn(c.Route, a.took)
+		eg.learn(c.Route, g.deps.now().Sub(started))
 		g.mu.Unlock()
 	}
 	g.judgeAnswer(eg, c, a)
 	a.load = g.loadOf(eg, c.Route)
-	a.body = &slotBody{ReadCloser: a.body, done: func() { g.finish(eg, g.deps.now().Sub(started)) }}
+	a.body = g.spools.wrap(&slotBody{ReadCloser: a.body, done: func() {
+		cancel()
+		g.finish(eg, g.deps.now().Sub(started))
+	}}, a.length, cancel)
 	return a, a.load, nil
 }
 
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -220,7 +220,9 @@
 		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	w.WriteHeader(a.status)
-	if _, err := io.Copy(w, a.body); err != nil {
+	defer a.delivered()
+	target := s.deps.now().Add(time.Duration(c.TargetUs) * time.Microsecond)
+	if err := s.deps.uplink.copyAnswer(ctx, w, a.body, a.length, target); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -135,6 +135,7 @@
 func (n *Node) newShared(do.Injector) (*shared, error) {
 	s := &shared{settings: n.deps.Settings, headers: n.deps.Headers, now: time.Now}
 	s.service.Store(&n.deps.Settings.Service)
+	s.uplink = newUplink(s.now, s.settings.LinkBytesPerSecond)
 	s.log = newEventLog(n.deps.LogOutput, timeline.Origin{
 		Instance: s.settings.Instance, FailureDomain: s.settings.FailureDomain, Region: s.settings.Region,
 	}, s.configVersion)
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -13,8 +13,6 @@
 	// Service is the service of the endpoint beside the node, which the requests
 	// that begin here are sent for.
 	Service string
-	// EndpointAddress is where that endpoint listens.
-	EndpointAddress string
 
 	// Inbound takes requests of other nodes, Outbound those of clients and of the
 	// endpoint, Readiness the platform's question whether the node takes requests,
@@ -43,6 +41,8 @@
 
 	Cores       int
 	MemoryBytes int64
+	// LinkBytesPerSecond is the rate of the machine's own link; 0 if unknown.
+	LinkBytesPerSecond float64
 }
 
 // Headers are the names of the headers that clients, endpoints and nodes share.
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -16,6 +16,8 @@
 	log      *eventLog
 	metrics  *metrics
 	rollouts *rolloutTracker
+	// uplink orders what this node sends on its machine's link.
+	uplink *uplink
 	// snapshot and table are nil until the store was read.
 	snapshot atomic.Pointer[mesh.Snapshot]
 	table    atomic.Pointer[placement.Table]
--- /dev/null
+++ b/pkg/sidecar/uplink.go
@@ -0,0 +1,116 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/mesh/egress"
+)
+
+// uplink sends answers on the link of this machine in the order that egress.Link
+// decides.
+type uplink struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	link    *egress.Link
+	next    uint64
+	waiting map[uint64]chan struct{}
+	timer   *time.Timer
+}
+
+func newUplink(now func() time.Time, bytesPerSecond float64) *uplink {
+	u := &uplink{now: now, link: egress.NewLink(bytesPerSecond), waiting: make(map[uint64]chan struct{})}
+	u.timer = time.AfterFunc(time.Hour, u.turn)
+	return u
+}
+
+// turn lets those chunks go whose time has come.
+func (u *uplink) turn() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	granted, wait := u.link.Next(u.now())
+	for _, id := range granted {
+		close(u.waiting[id])
+		delete(u.waiting, id)
+	}
+	if wait > 0 {
+		u.timer.Reset(wait)
+	}
+}
+
+// spend counts bytes that do not wait.
+func (u *uplink) spend(bytes int) {
+	u.mu.Lock()
+	u.link.Spend(u.now(), bytes)
+	u.mu.Unlock()
+}
+
+// await waits for the turn of a chunk.
+func (u *uplink) await(ctx context.Context, c egress.Chunk) error {
+	u.mu.Lock()
+	if u.link.Ask(u.now(), c) {
+		u.mu.Unlock()
+		return nil
+	}
+	turn := make(chan struct{})
+	u.waiting[c.ID] = turn
+	u.mu.Unlock()
+	u.turn()
+	select {
+	case <-turn:
+		return nil
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.link.Withdraw(c.ID)
+	delete(u.waiting, c.ID)
+	return ctx.Err()
+}
+
+// copyAnswer sends the body of an answer whose length is -1 if it is not known.
+// Large answers are sent in chunks, each in its turn. An answer that was cut ends
+// with the source's error.
+func (u *uplink) copyAnswer(ctx context.Context, w io.Writer, body io.Reader, length int64, targetAt time.Time) error {
+	u.mu.Lock()
+	u.next++
+	id := u.next
+	u.mu.Unlock()
+	buffer := make([]byte, egress.ChunkBytes)
+	for sent := int64(0); ; {
+		n, err := fill(body, buffer)
+		if n > 0 {
+			remaining := max(length-sent, int64(n))
+			if sent == 0 && err == io.EOF {
+				u.spend(n)
+			} else if err := u.await(ctx, egress.Chunk{ID: id, Bytes: n, Remaining: remaining, TargetAt: targetAt}); err != nil {
+				return err
+			}
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return err
+			}
+			sent += int64(n)
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			return nil
+		default:
+			return err
+		}
+	}
+}
+
+// fill reads until the buffer is full or the source ends. Unlike io.ReadFull it
+// returns the source's own error, which tells a cut answer from a whole one.
+func fill(source io.Reader, buffer []byte) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var m int
+		m, err = source.Read(buffer[n:])
+		n += m
+	}
+	return n, err
+}
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -150,7 +150,7 @@
 	assert.NilError(f.t, endpoint.Start())
 	n := &node{endpoint: endpoint, settings: sidecar.Settings{
 		Instance: fmt.Sprint("n", len(f.nodes)), FailureDomain: domain, Region: "r-" + domain, Service: endpoint.Service,
-		EndpointAddress: endpoint.Address(), Inbound: freeAddress(f.t), Outbound: freeAddress(f.t),
+		Inbound: freeAddress(f.t), Outbound: freeAddress(f.t),
 		Readiness: freeAddress(f.t), Control: freeAddress(f.t), StoreAddress: strings.TrimPrefix(f.server.URL, "http://"),
 		HeartbeatInterval: time.Second, Grace: 6 * time.Second, ConfigurationLag: 2 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 1000,
--- a/test/sidecar/program_test.go
+++ b/test/sidecar/program_test.go
@@ -56,7 +56,7 @@
   listen_addresses: {inbound: %q, outbound: %q, readiness: %q, control: %q}
 platform: {heartbeat_interval: "1s", platform: {address: %q}}
 terms: {bounds: {drain: "2s", grace_period: "6s", configuration_apply: "2s", retry_budget_ratio: 0.2, budget_window: "10s", retry_budget_slack: 50}}
-`, s.Instance, s.FailureDomain, s.Region, s.EndpointAddress, s.Service, s.Inbound, s.Outbound, s.Readiness, s.Control, s.StoreAddress)
+`, s.Instance, s.FailureDomain, s.Region, n.endpoint.Address(), s.Service, s.Inbound, s.Outbound, s.Readiness, s.Control, s.StoreAddress)
 }
 
 func startProcess(t *testing.T, settings string) *process {
