Use another version once a gate says that one is closed

Gates beside v1 had read of the shift; the entry nodes had not, and asked one gate of v1 after the other until the seventh rejection.

Change: the refusal has a code of its own. The entry node leaves that version out for a second, in which its own watch usually reports the change. A table that merely lacks the old version's endpoints still opens nothing to the new one.

--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -204,7 +204,7 @@
 	if !g.deps.rollouts.allowed(c.Service, c.Version) {
 		load := eg.load(c.Route)
 		g.mu.Unlock()
-		return nil, load, verdict.Refuse(verdict.Draining, "version %q takes no requests", c.Version)
+		return nil, load, verdict.Refuse(verdict.VersionClosed, "version %q takes no requests", c.Version)
 	}
 	g.next++
 	id := g.next
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -285,9 +285,12 @@
 		if result.repeat {
 			x.entry.budget(x.service).Return(now)
 		}
-		if outcome == tryUnreachable {
+		switch {
+		case outcome == tryUnreachable:
 			result.endpoint.Eject(now)
-		} else {
+		case result.failure.Code == verdict.VersionClosed:
+			deps.rollouts.noteClosed(result.endpoint.Service, result.endpoint.Version)
+		default:
 			x.forget(result.endpoint)
 			x.rejected = append(x.rejected, placement.Rejection{Endpoint: result.endpoint, Wait: result.failure.RetryAfter})
 		}
--- a/pkg/sidecar/rollouts.go
+++ b/pkg/sidecar/rollouts.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
@@ -14,6 +16,11 @@
 // requests after all traffic was moved: other nodes learn of the move later.
 const handover = time.Second
 
+// closedLifetime is how long a gate's word that a version takes no requests is
+// believed. By then this node has usually read of the rollout itself; until then
+// each further request would lose a round trip to the closed gate.
+const closedLifetime = time.Second
+
 // rolloutTracker holds the machine of rollouts and answers for it on the path of
 // requests.
 type rolloutTracker struct {
@@ -26,8 +33,13 @@
 	machine  *rollout.Machine
 	policies map[string]trackedPolicy
 	sent     map[string]uint64
+	// closed holds the time until which a version is taken for closed because one of
+	// its gates said so.
+	closed map[serviceVersion]time.Time
 }
 
+type serviceVersion struct{ service, version string }
+
 type trackedPolicy struct {
 	rollout.Policy
 	since time.Time
@@ -38,6 +50,7 @@
 	return &rolloutTracker{
 		now: now, log: log, wake: wake, machine: rollout.NewMachine(),
 		policies: make(map[string]trackedPolicy), sent: make(map[string]uint64),
+		closed: make(map[serviceVersion]time.Time),
 	}
 }
 
@@ -108,11 +121,38 @@
 	k.wake()
 }
 
+// noteClosed takes in a gate's word that a version takes no requests.
+func (k *rolloutTracker) noteClosed(service, version string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed[serviceVersion{service, version}] = k.now().Add(closedLifetime)
+}
+
+// withoutClosed returns the versions that no gate said to be closed.
+func (k *rolloutTracker) withoutClosed(service string, versions map[string][]*placement.Endpoint) map[string][]*placement.Endpoint {
+	if len(k.closed) == 0 {
+		return versions
+	}
+	now := k.now()
+	return lo.PickBy(versions, func(version string, _ []*placement.Endpoint) bool {
+		key := serviceVersion{service, version}
+		until, ok := k.closed[key]
+		if ok && !now.Before(until) {
+			delete(k.closed, key)
+			ok = false
+		}
+		return !ok
+	})
+}
+
 // candidates returns the endpoints that a request for a service may be sent to.
+// A gate knows better than this node whether its version takes requests: if it said
+// no, the others are used even if this node has not read of the change yet.
 func (k *rolloutTracker) candidates(table *placement.Table, service string, repeat bool) (list []*placement.Endpoint) {
-	versions := table.Versions(service)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	known := table.Versions(service)
+	versions := k.withoutClosed(service, known)
 	p, ok := k.policies[service]
 	if !ok {
 		return mostCommon(versions)
@@ -135,6 +175,11 @@
 			list = append(list[:len(list):len(list)], endpoints...)
 		}
 	}
+	if len(list) == 0 && p.Share > 0 && len(versions) < len(known) {
+		// The old version is closed, so that the new one gets all requests. A table
+		// that merely lacks the old version's endpoints says nothing of the kind.
+		return versions[p.Version]
+	}
 	return list
 }
 
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -54,6 +54,7 @@
 	Overloaded          Code = "overloaded"
 	DeadlineUnreachable Code = "deadline-unreachable"
 	Draining            Code = "draining"
+	VersionClosed       Code = "version-closed"
 	Quarantined         Code = "quarantined"
 	KeyInUse            Code = "key-in-use"
 	KeyStoreUnavailable Code = "key-store-unavailable"
@@ -82,6 +83,7 @@
 	Overloaded:          http.StatusServiceUnavailable,
 	DeadlineUnreachable: http.StatusGatewayTimeout,
 	Draining:            http.StatusServiceUnavailable,
+	VersionClosed:       http.StatusServiceUnavailable,
 	Quarantined:         http.StatusUnprocessableEntity,
 	KeyInUse:            http.StatusConflict,
 	KeyStoreUnavailable: http.StatusServiceUnavailable,
