Let the waits of watches grow with the fleet; tell of rollouts by calls

Cause: each node asks for configurations every 2 to 4 s and for rollouts every 10 s, also when nothing changes.

Calls between nodes already carry the configuration's version; they now also carry the revision of the newest rollout, and a node that hears of a newer one reads the rollouts.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -23,31 +23,41 @@
 const (
 	storeDialTimeout = 500 * time.Millisecond
 	storeCallTimeout = time.Second
-	// storeWatchWait is how long a watch waits in one call: one on a connection
-	// that went silent, or that the store forgot, hears nothing until then.
-	storeWatchWait = 10 * time.Second
+	// stateWatchWait is how long a watch of instances' entries waits in one call: one
+	// on a connection that went silent, or that the store forgot, hears nothing until
+	// then. Nodes correct each other's outdated entries with every call.
+	stateWatchWait = 10 * time.Second
+	// longestWatchWait is the longest wait that the store allows.
+	longestWatchWait = 30 * time.Second
 	// storeWatchPause lets changes gather that come in quick succession.
 	storeWatchPause = 150 * time.Millisecond
 )
 
 // configurationPauseShare is the part of the time within which a configuration
 // must be in force that its watch pauses after a change: operators send storms of
-// configurations some 200 ms apart.
-const configurationPauseShare = 0.25
+// configurations some 200 ms apart. With a read of 50 ms, twice the pause still ends
+// in time.
+const configurationPauseShare = 0.35
+
+// askingShare is the part of the time within which a configuration must be in
+// force in which, on average, one node of the fleet asks the store anew.
+const askingShare = 0.1
 
 // settingsPoll is the time between two looks at the settings file, which may
 // change without a signal.
 const settingsPoll = 2 * time.Second
 
 // watchWait returns how long a watch of a kind waits. lag is the time within which
-// a configuration must be in force. A watch of configurations waits once to twice
-// as long, at random, so that at any moment some node is about to ask anew; the
-// others learn from it by their calls.
-func watchWait(kind store.Kind, lag time.Duration) time.Duration {
-	if kind == store.Configuration {
-		return min(lag+rand.N(lag), storeWatchWait)
+// a configuration must be in force, instances the number of nodes. Watches of
+// configurations and rollouts wait longer the more nodes there are, at random, so
+// that some node is always about to ask anew, and the fleet's calls do not grow with
+// its size. The others learn from that node by their calls.
+func watchWait(kind store.Kind, lag time.Duration, instances int) time.Duration {
+	if kind == store.MeshState {
+		return stateWatchWait
 	}
-	return storeWatchWait
+	mean := max(time.Duration(askingShare*float64(lag)*float64(instances)), lag)
+	return min(mean/2+rand.N(mean), longestWatchWait)
 }
 
 // watchPause returns the pause of a watch of a kind after changes.
@@ -94,15 +104,16 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
+	var node *sidecar.Node
 	client := platform.NewStore(platform.StoreOptions{
 		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
 		CallTimeout:  storeCallTimeout,
-		WatchWait:    func(kind store.Kind) time.Duration { return watchWait(kind, settings.ConfigurationLag) },
+		WatchWait:    func(kind store.Kind) time.Duration { return watchWait(kind, settings.ConfigurationLag, node.Instances()) },
 		WatchPause:   func(kind store.Kind) time.Duration { return watchPause(kind, settings.ConfigurationLag) },
 		StaleWatches: map[store.Kind]bool{store.MeshState: true},
 	})
 	defer client.Close()
-	node, err := sidecar.New(sidecar.Deps{
+	node, err = sidecar.New(sidecar.Deps{
 		Settings: settings, Headers: platform.Headers(),
 		Store: client, Budget: nodeBudget(), Docs: platform.Documents{},
 		ReadinessPath: platform.ReadinessPath,
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -51,6 +51,8 @@
 	ReferenceUs int64 `json:"f,omitempty"`
 	// Config is the configuration version in force at the entry node.
 	Config uint64 `json:"g,omitempty"`
+	// Orders is the revision of the newest rollout that the entry node knows.
+	Orders uint64 `json:"o,omitempty"`
 }
 
 // answer is an endpoint's answer.
@@ -81,6 +83,7 @@
 	hopTookName  = hopPrefix + "Took-Us"
 	hopErrorName = hopPrefix + "Error"
 	hopConfig    = hopPrefix + "Config"
+	hopOrders    = hopPrefix + "Orders"
 	hopLacks     = hopPrefix + "Lacks-State"
 	hopNotRun    = hopPrefix + "Not-Run"
 )
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -77,7 +77,7 @@
 	}
 	terms := c.hopTerms
 	terms.LeftUs = c.deadline.Sub(h.deps.now()).Microseconds()
-	terms.Config = h.deps.configVersion()
+	terms.Config, terms.Orders = h.deps.configVersion(), h.deps.orders.Load()
 	request.Header[hopTermsName] = []string{encodeHop(terms)}
 	sending := exchange.Request{Request: request}
 	if !c.Idempotent {
@@ -88,9 +88,7 @@
 		return nil, placement.Load{}, exchangeFailure(ctx, failure, "the endpoint's node")
 	}
 	load := parseLoad(response.Header.Get(hopLoadName))
-	if version, err := strconv.ParseUint(response.Header.Get(hopConfig), 10, 64); err == nil {
-		h.deps.observeConfiguration(version)
-	}
+	h.deps.observe(parseRevision(response.Header.Get(hopConfig)), parseRevision(response.Header.Get(hopOrders)))
 	if response.Header.Get(hopLacks) != "" {
 		h.offer(address)
 	}
@@ -157,6 +155,15 @@
 	}
 }
 
+// parseRevision reads a number that another node sent; 0 if there is none.
+func parseRevision(text string) uint64 {
+	revision, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0 // An answer that did not come from a node has no such header.
+	}
+	return revision
+}
+
 // hopServer takes the calls of other nodes for the endpoints beside this one.
 type hopServer struct {
 	deps     *shared
@@ -173,6 +180,7 @@
 		return
 	}
 	w.Header().Set(hopConfig, strconv.FormatUint(s.deps.configVersion(), 10))
+	w.Header().Set(hopOrders, strconv.FormatUint(s.deps.orders.Load(), 10))
 	if !s.deps.known() {
 		w.Header().Set(hopLacks, "1")
 	}
@@ -181,7 +189,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.deps.observeConfiguration(c.Config)
+	s.deps.observe(c.Config, c.Orders)
 	if s.deps.withdrawn.Load() {
 		writeHopError(w, placement.Load{}, verdict.Refuse(verdict.NoTarget, "the endpoint's node is stopping"))
 		return
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -123,12 +123,7 @@
 	n.shared.endpointsChanged = n.tracker.endpointsChanged
 	n.shared.known, n.shared.state, n.shared.adopt = n.tracker.ready, n.tracker.offer, n.tracker.adopt
 	n.shared.awaitPublished = n.tracker.awaitPublished
-	n.shared.newerConfiguration = func(version uint64) {
-		select {
-		case n.tracker.newer <- version:
-		default: // A read is due already.
-		}
-	}
+	n.shared.newer = func() { notify(n.tracker.newer) }
 	return n, nil
 }
 
@@ -275,6 +270,14 @@
 	}
 }
 
+// Instances returns the number of nodes known to have endpoints.
+func (n *Node) Instances() int {
+	if table := n.shared.table.Load(); table != nil {
+		return len(table.Instances())
+	}
+	return 0
+}
+
 // listen opens all addresses.
 func (n *Node) listen() ([]server, error) {
 	s := n.shared.settings
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -25,13 +25,17 @@
 	// the settings may change.
 	service  atomic.Pointer[string]
 	stopping atomic.Bool
+	// heardConfig and heardOrders are the highest that any node was heard to know.
+	heardConfig, heardOrders atomic.Uint64
 	// withdrawn is set once calls of other nodes are no longer taken.
 	withdrawn atomic.Bool
 	// refusing is set for the last part of a stop: new requests are not taken.
 	refusing atomic.Bool
-	// newerConfiguration is called with a version above the one in force that
-	// another node was heard to have.
-	newerConfiguration func(version uint64)
+	// orders is the revision of the newest rollout known here; 0 if there is none.
+	orders atomic.Uint64
+	// newer is called if another node was heard to know a newer configuration or
+	// newer rollouts.
+	newer func()
 	// endpointsChanged is called after the endpoints beside this node changed.
 	endpointsChanged func()
 	// known reports whether all that requests depend on is known; state encodes it
@@ -52,10 +56,22 @@
 	return 0
 }
 
-// observeConfiguration takes in the configuration version of another node. A node
-// whose own watch hears nothing learns of a change from the nodes it calls.
-func (s *shared) observeConfiguration(version uint64) {
-	if version > s.configVersion() {
-		s.newerConfiguration(version)
+// observe takes in what another node knows: the version of its configuration and
+// the revision of its newest rollout. A node whose own watch hears nothing, or is
+// about to wait for long, learns of a change from the nodes that it calls or that
+// call it.
+func (s *shared) observe(config, orders uint64) {
+	raise(&s.heardConfig, config)
+	raise(&s.heardOrders, orders)
+	if config > s.configVersion() || orders > s.orders.Load() {
+		s.newer()
+	}
+}
+
+func raise(value *atomic.Uint64, to uint64) {
+	for current := value.Load(); current < to; current = value.Load() {
+		if value.CompareAndSwap(current, to) {
+			return
+		}
 	}
 }
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -59,10 +59,10 @@
 	// endpoints and nodes are what was logged last.
 	endpoints, nodes int
 	// changed wakes the publisher, decide the deciding of rollouts, newer the
-	// reading of a configuration that another node has.
+	// reading of what another node has.
 	changed chan struct{}
 	decide  chan struct{}
-	newer   chan uint64
+	newer   chan struct{}
 	// wanted counts the changes of the endpoints beside this node, stored those
 	// that are in the store; published is closed and replaced when it grows.
 	wanted, stored uint64
@@ -79,7 +79,7 @@
 		progress: make(map[string]rollout.Progress), versions: make(map[string]string),
 		objects: make(map[platform.Kind]map[string]platform.Object),
 		loaded:  make(map[platform.Kind]bool),
-		changed: make(chan struct{}, 1), decide: make(chan struct{}, 1), newer: make(chan uint64, 1), published: make(chan struct{}),
+		changed: make(chan struct{}, 1), decide: make(chan struct{}, 1), newer: make(chan struct{}, 1), published: make(chan struct{}),
 	}
 }
 
@@ -203,6 +203,10 @@
 		}
 	case platform.Rollout:
 		var r mesh.Rollout
+		raise(&t.deps.orders, parseRevision(o.Version))
+		if older(o.Version, t.rollouts[o.Name].Revision) {
+			return // It was read by another way meanwhile.
+		}
 		if r, err = t.docs.DecodeRollout(o.Value); err == nil {
 			r.Revision = o.Version
 			t.rollouts[o.Name] = r
@@ -216,6 +220,10 @@
 	}
 }
 
+// older reports whether revision a came before b. A store whose versions are not
+// numbers has no order that is known here.
+func older(a, b string) bool { return parseRevision(a) < parseRevision(b) }
+
 func (t *tracker) putState(o platform.Object) error {
 	switch {
 	case strings.HasPrefix(o.Name, instancePrefix):
@@ -273,29 +281,47 @@
 
 // fetchPauseShare is the part of the time within which a configuration must be in
 // force that a node waits before another node's word of a newer one costs a call.
-// Its own watch, which pauses for a quarter of that time, usually reports it first.
-const fetchPauseShare = 0.4
+// Its own watch, which pauses for less after a change, usually reports it first.
+const fetchPauseShare = 0.45
 
-// fetchNewer reads the configuration when another node has a newer one.
+// fetchNewer reads the configuration and the rollouts when another node has newer
+// ones.
 func (t *tracker) fetchNewer(ctx context.Context) {
 	for {
-		var version uint64
 		select {
 		case <-ctx.Done():
 			return
-		case version = <-t.newer:
+		case <-t.newer:
 		}
 		sleep(ctx, time.Duration(fetchPauseShare*float64(t.deps.settings.ConfigurationLag)))
-		if version <= t.deps.configVersion() || ctx.Err() != nil {
-			continue
+		if heard := t.deps.heardConfig.Load(); heard > t.deps.configVersion() && ctx.Err() == nil {
+			t.fetchConfiguration(ctx, heard)
 		}
-		o, err := t.store.Get(ctx, platform.Configuration, t.docs.ConfigurationName())
-		if err != nil {
-			t.deps.log.event("store_read_failed", fields{"name": t.docs.ConfigurationName(), "error": err.Error()})
-			continue
+		if heard := t.deps.heardOrders.Load(); heard > t.deps.orders.Load() && ctx.Err() == nil {
+			t.fetchRollouts(ctx, heard)
 		}
-		t.deps.log.event("configuration_fetched", fields{"heard": version, "revision": o.Version})
-		t.apply(platform.Configuration, platform.Event{Type: platform.Put, Object: o})
+	}
+}
+
+func (t *tracker) fetchConfiguration(ctx context.Context, heard uint64) {
+	o, err := t.store.Get(ctx, platform.Configuration, t.docs.ConfigurationName())
+	if err != nil {
+		t.deps.log.event("store_read_failed", fields{"name": t.docs.ConfigurationName(), "error": err.Error()})
+		return
+	}
+	t.deps.log.event("configuration_fetched", fields{"heard": heard, "revision": o.Version})
+	t.apply(platform.Configuration, platform.Event{Type: platform.Put, Object: o})
+}
+
+func (t *tracker) fetchRollouts(ctx context.Context, heard uint64) {
+	objects, revision, err := t.store.List(ctx, platform.Rollout)
+	if err != nil {
+		t.deps.log.event("store_read_failed", fields{"name": string(platform.Rollout), "error": err.Error()})
+		return
+	}
+	t.deps.log.event("rollouts_fetched", fields{"heard": heard, "revision": revision})
+	for _, o := range objects {
+		t.apply(platform.Rollout, platform.Event{Type: platform.Put, Object: o})
 	}
 }
 
--- a/test/sidecar/store_test.go
+++ b/test/sidecar/store_test.go
@@ -199,6 +199,24 @@
 	f.store.Forget()
 }
 
+// Guards against nodes that go on sending requests to a version for as long as
+// their watch hears nothing, because nobody tells them of the rollout.
+func TestRolloutsSpreadWhenWatchesHearNothing(t *testing.T) {
+	e := endpoint("e")
+	f, entry := remote(t, e)
+	f.store.Mute()
+	f.order("v2", "10s")
+	heard := f.add("b", &platformtest.Endpoint{ID: "third", Service: "t", Version: "v1"})
+	f.wait("the new node is ready", heard.isReady)
+	f.wait("the others learn of the order by calls", func() bool {
+		heard.get("/safe/x", "id1")
+		entry.get("/safe/x", "id2")
+		return len(entry.output.lines("rollout_policy")) > 0
+	})
+	assert.Assert(t, len(entry.output.lines("rollouts_fetched")) > 0)
+	f.store.Forget()
+}
+
 // Guards against a node that goes back to an older configuration, or takes one
 // that names a service it lacks.
 func TestConfigurationNeverGoesBack(t *testing.T) {
