Begin no request on a client's connection that is being closed

Two closes did not exclude a request that begins: the idle timer, which had fired when the request stopped it, and Shutdown, which looked at the number of requests in flight and then closed.

Change: beginning a request and closing an idle connection exclude each other. A request that comes too late is not begun, so that its client may send it again whatever its kind.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -107,8 +107,10 @@
 	var node *sidecar.Node
 	client := platform.NewStore(platform.StoreOptions{
 		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
-		CallTimeout:  storeCallTimeout,
-		WatchWait:    func(kind store.Kind) time.Duration { return watchWait(kind, settings.ConfigurationLag, node.Instances()) },
+		CallTimeout: storeCallTimeout,
+		WatchWait: func(kind store.Kind) time.Duration {
+			return watchWait(kind, settings.ConfigurationLag, node.Instances())
+		},
 		WatchPause:   func(kind store.Kind) time.Duration { return watchPause(kind, settings.ConfigurationLag) },
 		StaleWatches: map[store.Kind]bool{store.MeshState: true},
 	})
--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -29,7 +29,6 @@
 	changed chan struct{}
 	// room is signalled when the reader may go on.
 	room chan struct{}
-	idle *time.Timer
 }
 
 func newClientConn(c net.Conn) *clientConn {
@@ -143,17 +142,3 @@
 	c.cancel()
 	return c.Conn.Close()
 }
-
-// watchIdle closes the connection after it was idle for the given time; 0 ends
-// the watch.
-func (c *clientConn) watchIdle(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle != nil {
-		c.idle.Stop()
-		c.idle = nil
-	}
-	if d > 0 {
-		c.idle = time.AfterFunc(d, func() { _ = c.Close() })
-	}
-}
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
@@ -96,9 +95,7 @@
 	for {
 		s.mu.Lock()
 		for session := range s.sessions {
-			if session.inFlight.Load() == 0 {
-				_ = session.conn.Close()
-			}
+			session.closeIdle(0)
 		}
 		left := len(s.sessions)
 		s.mu.Unlock()
@@ -135,21 +132,26 @@
 
 // session is one connection of a client.
 type session struct {
-	server   *clientServer
-	conn     *clientConn
-	head     *headReader
-	reader   *bufio.Reader
-	writer   *bufio.Writer
-	inFlight atomic.Int64
-
-	// last is the request that was begun last. Once closing is set, its answer ends
-	// the connection and no further request is begun.
-	mu      sync.Mutex
-	last    *answerWriter
-	closing bool
+	server *clientServer
+	conn   *clientConn
+	head   *headReader
+	reader *bufio.Reader
+	writer *bufio.Writer
+
+	// last is the request that was begun last, inFlight the number of those that have
+	// not ended. Once closing is set, the connection ends with the answer to the last,
+	// or at once if there is none, and no further request is begun.
+	mu       sync.Mutex
+	last     *answerWriter
+	inFlight int
+	closing  bool
+	// idleSince is when the last answer ended; idle closes the connection.
+	idleSince time.Time
+	idle      *time.Timer
 }
 
-// begin reports whether work on w's request may begin.
+// begin reports whether work on w's request may begin. A request that crosses the
+// close of its connection may not: nobody would get its answer.
 func (s *session) begin(w *answerWriter) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -157,9 +159,45 @@
 		return false
 	}
 	s.last = w
+	s.inFlight++
 	return true
 }
 
+// end counts a request as ended.
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	if s.inFlight == 0 {
+		s.watchIdle()
+	}
+}
+
+// watchIdle closes the connection once it was idle for as long as the
+// configuration allows; s.mu is held.
+func (s *session) watchIdle() {
+	s.idleSince = time.Now()
+	limit := s.server.limits().IdleTimeout
+	if limit <= 0 {
+		return
+	}
+	if s.idle != nil {
+		s.idle.Stop()
+	}
+	s.idle = time.AfterFunc(limit, func() { s.closeIdle(limit) })
+}
+
+// closeIdle closes the connection if it has been idle for the given time.
+func (s *session) closeIdle(least time.Duration) {
+	s.mu.Lock()
+	idle := s.inFlight == 0 && time.Since(s.idleSince) >= least
+	s.closing = s.closing || idle
+	s.mu.Unlock()
+	if idle {
+		_ = s.conn.Close()
+	}
+}
+
 // close reports whether w's answer may end the connection: not while requests
 // behind it have been begun, because their answers would be lost.
 func (s *session) close(w *answerWriter) bool {
@@ -199,6 +237,11 @@
 func (s *session) serve() {
 	defer func() {
 		_ = s.conn.Close()
+		s.mu.Lock()
+		if s.idle != nil {
+			s.idle.Stop()
+		}
+		s.mu.Unlock()
 		s.server.mu.Lock()
 		delete(s.server.sessions, s)
 		s.server.mu.Unlock()
@@ -206,7 +249,9 @@
 	previous := make(chan struct{})
 	close(previous)
 	slots := make(chan struct{}, maxPipelined)
+	s.mu.Lock()
 	s.watchIdle()
+	s.mu.Unlock()
 	for {
 		r, err := s.readRequest()
 		if err != nil {
@@ -220,14 +265,10 @@
 			<-previous
 			return
 		}
-		s.inFlight.Add(1)
-		s.conn.watchIdle(0)
 		previous = w.done
 		end := func() {
 			<-slots
-			if s.inFlight.Add(-1) == 0 {
-				s.watchIdle()
-			}
+			s.end()
 		}
 		if startsEarly(r) {
 			go s.answer(w, end)
@@ -250,8 +291,6 @@
 	return (r.Method == http.MethodGet || r.Method == http.MethodHead) && (r.Body == nil || r.Body == http.NoBody)
 }
 
-func (s *session) watchIdle() { s.conn.watchIdle(s.server.limits().IdleTimeout) }
-
 // readRequest waits for the next request and reads its head.
 func (s *session) readRequest() (*http.Request, error) {
 	s.head.left = headBytes
--- /dev/null
+++ b/pkg/sidecar/clientserver_test.go
@@ -0,0 +1,102 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+)
+
+// Guards against requests that are begun on a connection that is being closed
+// because it was idle, or because the server shuts down: they run, and their
+// answers are lost. A request that is not begun can be sent again.
+func TestRequestThatCrossesACloseIsNotBegun(t *testing.T) {
+	const idle = 20 * time.Millisecond
+	for _, shutdown := range []bool{false, true} {
+		t.Run(fmt.Sprint("shutdown ", shutdown), func(t *testing.T) {
+			for range 40 {
+				crossClose(t, idle, shutdown)
+			}
+		})
+	}
+}
+
+// crossClose lets clients send their second requests at about the time at which
+// their connections are closed.
+func crossClose(t *testing.T, idle time.Duration, shutdown bool) {
+	t.Helper()
+	var mu sync.Mutex
+	begun := make(map[string]bool)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		begun[r.URL.Path] = true
+		mu.Unlock()
+		time.Sleep(time.Millisecond)
+		w.WriteHeader(http.StatusOK)
+	})
+	limits := mesh.Limits{IdleTimeout: idle}
+	if shutdown {
+		limits.IdleTimeout = time.Minute
+	}
+	server := newClientServer(handler, func() mesh.Limits { return limits }, func(reason any, _ []byte) { t.Error(reason) })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+
+	const clients = 40
+	answered := make([]bool, clients)
+	var running, firsts sync.WaitGroup
+	firsts.Add(clients)
+	for i := range clients {
+		running.Go(func() {
+			c, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				firsts.Done()
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			reader := bufio.NewReader(c)
+			ask := func(path string) bool {
+				if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+					return false
+				}
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					return false
+				}
+				return response.Body.Close() == nil
+			}
+			if !ask(fmt.Sprintf("/first/%d", i)) {
+				t.Error("the first request was not answered")
+			}
+			firsts.Done()
+			time.Sleep(idle - 500*time.Microsecond + rand.N(time.Millisecond))
+			answered[i] = ask(fmt.Sprintf("/second/%d", i))
+		})
+	}
+	if shutdown {
+		firsts.Wait()
+		time.Sleep(idle)
+		assert.NilError(t, server.Shutdown(t.Context()))
+	}
+	running.Wait()
+	assert.NilError(t, server.Shutdown(t.Context()))
+	assert.Equal(t, <-served, http.ErrServerClosed)
+	mu.Lock()
+	defer mu.Unlock()
+	for i, ok := range answered {
+		if path := fmt.Sprintf("/second/%d", i); begun[path] && !ok {
+			t.Fatalf("%s was begun and not answered", path)
+		}
+	}
+}
