--- /dev/null
+++ b/internal/faultproxy/tcp_test.go
@@ -0,0 +1,65 @@
+package faultproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// echo starts a server that sends back each line, and a relay in front of it.
+func echo(t *testing.T) *TCP {
+	t.Helper()
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	p, err := NewTCP(server.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Guards against a relay whose faults are not those that tests rely on.
+func TestTCPFaults(t *testing.T) {
+	p := echo(t)
+	c, err := net.Dial("tcp", p.Address())
+	assert.NilError(t, err)
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	ask := func(wait time.Duration) error {
+		_, err := c.Write([]byte("line\n"))
+		assert.NilError(t, err)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(wait)))
+		_, err = reader.ReadString('\n')
+		return err
+	}
+	assert.NilError(t, ask(10*time.Second))
+	p.Set(Conditions{DropToClient: true})
+	assert.ErrorContains(t, ask(100*time.Millisecond), "timeout")
+	p.Set(Conditions{})
+	assert.ErrorContains(t, ask(100*time.Millisecond), "timeout", "a silent connection stays silent")
+	p.Reset()
+	_, err = reader.ReadString('\n')
+	assert.Assert(t, err != nil)
+	p.Set(Conditions{Refuse: true})
+	refused, err := net.Dial("tcp", p.Address())
+	if err == nil {
+		_, err = refused.Read(make([]byte, 1))
+	}
+	assert.Assert(t, err != nil)
+}
