--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -96,19 +96,14 @@
 // hedgeDelay returns the time after which the answer is overdue. Requests that
 // may run only once have no second try beside the first.
 func (x *request) hedgeDelay(expected time.Duration) time.Duration {
-	never := time.Until(x.deadline) + time.Second
 	if !x.route.Kind.Idempotent() || x.rest != nil {
-		return never
+		return time.Until(x.deadline) + time.Second
 	}
 	delay := max(hedgeFactor*expected, hedgeLeast, x.judgedFor)
-	latest := time.Duration(hedgeLatest * float64(x.deadline.Sub(x.started)))
-	switch {
-	case delay <= latest:
-		return delay
-	case hedgeOverdue*expected <= latest:
-		return latest
+	if latest := time.Duration(hedgeLatest * float64(x.deadline.Sub(x.started))); delay > latest {
+		delay = latest
 	}
-	return never
+	return delay
 }
 
 // mayRepeat reports whether the request may be sent to one more endpoint.
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -35,10 +35,8 @@
 	hedgeFactor = 3
 	hedgeLeast  = 60 * time.Millisecond
 	// hedgeLatest is the latest part of the time left at which a second try is
-	// still of use. If the answer is not overdue by then, by hedgeOverdue of the
-	// expected time, it is late because of load, which a second try only adds to.
-	hedgeLatest  = 0.5
-	hedgeOverdue = 2
+	// still of use.
+	hedgeLatest = 0.5
 )
 
 // request is one request of a client on its way through the entry node.
