Check in the soak that no request is lost without an unplanned fault

A request that was passed on to sound endpoints only, with time left and no unplanned fault at its machines within three seconds, must get an answer, also around planned stops and while the store is away.

--- a/test/soak/endpoint_test.go
+++ b/test/soak/endpoint_test.go
@@ -95,22 +95,22 @@
 
 // run serves one request and records it.
 func (e *endpoint) run(w http.ResponseWriter, r *http.Request) {
+	mode := e.mode.Load()
+	if rand.IntN(3) == 0 {
+		mode = sound // Part of the requests succeed all the same.
+	}
 	id := r.Header.Get(platformtest.HeaderRequestID)
 	deadline, err := strconv.ParseFloat(r.Header.Get(platformtest.HeaderDeadline), 64)
 	if err != nil {
 		deadline = -1
 	}
 	e.machine.fleet.ledger.ran(id, run{
-		at: time.Now(), endpoint: e, path: r.URL.Path, caller: r.Header.Get(platformtest.HeaderCaller),
+		at: time.Now(), endpoint: e, mode: mode, path: r.URL.Path, caller: r.Header.Get(platformtest.HeaderCaller),
 		deadline: time.Duration(deadline * float64(time.Millisecond)),
 	})
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	mode := e.mode.Load()
-	if rand.IntN(3) == 0 {
-		mode = sound // Part of the requests succeed all the same.
-	}
 	work := 5*time.Millisecond + rand.N(20*time.Millisecond)
 	switch mode {
 	case failing:
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 type run struct {
 	at       time.Time
 	endpoint *endpoint
+	// mode is how the endpoint treated the request.
+	mode     int32
 	path     string
 	caller   string
 	deadline time.Duration
@@ -88,6 +91,18 @@
 	maxAttempts   = 3
 )
 
+// lost reports whether a request without an answer was passed on to sound endpoints
+// only, with no unplanned fault around it and time left; l.mu is held.
+func (l *ledger) lost(r result) bool {
+	runs := l.runs[r.id]
+	if len(runs) == 0 || r.ended.Sub(r.sent) > r.deadline*9/10 || !r.machine.calmAt(r.ended) {
+		return false
+	}
+	return !slices.ContainsFunc(runs, func(run run) bool {
+		return run.mode != sound || !run.endpoint.machine.calmAt(r.ended)
+	})
+}
+
 // check returns the promises that were broken.
 func (l *ledger) check() (faults []string) {
 	l.mu.Lock()
@@ -106,6 +121,8 @@
 			fault("MIXED: %s has a success that is not its endpoint's whole answer (signed %v)", r.id, r.signed)
 		case r.err == nil && r.status/100 == 2 && executed == 0:
 			fault("MIXED: %s has a success and no endpoint ran it", r.id)
+		case r.err != nil && l.lost(r):
+			fault("LOST: %s on %s of %s got no answer after %v: %v", r.id, r.path, r.machine.name, r.ended.Sub(r.sent), r.err)
 		case executed > maxAttempts:
 			fault("BUDGET: %s ran at %d endpoints", r.id, executed)
 		case r.status == http.StatusNotFound || r.status == http.StatusBadRequest:
