Leave the time on the link out of placement

The time of a route included the transfer since large answers are sent in turn, so that downloads left domains whose links were full and filled those of others.

Ruled out: the order on the link itself, which moves no request.

Change: the time of a route ends with the head of the answer, as before. The pause before another node's word costs a read is back at 0.4 of the time in which a configuration must be in force: with 0.32 many nodes read a change twice.

--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -67,8 +67,6 @@
 	load   placement.Load
 	// took is the time at the endpoint until the head of the answer.
 	took time.Duration
-	// delivered tells the gate that the answer has ended or was given up here.
-	delivered func()
 	// buffered holds the start of the body that was read already, whole says that
 	// nothing follows it.
 	buffered []byte
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -60,8 +60,7 @@
 	pool     *exchange.Pool
 	waiting  map[uint64]chan *verdict.Error
 	judge    *rollout.Judge
-	// routes are the mean times from the request's slot until its answer has left
-	// this node, by route.
+	// routes are the mean times until the answer, by route.
 	routes map[string]time.Duration
 }
 
@@ -92,7 +91,9 @@
 	maxRoutes   = 1000
 )
 
-// learn takes the time until an answer has left this node into the mean of its route.
+// learn takes the time until an answer into the mean of its route. The time on the
+// link is left out: with it, downloads left their failure domain because its links
+// were full, filled those of others, and were not served better.
 func (eg *endpointGate) learn(route string, took time.Duration) {
 	mean, ok := eg.routes[route]
 	if !ok {
@@ -165,12 +166,9 @@
 		return nil, g.loadOf(eg, c.Route), failure
 	}
 	a.took = g.deps.now().Sub(started)
-	a.delivered = func() {
-		if a.notRun {
-			return
-		}
+	if !a.notRun {
 		g.mu.Lock()
-		eg.learn(c.Route, g.deps.now().Sub(started))
+		eg.learn(c.Route, a.took)
 		g.mu.Unlock()
 	}
 	g.judgeAnswer(eg, c, a)
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -228,7 +228,6 @@
 		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	w.WriteHeader(a.status)
-	defer a.delivered()
 	target := s.deps.now().Add(time.Duration(c.TargetUs) * time.Microsecond)
 	if err := s.deps.uplink.copyAnswer(ctx, w, a.body, a.length, target); err != nil {
 		panic(http.ErrAbortHandler)
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -205,9 +205,6 @@
 	var load placement.Load
 	if result.endpoint.Distance == placement.SameInstance {
 		result.answer, load, result.failure = x.entry.gate.serve(ctx, c)
-		if result.answer != nil {
-			defer result.answer.delivered()
-		}
 	} else {
 		result.answer, load, result.failure = x.entry.hops.send(ctx, result.endpoint.Address, c)
 	}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -284,7 +284,7 @@
 // fetchPauseShare is the part of the time within which a configuration must be in
 // force that a node waits before another node's word of a newer one costs a call.
 // Its own watch, which pauses for less after a change, usually reports it first.
-const fetchPauseShare = 0.32
+const fetchPauseShare = 0.4
 
 // fetchNewer reads the configuration and the rollouts when another node has newer
 // ones.
