--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -1,7 +1,6 @@
 package soak_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,7 +16,6 @@
 
 	"github.com/azurespring/azurespring/internal/faultproxy"
 	"github.com/azurespring/azurespring/internal/testcluster"
-	"github.com/azurespring/azurespring/platform"
 	"github.com/azurespring/azurespring/platform/platformtest"
 )
 
@@ -250,16 +248,3 @@
 	defer m.mu.Unlock()
 	return m.endpoint
 }
-
-// ready reports whether the node answers that it takes requests.
-func (m *machine) ready(ctx context.Context) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.readiness+platform.ReadinessPath, nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	return response.Body.Close() == nil && response.StatusCode == http.StatusOK
-}
