Let the first request of a test cross a close too

The test closes connections that are idle for 20 ms. On a busy machine a client needs longer than that from its connection to its first request, which then crosses the close as the second is meant to.

Change: the check, begun means answered, now holds for both requests; a first one that was not begun is allowed.

--- a/pkg/sidecar/clientserver_test.go
+++ b/pkg/sidecar/clientserver_test.go
@@ -53,7 +53,7 @@
 	go func() { served <- server.Serve(listener) }()
 
 	const clients = 40
-	answered := make([]bool, clients)
+	var answered sync.Map
 	var running, firsts sync.WaitGroup
 	firsts.Add(clients)
 	for i := range clients {
@@ -76,12 +76,11 @@
 				}
 				return response.Body.Close() == nil
 			}
-			if !ask(fmt.Sprintf("/first/%d", i)) {
-				t.Error("the first request was not answered")
-			}
+			// On a busy machine the first request may cross a close as well.
+			answered.Store(fmt.Sprintf("/first/%d", i), ask(fmt.Sprintf("/first/%d", i)))
 			firsts.Done()
 			time.Sleep(idle - 500*time.Microsecond + rand.N(time.Millisecond))
-			answered[i] = ask(fmt.Sprintf("/second/%d", i))
+			answered.Store(fmt.Sprintf("/second/%d", i), ask(fmt.Sprintf("/second/%d", i)))
 		})
 	}
 	if shutdown {
@@ -94,8 +93,8 @@
 	assert.Equal(t, <-served, http.ErrServerClosed)
 	mu.Lock()
 	defer mu.Unlock()
-	for i, ok := range answered {
-		if path := fmt.Sprintf("/second/%d", i); begun[path] && !ok {
+	for path := range begun {
+		if ok, _ := answered.Load(path); ok != true {
 			t.Fatalf("%s was begun and not answered", path)
 		}
 	}
