Refuse callers on kept connections for a second before a planned stop closes them

Cause: shutdown closed idle connections of callers 25 ms after the node began to refuse calls.

Change: the listener closes first, then connections stay open until each was told by an answer with Connection: close, for a second at most.

Ruled out: a close without notice but with a half-closed connection; the server cannot answer a request that crossed it.

A caller that sends nothing for a second and then just at the close can still meet it.

--- a/pkg/node/servers.go
+++ b/pkg/node/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,6 +30,8 @@
 	caller, target, admin                         *http.Server
 	callerListener, targetListener, adminListener net.Listener
 	callerTLS                                     static.TLSFiles
+	// callerConnections is the number of open connections of callers.
+	callerConnections atomic.Int64
 }
 
 // listen binds the TCP listeners, so that the ports are known before the node
@@ -89,6 +92,7 @@
 	local.Handle("/v1/targets/", announce)
 	local.Handle("/", entry)
 	s.caller, s.target, s.admin = newServer(entry), newServer(local), newServer(admin)
+	s.caller.ConnState = s.countCaller
 	group.Go(func() error {
 		if s.callerTLS.Enabled() {
 			return endOf(s.caller.ServeTLS(s.callerListener, s.callerTLS.Cert, s.callerTLS.Key))
@@ -100,14 +104,44 @@
 }
 
 func endOf(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// shutdownCaller takes no new connections from callers and lets open calls end.
-func (s *servers) shutdownCaller(ctx context.Context) { _ = s.caller.Shutdown(ctx) }
+func (s *servers) countCaller(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.callerConnections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.callerConnections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// callerNotice is how long connections of callers stay open once the node drains.
+// The answer to the next request on one tells the caller that it ends; a request that
+// crosses the close gets no answer. Callers that are busy send one sooner than this.
+const callerNotice = time.Second
+
+// shutdownCaller takes no new connections from callers and lets open calls end. Calls
+// must be refused already.
+func (s *servers) shutdownCaller(ctx context.Context) {
+	// Serve ends with net.ErrClosed; another error of Close has no consequence here.
+	_ = s.callerListener.Close()
+	notice, cancel := context.WithTimeout(ctx, callerNotice)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.callerConnections.Load() > 0 && notice.Err() == nil {
+		select {
+		case <-notice.Done():
+		case <-ticker.C:
+		}
+	}
+	_ = s.caller.Shutdown(ctx) // shutdown closes what is left at the end of ctx.
+}
 
 // shutdown ends the servers that targets and operators use.
 func (s *servers) shutdown(ctx context.Context) {
