Reject large answers at the gate when the machine's link is full beyond their target

The gate admitted downloads by slots alone.

Change: the gate learns the usual size of a route's answers, counts what waits for the link and what admitted calls will send, and rejects a call that the link would make too late, with the time it is too late by. The sender places it elsewhere. Late answers need no order of their own any more; the most pressing goes first.

--- a/pkg/mesh/egress/link.go
+++ b/pkg/mesh/egress/link.go
@@ -53,8 +53,53 @@
 	bytesPerSecond float64
 	busyUntil      time.Time
 	waiting        []Chunk
+	// promised is the usual number of bytes of the admitted answers that have not begun.
+	promised int64
 }
 
+// Expected is an answer that does not exist yet.
+type Expected struct {
+	// Bytes is the usual size of such answers, Ready the usual time until one begins.
+	Bytes int64
+	Ready time.Duration
+	// TargetAt is the time until which the answer has its full worth, Deadline the
+	// time after which it has none.
+	TargetAt time.Time
+	Deadline time.Time
+}
+
+// Admit returns how much too late the link would send the answer, behind all that waits
+// and all that is promised: past its target or, if it would miss that on an idle link as
+// well, past its deadline. 0 or less means that it should run. An answer that is late
+// for another reason is not this link's to reject.
+//
+// The load pattern it answers: more large answers than the link carries, for long.
+// Whatever the order, some are never sent in time. They are rejected before they run,
+// so that another endpoint may run them and none that was run is thrown away.
+func (l *Link) Admit(now time.Time, e Expected) time.Duration {
+	if l.bytesPerSecond <= 0 {
+		return 0
+	}
+	backlog := l.promised
+	for i := range l.waiting {
+		// Answers that wait for their reader instead do not hold up others.
+		backlog += l.waiting[i].Remaining
+	}
+	alone := now.Add(e.Ready + l.duration(e.Bytes) + pathMargin)
+	behind := now.Add(max(l.busyUntil.Sub(now), 0) + l.duration(backlog+e.Bytes) + pathMargin)
+	switch {
+	case !behind.After(alone):
+		return 0
+	case alone.After(e.TargetAt):
+		return behind.Sub(e.Deadline)
+	}
+	return behind.Sub(e.TargetAt)
+}
+
+// Promise counts the usual bytes of an answer that was admitted. The caller takes them
+// back, with a negative number, once the answer begins or is known not to come.
+func (l *Link) Promise(bytes int64) { l.promised += bytes }
+
 // NewLink returns the schedule of an idle link of the given rate in bytes per
 // second; 0 means that the rate is not known, and nothing waits.
 func NewLink(bytesPerSecond float64) *Link { return &Link{bytesPerSecond: rateShare * bytesPerSecond} }
@@ -100,7 +145,7 @@
 		}
 		best := 0
 		for i := range l.waiting {
-			if l.before(now, l.waiting[i], l.waiting[best]) {
+			if before(l.waiting[i], l.waiting[best]) {
 				best = i
 			}
 		}
@@ -111,23 +156,11 @@
 	return granted, 0
 }
 
-// before reports whether a goes before b: first urgent answers, then those that can be
-// in time, the most pressing first; then late ones, those with the least left to send
-// first.
-func (l *Link) before(now time.Time, a, b Chunk) bool {
+// before reports whether a goes before b: first urgent answers, then the most
+// pressing. Late answers need no order of their own: Admit bounds how many there are.
+func before(a, b Chunk) bool {
 	if a.Urgent != b.Urgent {
 		return a.Urgent
 	}
-	aInTime, bInTime := l.inTime(now, a), l.inTime(now, b)
-	switch {
-	case aInTime != bInTime:
-		return aInTime
-	case aInTime:
-		return a.TargetAt.Before(b.TargetAt)
-	}
-	return a.Remaining < b.Remaining
-}
-
-func (l *Link) inTime(now time.Time, c Chunk) bool {
-	return !now.Add(l.duration(c.Remaining) + pathMargin).After(c.TargetAt)
+	return a.TargetAt.Before(b.TargetAt)
 }
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -139,7 +139,7 @@
 			endpoint: e, queue: gate.NewQueue(e.Slots),
 			pool:    exchange.NewPool(e.Address, exchange.Dialer{Timeout: endpointDialTimeout}, g.deps.metrics.endpointConnection),
 			waiting: make(map[uint64]chan *verdict.Error), judge: rollout.NewJudge(),
-			routes: make(map[string]time.Duration),
+			routes: make(map[string]time.Duration), sizes: make(map[string]int64),
 		}
 	}
 }
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/egress"
 	"github.com/azurespring/azurespring/pkg/mesh/gate"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
@@ -60,8 +61,10 @@
 	pool     *exchange.Pool
 	waiting  map[uint64]chan *verdict.Error
 	judge    *rollout.Judge
-	// routes are the mean times until the answer, by route.
+	// routes are the mean times until the answer and sizes the mean numbers of bytes of
+	// its body, by route.
 	routes map[string]time.Duration
+	sizes  map[string]int64
 }
 
 func newLocalGate(deps *shared) *localGate {
@@ -105,6 +108,18 @@
 	eg.routes[route] = mean + time.Duration(routeWeight*float64(took-mean))
 }
 
+// learnSize takes the size of a whole answer into the mean of its route.
+func (eg *endpointGate) learnSize(route string, bytes int64) {
+	mean, ok := eg.sizes[route]
+	if !ok {
+		if len(eg.sizes) >= maxRoutes {
+			clear(eg.sizes)
+		}
+		mean = bytes
+	}
+	eg.sizes[route] = mean + int64(routeWeight*float64(bytes-mean))
+}
+
 // published returns the endpoints beside this node that take requests, and the
 // ends that the next process must know.
 func (g *localGate) published() ([]mesh.Endpoint, []mesh.Ended) {
@@ -148,6 +163,37 @@
 // serve runs a call at the endpoint that it names. load is what the sender
 // should know of the endpoint, also after a rejection.
 func (g *localGate) serve(ctx context.Context, c *call) (*answer, placement.Load, *verdict.Error) {
+	taken, load, rejection := g.promise(c)
+	if rejection != nil {
+		return nil, load, rejection
+	}
+	defer taken()
+	return g.run(ctx, c)
+}
+
+// promise asks for room on the link of this machine if the answer will be large.
+func (g *localGate) promise(c *call) (taken func(), load placement.Load, rejection *verdict.Error) {
+	g.mu.Lock()
+	eg := g.gates[c.Endpoint]
+	expected := egress.Expected{Deadline: c.deadline}
+	if eg != nil {
+		expected.Bytes, expected.Ready, load = eg.sizes[c.Route], eg.routes[c.Route], eg.load(c.Route)
+	}
+	g.mu.Unlock()
+	if expected.Bytes < largeAnswer {
+		return func() {}, load, nil
+	}
+	expected.TargetAt = g.deps.now().Add(time.Duration(c.TargetUs) * time.Microsecond)
+	taken, late := g.deps.uplink.promise(expected)
+	if late > 0 {
+		rejection = verdict.Refuse(verdict.Overloaded, "the machine's link is full for longer than the answer can wait")
+		rejection.RetryAfter = late
+	}
+	return taken, load, rejection
+}
+
+// run waits for a slot and runs the call.
+func (g *localGate) run(ctx context.Context, c *call) (*answer, placement.Load, *verdict.Error) {
 	eg, load, rejection := g.admit(ctx, c)
 	if rejection != nil {
 		return nil, load, rejection
@@ -173,9 +219,14 @@
 	}
 	g.judgeAnswer(eg, c, a)
 	a.load = g.loadOf(eg, c.Route)
-	a.body = g.spools.wrap(&slotBody{ReadCloser: a.body, done: func() {
+	a.body = g.spools.wrap(&slotBody{ReadCloser: a.body, done: func(whole bool, bytes int64) {
 		cancel()
 		g.finish(eg, g.deps.now().Sub(started))
+		if whole && !a.notRun {
+			g.mu.Lock()
+			eg.learnSize(c.Route, bytes)
+			g.mu.Unlock()
+		}
 	}}, a.length, cancel)
 	return a, a.load, nil
 }
@@ -261,14 +312,17 @@
 type slotBody struct {
 	io.ReadCloser
 	once sync.Once
-	done func()
+	// done is told whether the answer was read to its end, and how many bytes it had.
+	done  func(whole bool, bytes int64)
+	bytes int64
 }
 
 // Read implements io.Reader.
 func (b *slotBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.bytes += int64(n)
 	if err != nil {
-		b.once.Do(b.done)
+		b.once.Do(func() { b.done(err == io.EOF, b.bytes) })
 	}
 	return n, err
 }
@@ -276,7 +330,7 @@
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(b.done)
+	b.once.Do(func() { b.done(false, 0) })
 	return err
 }
 
--- a/pkg/sidecar/uplink.go
+++ b/pkg/sidecar/uplink.go
@@ -48,6 +48,22 @@
 	u.mu.Unlock()
 }
 
+// promise asks for room for an answer. taken must be called once the answer begins or
+// is known not to come; late is more than 0 if there is no room.
+func (u *uplink) promise(e egress.Expected) (taken func(), late time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if late = u.link.Admit(u.now(), e); late > 0 {
+		return nil, late
+	}
+	u.link.Promise(e.Bytes)
+	return func() {
+		u.mu.Lock()
+		u.link.Promise(-e.Bytes)
+		u.mu.Unlock()
+	}, 0
+}
+
 // await waits for the turn of a chunk.
 func (u *uplink) await(ctx context.Context, c egress.Chunk) error {
 	u.mu.Lock()
