Keep requests away from nodes that cannot be reached until a connection can be made

Each node ejected its endpoints for 0.25 to 4 s, then tried again with a client's request, which waited 300 ms for a connection; after all processes restarted at 32 s, none knew of it. The log has 62 such tries in the two seconds from 34 s and 363 from 16 s on, all to this one address.

Change: an endpoint whose node cannot be connected to is lost until a connection that no request waits for succeeds (every 0.1 to 4 s). A request waits 100 ms for a new connection and is then placed elsewhere, unsent; the pool goes on and keeps the connection. Node_lost and node_regained are logged.

Ruled out: removing the entry from the store, because a node that only some cannot reach would lose its record of ended endpoints; a shorter connection timeout alone, because links with longer round trips exist.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -132,6 +132,9 @@
 	// MaxIdle is the longest time that a reused connection may have been idle;
 	// 0 means no bound.
 	MaxIdle time.Duration
+	// MaxDial is the longest time that the request waits for a new connection, which
+	// the pool goes on making for later requests; 0 means the time of the Dialer.
+	MaxDial time.Duration
 }
 
 // exchange sends the request and reads the head of its answer.
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -280,3 +281,56 @@
 	assert.Assert(t, failure != nil && failure.Sent && errors.Is(failure, context.Canceled), "%v", failure)
 	<-ended
 }
+
+// silentListener listens on loopback and answers no attempt to connect, like a machine
+// without power, until accept is called.
+func silentListener(t *testing.T) (address string, accept func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	assert.NilError(t, err)
+	// With a full queue of length 0, the kernel drops further attempts.
+	assert.NilError(t, raw.Control(func(fd uintptr) { assert.NilError(t, unix.Listen(int(fd), 0)) }))
+	for range 2 {
+		dialer := net.Dialer{Timeout: 100 * time.Millisecond}
+		if c, err := dialer.Dial("tcp", listener.Addr().String()); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}
+	return listener.Addr().String(), func() {
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					_, _ = io.Copy(io.Discard, c)
+					_ = c.Close()
+				}()
+			}
+		}()
+	}
+}
+
+// Guards against requests that wait for a machine which is gone, 300 ms each, although
+// other endpoints are free; and against connections that are made in vain.
+func TestRequestDoesNotWaitForASlowConnection(t *testing.T) {
+	address, accept := silentListener(t)
+	opened := make(chan struct{}, 1)
+	pool := NewPool(address, Dialer{Timeout: 10 * time.Second}, func() { opened <- struct{}{} })
+	defer pool.Close()
+	r := newRequest(context.Background(), "1", nil)
+	r.MaxDial = 50 * time.Millisecond
+	started := time.Now()
+	_, failure := pool.Do(context.Background(), r)
+	assert.Assert(t, failure != nil && failure.Dial && !failure.Sent, "%v", failure)
+	assert.Assert(t, time.Since(started) < time.Second, "the request waited for %v", time.Since(started))
+
+	accept()
+	<-opened // The system tries again a second after the first attempt.
+	assert.NilError(t, pool.Connect(context.Background()))
+	assert.Equal(t, len(opened), 0, "the connection of the first request was not kept")
+}
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -40,14 +41,10 @@
 func (p *Pool) Do(ctx context.Context, r Request) (*http.Response, *Error) {
 	c := p.take(r.MaxIdle)
 	if c == nil {
-		dialed, err := p.dialer.DialContext(ctx, "tcp", p.address)
-		if err != nil {
+		var err error
+		if c, err = p.await(ctx, r.MaxDial); err != nil {
 			return nil, &Error{Dial: true, Err: err}
 		}
-		if p.opened != nil {
-			p.opened()
-		}
-		c = newConn(dialed)
 	}
 	response, failure := c.exchange(ctx, r)
 	if failure != nil {
@@ -67,6 +64,73 @@
 	return response, nil
 }
 
+// Connect makes sure that there is an idle connection.
+func (p *Pool) Connect(ctx context.Context) error {
+	c := p.take(0)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx); err != nil {
+			return err
+		}
+	}
+	p.keep(c)
+	return nil
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	dialed, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	if p.opened != nil {
+		p.opened()
+	}
+	return newConn(dialed), nil
+}
+
+func (p *Pool) keep(c *conn) {
+	if !p.put(c, defaultIdle) {
+		_ = c.Conn.Close()
+	}
+}
+
+// errSlowDial is the failure of a request that did not wait for its connection.
+var errSlowDial = errors.New("no connection yet")
+
+// await makes a connection. It gives up after longest, if that is not 0, or at the end
+// of ctx; the connection is kept for others then.
+func (p *Pool) await(ctx context.Context, longest time.Duration) (*conn, error) {
+	if longest == 0 {
+		return p.dial(ctx)
+	}
+	type outcome struct {
+		c   *conn
+		err error
+	}
+	made, left := make(chan outcome), make(chan struct{})
+	defer close(left)
+	go func() {
+		c, err := p.dial(context.WithoutCancel(ctx))
+		select {
+		case made <- outcome{c, err}:
+		case <-left:
+			if err == nil {
+				p.keep(c)
+			}
+		}
+	}()
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case o := <-made:
+		return o.c, o.err
+	case <-timer.C:
+		return nil, errSlowDial
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // take returns the most recently used idle connection that is still usable.
 func (p *Pool) take(maxIdle time.Duration) *conn {
 	now := p.now()
--- a/pkg/mesh/placement/stats.go
+++ b/pkg/mesh/placement/stats.go
@@ -52,6 +52,7 @@
 	failuresAt   time.Time
 	ejections    int
 	ejectedUntil time.Time
+	unreachable  bool
 	lastSeen     time.Time
 }
 
@@ -105,6 +106,7 @@
 	}
 	s.ejections = 0
 	s.ejectedUntil = time.Time{}
+	s.unreachable = false
 }
 
 // Outcome takes in whether the endpoint answered a request properly.
@@ -130,6 +132,27 @@
 	s.ejectedUntil = now.Add(span)
 }
 
+// Lose keeps requests away until Found or Report. It reports false if they were kept
+// away already.
+//
+// The load pattern it answers: machines that are gone for good while their entries stay
+// in the store. With Eject alone, each node lost requests on each of them again and
+// again, one round of connecting for each.
+func (s *Stats) Lose() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.unreachable
+	s.unreachable = true
+	return !lost
+}
+
+// Found ends what Lose began.
+func (s *Stats) Found() {
+	s.mu.Lock()
+	s.unreachable = false
+	s.mu.Unlock()
+}
+
 func (s *Stats) failureShare(now time.Time) float64 {
 	if s.failures == 0 {
 		return 0
@@ -156,7 +179,7 @@
 	v := view{
 		load: float64(s.outstanding), service: s.service.value, serviceWeight: s.service.weight(now),
 		route: r.value, routeWeight: r.weight(now),
-		failures: s.failureShare(now), ejected: now.Before(s.ejectedUntil),
+		failures: s.failureShare(now), ejected: s.unreachable || now.Before(s.ejectedUntil),
 	}
 	if age := now.Sub(s.reportedAt); s.others > 0 && age < loadLifetime {
 		v.load += s.others * (1 - float64(age)/float64(loadLifetime))
--- a/pkg/mesh/placement/table.go
+++ b/pkg/mesh/placement/table.go
@@ -63,6 +63,8 @@
 type Table struct {
 	services  map[string]map[string][]*Endpoint
 	instances []string
+	// addresses are those of the nodes beside the endpoints.
+	addresses map[string]bool
 	// ranks orders the endpoints of each service and version alike on all nodes.
 	ranks map[versionKey][]*Endpoint
 }
@@ -99,6 +101,9 @@
 // Instances returns the names of the instances with endpoints, in order.
 func (b *Table) Instances() []string { return b.instances }
 
+// Knows reports whether the node at address has an endpoint.
+func (b *Table) Knows(address string) bool { return b.addresses[address] }
+
 // Builder builds tables and keeps the observations that outlive them.
 type Builder struct {
 	self Locality
@@ -119,11 +124,14 @@
 func (b *Builder) Build(now time.Time, instances []mesh.Instance) *Table {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	table := &Table{services: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint)}
+	table := &Table{
+		services: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint), addresses: make(map[string]bool),
+	}
 	for i := range instances {
 		instance := &instances[i]
 		if len(instance.Endpoints) > 0 {
 			table.instances = append(table.instances, instance.Name)
+			table.addresses[instance.Address] = true
 		}
 		for _, e := range instance.Endpoints {
 			versions := table.services[e.Service]
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh/egress"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
@@ -22,6 +24,18 @@
 // between regions is about 20 ms; a machine without power does not answer.
 const nodeDialTimeout = 300 * time.Millisecond
 
+// nodeDialPatience is how long a request waits for a connection to another node before
+// it is placed elsewhere: a few of the longest round trips, and a sixth of the shortest
+// target of the users' routes.
+const nodeDialPatience = 100 * time.Millisecond
+
+// Pauses between two tries to reach a node that could not be reached. They cost no
+// request; with the longest, 270 lost machines cost each node fewer than 70 dials a second.
+const (
+	firstReconnect = 100 * time.Millisecond
+	lastReconnect  = 4 * time.Second
+)
+
 // poolLifetime is how long the connections to a node are kept without a request.
 const poolLifetime = 30 * time.Second
 
@@ -32,6 +46,8 @@
 	pools map[string]*hopPool
 	// offered is when state was last offered to an address.
 	offered map[string]time.Time
+	// lost holds the endpoints of each address that cannot be reached.
+	lost map[string][]*placement.Endpoint
 }
 
 type hopPool struct {
@@ -40,7 +56,10 @@
 }
 
 func newHopClient(deps *shared) *hopClient {
-	return &hopClient{deps: deps, pools: make(map[string]*hopPool), offered: make(map[string]time.Time)}
+	return &hopClient{
+		deps: deps, pools: make(map[string]*hopPool), offered: make(map[string]time.Time),
+		lost: make(map[string][]*placement.Endpoint),
+	}
 }
 
 func (h *hopClient) pool(address string) *exchange.Pool {
@@ -70,6 +89,45 @@
 	}
 }
 
+// lose keeps requests away from an endpoint whose node could not be reached until a
+// connection to it can be made.
+func (h *hopClient) lose(e *placement.Endpoint) {
+	if !e.Lose() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.lost[e.Address]) == 0 {
+		h.deps.log.event("node_lost", fields{"address": e.Address, "endpointInstance": e.Instance})
+		go h.reconnect(e.Address)
+	}
+	h.lost[e.Address] = append(h.lost[e.Address], e)
+}
+
+// reconnect tries to reach a lost node until it can, or its entry or this node is gone.
+func (h *hopClient) reconnect(address string) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval, retry.RandomizationFactor = firstReconnect, lastReconnect, 0.5
+	started, tries := h.deps.now(), 0
+	for {
+		time.Sleep(retry.NextBackOff())
+		tries++
+		table := h.deps.table.Load()
+		gone := h.deps.withdrawn.Load() || table != nil && !table.Knows(address)
+		if gone || h.pool(address).Connect(context.Background()) == nil {
+			break
+		}
+	}
+	h.mu.Lock()
+	lost := h.lost[address]
+	delete(h.lost, address)
+	h.mu.Unlock()
+	for _, e := range lost {
+		e.Found()
+	}
+	h.deps.log.event("node_regained", fields{"address": address, "tries": tries, "afterMs": h.deps.now().Sub(started).Milliseconds()})
+}
+
 // send hands a call to the node at address.
 func (h *hopClient) send(ctx context.Context, address string, c *call) (*answer, placement.Load, *verdict.Error) {
 	request, err := c.request(ctx)
@@ -81,7 +139,7 @@
 	terms.Stopping = h.deps.stopping.Load()
 	terms.Config, terms.Orders = h.deps.heardConfig.Load(), h.deps.heardOrders.Load()
 	request.Header[hopTermsName] = []string{encodeHop(terms)}
-	sending := exchange.Request{Request: request}
+	sending := exchange.Request{Request: request, MaxDial: nodeDialPatience}
 	if !c.Idempotent {
 		sending.MaxIdle = maxReusedIdle
 	}
--- a/pkg/sidecar/place.go
+++ b/pkg/sidecar/place.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/verdict"
@@ -283,6 +285,8 @@
 			x.entry.budget(x.service).Return(now)
 		}
 		switch {
+		case outcome == tryUnreachable && isDial(result.failure):
+			x.entry.hops.lose(result.endpoint)
 		case outcome == tryUnreachable:
 			result.endpoint.Eject(now)
 		case result.failure.Code == verdict.VersionClosed:
@@ -308,6 +312,12 @@
 	return false
 }
 
+// isDial reports whether no connection to the endpoint's node could be made.
+func isDial(failure *verdict.Error) bool {
+	var e *exchange.Error
+	return errors.As(failure.Cause, &e) && e.Dial
+}
+
 // forget lets an endpoint that only had no room be chosen again: its load is
 // known now.
 func (x *request) forget(e *placement.Endpoint) {
