Reckon with small messages when large answers are admitted to the link

Cause: admission took the whole rate of the link for large answers, but small messages go first.

Change: the mean rate of what is sent without asking, over a second, is taken off.

Test, fails without the change (40 of 237 admitted answers in time, bound 95%): TestAdmittedAnswersAreInTimeBesideSmallMessages.

What is late still are mostly requests that a client sent again after a rejection: their time counts from the first attempt, which no node knows (not shown by a log).

--- a/pkg/mesh/egress/link.go
+++ b/pkg/mesh/egress/link.go
@@ -3,6 +3,7 @@
 package egress
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -55,6 +56,9 @@
 	bytesPerSecond float64
 	busyUntil      time.Time
 	waiting        []Chunk
+	// small is the mean rate of what is sent without asking, in bytes per second.
+	small   float64
+	smallAt time.Time
 	// promised is the usual number of bytes of the admitted answers that have not begun.
 	promised int64
 }
@@ -87,8 +91,8 @@
 		// Answers that wait for their reader instead do not hold up others.
 		backlog += l.waiting[i].Remaining
 	}
-	alone := now.Add(e.Ready + l.duration(e.Bytes) + pathMargin)
-	behind := now.Add(max(l.busyUntil.Sub(now), 0) + l.duration(backlog+e.Bytes) + pathMargin)
+	alone := now.Add(e.Ready + l.drained(now, e.Bytes) + pathMargin)
+	behind := now.Add(max(l.busyUntil.Sub(now), 0) + l.drained(now, backlog+e.Bytes) + pathMargin)
 	switch {
 	case !behind.After(alone):
 		return 0
@@ -113,8 +117,36 @@
 	return time.Duration(packetShare * float64(bytes) / l.bytesPerSecond * float64(time.Second))
 }
 
+// smallWindow is the time over which the rate of small messages is averaged: as long as
+// the targets of large answers.
+const smallWindow = time.Second
+
 // Spend counts bytes that are sent without asking.
 func (l *Link) Spend(now time.Time, bytes int) {
+	l.small = l.smallRate(now) + float64(bytes)/smallWindow.Seconds()
+	l.smallAt = now
+	l.take(now, bytes)
+}
+
+func (l *Link) smallRate(now time.Time) float64 {
+	if l.small == 0 {
+		return 0
+	}
+	return l.small * math.Exp(-now.Sub(l.smallAt).Seconds()/smallWindow.Seconds())
+}
+
+// drained returns how long large answers of the given bytes take beside the small
+// messages, which go first.
+func (l *Link) drained(now time.Time, bytes int64) time.Duration {
+	left := 1 - packetShare*l.smallRate(now)/l.bytesPerSecond
+	return time.Duration(float64(l.duration(bytes)) / max(left, leastLarge))
+}
+
+// leastLarge is the share of the link that is reckoned to be left for large answers,
+// however many small messages there are.
+const leastLarge = 0.1
+
+func (l *Link) take(now time.Time, bytes int) {
 	if l.busyUntil.Before(now) {
 		l.busyUntil = now
 	}
@@ -124,7 +156,7 @@
 // Ask reports whether a chunk may be sent at once. If not, Next returns its turn.
 func (l *Link) Ask(now time.Time, c Chunk) bool {
 	if len(l.waiting) == 0 && !l.busy(now) {
-		l.Spend(now, c.Bytes)
+		l.take(now, c.Bytes)
 		return true
 	}
 	l.waiting = append(l.waiting, c)
@@ -152,7 +184,7 @@
 			}
 		}
 		granted = append(granted, l.waiting[best].ID)
-		l.Spend(now, l.waiting[best].Bytes)
+		l.take(now, l.waiting[best].Bytes)
 		l.waiting = slices.Delete(l.waiting, best, best+1)
 	}
 	return granted, 0
--- a/pkg/mesh/egress/link_test.go
+++ b/pkg/mesh/egress/link_test.go
@@ -31,6 +31,12 @@
 // play sends answers of a size that arrive every gap and returns them. A link that
 // orders them is asked for each chunk; else they share the rate evenly.
 func play(t *testing.T, count int, size int64, gap, target time.Duration, ordered bool) []*transfer {
+	t.Helper()
+	return playBeside(t, 0, count, size, gap, target, ordered)
+}
+
+// playBeside is play beside small messages that take a share of the link.
+func playBeside(t *testing.T, small float64, count int, size int64, gap, target time.Duration, ordered bool) []*transfer {
 	t.Helper()
 	const step = time.Millisecond
 	start := time.Now()
@@ -68,6 +74,9 @@
 			}
 			continue
 		}
+		if small > 0 {
+			link.Spend(now, int(small*narrow*step.Seconds()))
+		}
 		granted, _ := link.Next(now)
 		for _, id := range granted {
 			asked[int(id)] = false
@@ -132,6 +141,25 @@
 	assert.Assert(t, rejected <= count*5/45, "%d of %d rejected", rejected, count)
 }
 
+// Guards against answers that are admitted and then late, because the link carries small
+// messages as well: half of the downloads on an overloaded link came shortly after their
+// target (inc-aa4a of grown tmwwc).
+func TestAdmittedAnswersAreInTimeBesideSmallMessages(t *testing.T) {
+	admitted, served := 0, 0
+	for _, x := range playBeside(t, 0.3, 350, 90_000, 40*time.Millisecond, time.Second, true) {
+		if x.rejected {
+			continue
+		}
+		admitted++
+		if !x.ended.IsZero() && !x.ended.After(x.target) {
+			served++
+		}
+	}
+	// The link carries 0.7 x 40 ms / 45 ms of the answers.
+	assert.Assert(t, admitted >= 350*55/100, "%d admitted", admitted)
+	assert.Assert(t, served >= admitted*95/100, "%d of %d admitted in time", served, admitted)
+}
+
 // Guards against rejecting answers that could be sent in time, and against running
 // those that cannot.
 func TestAdmit(t *testing.T) {
