Send large answers of a stopping entry node first

An entry node now sends large answers in turn, so that one could wait on its own link until the process ends. As at the endpoint's node, answers begun while the node stops go first. No test of its own: the order is that of TestAnswersForStoppingNodesGoFirst.

--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -171,7 +171,8 @@
 	if !a.whole {
 		body, length = io.MultiReader(body, a.body), a.length
 	}
-	err := x.entry.deps.uplink.copyAnswer(x.ctx, to, body, length, egress.Chunk{TargetAt: x.started.Add(x.route.TargetLatency)})
+	terms := egress.Chunk{TargetAt: x.started.Add(x.route.TargetLatency), Urgent: x.entry.deps.stopping.Load()}
+	err := x.entry.deps.uplink.copyAnswer(x.ctx, to, body, length, terms)
 	switch {
 	case to.failed != nil || x.r.Context().Err() != nil:
 		return verdict.Fail(verdict.Canceled, err, "the client did not take the answer")
