Leave answers to the own endpoint off the link's count; fill 98% of it

Cause: since all bytes are counted, 95% of the rate left free what is counted now, and answers to the calls of the endpoint beside a node counted although they do not leave the machine.

Change: such answers do not count; 98% of the rate may be filled, 2% are left for acknowledgements and the store.

Test: TestPeersOnThisMachine, written with the change.

On machines where clients have the node's own address, as on loopback, entry nodes do not pace answers to clients.

--- a/pkg/mesh/egress/link.go
+++ b/pkg/mesh/egress/link.go
@@ -12,9 +12,10 @@
 // 10 Mbit/s, the slowest links of the users' deployments, one takes 13 ms.
 const ChunkBytes = 16 << 10
 
-// rateShare is the part of the link's rate that may be filled. The rest is left to
-// acknowledgements, the store and what is sent again, which are not counted here.
-const rateShare = 0.95
+// rateShare is the part of the link's rate that may be filled. The rest is left to what
+// is not counted here: acknowledgements, one of 52 bytes for two full packets received,
+// and the store.
+const rateShare = 0.98
 
 // packetShare is the size of a full packet, 1,500 bytes, by what it carries: 1,448.
 const packetShare = 1500.0 / 1448
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -21,6 +21,9 @@
 	deps *shared
 	gate *localGate
 	hops *hopClient
+	// unlimited carries answers to the endpoint beside this node, which do not leave
+	// the machine.
+	unlimited *uplink
 
 	inFlight atomic.Int64
 
@@ -32,7 +35,7 @@
 
 func newEntry(deps *shared, gate *localGate, hops *hopClient) *Entry {
 	return &Entry{
-		deps: deps, gate: gate, hops: hops, budgets: make(map[string]*placement.Budget),
+		deps: deps, gate: gate, hops: hops, unlimited: newUplink(deps.now, 0), budgets: make(map[string]*placement.Budget),
 		references: make(map[string]time.Duration), turns: make(map[string]uint64),
 	}
 }
@@ -155,16 +158,20 @@
 		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	x.status = a.status
-	x.entry.deps.uplink.spendHead(header)
+	link := x.entry.deps.uplink
+	if x.entry.deps.settings.onThisMachine(x.r.RemoteAddr) {
+		link = x.entry.unlimited
+	}
+	link.spendHead(header)
 	x.w.WriteHeader(a.status)
 	if x.r.Method == http.MethodHead {
 		return nil
 	}
-	return x.passOnBody(a)
+	return x.passOnBody(a, link)
 }
 
 // passOnBody sends the body of an answer; a large one takes its turn on the link.
-func (x *request) passOnBody(a *answer) *verdict.Error {
+func (x *request) passOnBody(a *answer, link *uplink) *verdict.Error {
 	to := &clientWriter{to: x.w}
 	body := io.Reader(bytes.NewReader(a.buffered))
 	length := int64(len(a.buffered))
@@ -172,7 +179,7 @@
 		body, length = io.MultiReader(body, a.body), a.length
 	}
 	terms := egress.Chunk{TargetAt: x.started.Add(x.route.TargetLatency), Urgent: x.entry.deps.stopping.Load()}
-	err := x.entry.deps.uplink.copyAnswer(x.ctx, to, body, length, terms)
+	err := link.copyAnswer(x.ctx, to, body, length, terms)
 	switch {
 	case to.failed != nil || x.r.Context().Err() != nil:
 		return verdict.Fail(verdict.Canceled, err, "the client did not take the answer")
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -3,7 +3,10 @@
 // the endpoint beside it. What nodes share lies in the platform's store.
 package sidecar
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Settings are what a node is told of its machine and of the terms it runs on.
 type Settings struct {
@@ -45,6 +48,17 @@
 	LinkBytesPerSecond float64
 }
 
+// onThisMachine reports whether a peer with the given address and port runs on the same
+// machine as this node.
+func (s Settings) onThisMachine(peer string) bool {
+	host, _, err := net.SplitHostPort(peer)
+	if err != nil {
+		return false
+	}
+	own, _, err := net.SplitHostPort(s.Inbound)
+	return err == nil && host == own
+}
+
 // Headers are the names of the headers that clients, endpoints and nodes share.
 type Headers struct {
 	// RequestID identifies one try of a client; endpoints echo it.
--- a/pkg/sidecar/settings_test.go
+++ b/pkg/sidecar/settings_test.go
@@ -20,3 +20,20 @@
 	e.budget("s").Request(time.Now())
 	assert.Assert(t, !e.budget("s").Take(time.Now(), 24))
 }
+
+// Guards against answers to the endpoint beside a node that count on its machine's link,
+// which they never enter, and against answers to others that do not.
+func TestPeersOnThisMachine(t *testing.T) {
+	for _, test := range []struct {
+		inbound, peer string
+		same          bool
+	}{
+		{"10.1.0.7:8443", "10.1.0.7:40000", true},
+		{"10.1.0.7:8443", "10.1.0.70:40000", false},
+		{"[fd00::7]:8443", "[fd00::7]:40000", true},
+		{":8443", "10.1.0.7:40000", false},
+		{"10.1.0.7:8443", "", false},
+	} {
+		assert.Equal(t, Settings{Inbound: test.inbound}.onThisMachine(test.peer), test.same, "%+v", test)
+	}
+}
