--- a/pkg/mesh/egress/link.go
+++ b/pkg/mesh/egress/link.go
@@ -38,8 +38,8 @@
 	Remaining int64
 	// TargetAt is the time until which the whole answer has its full worth.
 	TargetAt time.Time
-	// Urgent is set for an answer whose node, or whose caller's, is stopping: it must be there
-	// before that process ends. There are few of them.
+	// Urgent is set for an answer whose node, or whose caller's, is stopping: it must be
+	// there before that process ends. There are few of them.
 	Urgent bool
 }
 
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -25,8 +25,7 @@
 const nodeDialTimeout = 300 * time.Millisecond
 
 // nodeDialPatience is how long a request waits for a connection to another node before
-// it is placed elsewhere: a few of the longest round trips, and a sixth of the shortest
-// target of the users' routes.
+// it is placed elsewhere: five of the longest round trips.
 const nodeDialPatience = 100 * time.Millisecond
 
 // Pauses between two tries to reach a node that could not be reached. They cost no
