Add the stalls of the soak's own process to its bounds on times

The logs of that run show that no client sent anything to any of six nodes for 1.9 s, while the nodes ran: the process of the test, which holds clients and endpoints and takes the times, stood still.

Ruled out: the nodes; one had its request for 13 ms of 1,320 ms.

Change: the time in which the process did not run, between the two moments that are compared, is added to the bound. Product code is unchanged.

--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -44,6 +44,8 @@
 	runs    map[string][]run
 	sheds   map[string]int
 	results []result
+	// stalls lengthen the bounds on times, which are taken in this process.
+	stalls stalls
 }
 
 func newLedger() *ledger { return &ledger{runs: make(map[string][]run), sheds: make(map[string]int)} }
@@ -151,14 +153,15 @@
 				continue
 			}
 			left := request.sent.Add(request.deadline).Sub(run.at)
-			if run.deadline > left+deadlineSlack {
+			if run.deadline > left+deadlineSlack+l.stalls.between(request.sent, run.at) {
 				fault("BUDGET: %s was handed %v with %v left", id, run.deadline, left)
 			}
 			leaving := run.endpoint.leaving.Load()
 			if leaving == 0 {
 				continue
 			}
-			if late := run.at.Sub(time.Unix(0, leaving)); late > drain+drainSlack {
+			acknowledged := time.Unix(0, leaving)
+			if late := run.at.Sub(acknowledged); late > drain+drainSlack+l.stalls.between(acknowledged, run.at) {
 				fault("DRAIN: %s reached %s %v after its leaving was acknowledged", id, run.endpoint.ID, late)
 			}
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -72,6 +72,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
+	clients.Go(func() { f.ledger.stalls.watch(ctx) })
 	for _, m := range f.machines {
 		for range 4 {
 			source := rand.NewPCG(r.Uint64(), r.Uint64())
@@ -92,7 +93,7 @@
 	for _, fault := range f.ledger.check() {
 		t.Error(fault)
 	}
-	t.Logf("%d requests, %d served", len(f.ledger.results), f.ledger.served())
+	t.Logf("%d requests, %d served; stalled for %v", len(f.ledger.results), f.ledger.served(), f.ledger.stalls.between(time.Time{}, time.Now()))
 }
 
 // awaitServing waits until all nodes serve all services, within the time that a
