Wait for the reader between two changes in the test of an older copy

The test stores versions 2 and 3 one behind the other and waits for 3 only; a reader leaves out a version that another supersedes while it fetches it (reader.superseded), which is allowed.

Ruled out: a version taken back; what is missing is 2 in each failure of the trial too.

Change: the test waits for 2 at the reader. What it checks is unchanged.

--- a/pkg/distribution/faults_test.go
+++ b/pkg/distribution/faults_test.go
@@ -40,6 +40,8 @@
 	f.awaitVersion(1, readerNode)
 	copied := f.backend.Save()
 	apply(t, other, 1, "b")
+	// A reader leaves out a version that another supersedes while it fetches it.
+	f.awaitVersion(2, readerNode)
 	apply(t, other, 2, "c")
 	f.awaitVersion(3, readerNode)
 
