--- a/pkg/mesh/egress/link.go
+++ b/pkg/mesh/egress/link.go
@@ -124,6 +124,9 @@
 
 // Spend counts bytes that are sent without asking.
 func (l *Link) Spend(now time.Time, bytes int) {
+	if l.bytesPerSecond <= 0 {
+		return
+	}
 	l.small = l.smallRate(now) + float64(bytes)/smallWindow.Seconds()
 	l.smallAt = now
 	l.take(now, bytes)
--- a/pkg/sidecar/gate.go
+++ b/pkg/sidecar/gate.go
@@ -171,13 +171,14 @@
 	return g.run(ctx, c)
 }
 
-// promise asks for room on the link of this machine if the answer will be large.
+// promise asks for room on the link of this machine if the answer will be large. load is
+// set with a rejection only.
 func (g *localGate) promise(c *call) (taken func(), load placement.Load, rejection *verdict.Error) {
 	g.mu.Lock()
 	eg := g.gates[c.Endpoint]
 	expected := egress.Expected{Deadline: c.deadline}
 	if eg != nil {
-		expected.Bytes, expected.Ready, load = eg.sizes[c.Route], eg.routes[c.Route], eg.load(c.Route)
+		expected.Bytes, expected.Ready = eg.sizes[c.Route], eg.routes[c.Route]
 	}
 	g.mu.Unlock()
 	if expected.Bytes < largeAnswer {
@@ -188,6 +189,7 @@
 	if late > 0 {
 		rejection = verdict.Refuse(verdict.Overloaded, "the machine's link is full for longer than the answer can wait")
 		rejection.RetryAfter = late
+		load = g.loadOf(eg, c.Route)
 	}
 	return taken, load, rejection
 }
--- a/pkg/sidecar/spool.go
+++ b/pkg/sidecar/spool.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"golang.org/x/sync/semaphore"
+
+	"github.com/azurespring/azurespring/pkg/mesh/egress"
 )
 
 // Bounds of what is read ahead of endpoints' answers: of one, and of all of a
@@ -20,7 +22,7 @@
 
 // largeAnswer is the size from which an answer is read ahead and sent in turn with
 // others.
-const largeAnswer = 16 << 10
+const largeAnswer = egress.ChunkBytes
 
 // spools bounds the memory of all spools of a node.
 type spools struct{ free *semaphore.Weighted }
