--- /dev/null
+++ b/pkg/sidecar/responsewriter.go
@@ -0,0 +1,141 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// responseWriter is the http.ResponseWriter of one request. It holds the response back
+// until the responses to earlier requests of the connection have been sent.
+type responseWriter struct {
+	session *session
+	request *http.Request
+	header  http.Header
+	// previousDone is closed once the earlier responses have been sent, done once this
+	// one has.
+	previousDone chan struct{}
+	done         chan struct{}
+
+	isHeaderWritten  bool
+	isChunked        bool
+	hasNoBody        bool
+	closesConnection bool
+	contentLength    int64
+	written          int64
+	err              error
+}
+
+// Header implements http.ResponseWriter.
+func (w *responseWriter) Header() http.Header { return w.header }
+
+// SetReadDeadline is called through http.ResponseController.
+func (w *responseWriter) SetReadDeadline(t time.Time) error { return w.session.conn.SetReadDeadline(t) }
+
+// EnableFullDuplex is called through http.ResponseController. Reading a body and
+// writing a response are always independent here.
+func (w *responseWriter) EnableFullDuplex() error { return nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	if w.isHeaderWritten {
+		return
+	}
+	w.isHeaderWritten = true
+	select {
+	case <-w.previousDone:
+	case <-w.request.Context().Done():
+		w.err = w.request.Context().Err()
+		return
+	}
+	w.setFraming(status)
+	_ = w.session.conn.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
+	writer := w.session.writer
+	_, _ = io.WriteString(writer, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n")
+	if err := w.header.Write(writer); err != nil {
+		w.err = err
+		return
+	}
+	_, w.err = io.WriteString(writer, "\r\n")
+}
+
+// setFraming decides how the end of the body is marked (by length, chunks or close) and
+// sets the corresponding header fields.
+func (w *responseWriter) setFraming(status int) {
+	w.closesConnection = w.request.Close || w.header.Get("Connection") == "close"
+	w.contentLength = -1
+	if text := w.header.Get("Content-Length"); text != "" {
+		if n, err := strconv.ParseInt(text, 10, 64); err == nil && n >= 0 {
+			w.contentLength = n
+		}
+	}
+	w.hasNoBody = w.request.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+	switch {
+	case w.hasNoBody || w.contentLength >= 0:
+	case w.request.ProtoAtLeast(1, 1):
+		w.isChunked = true
+		w.header.Set("Transfer-Encoding", "chunked")
+	default:
+		w.closesConnection = true
+	}
+	if w.closesConnection && !w.session.closeAfter(w) {
+		w.closesConnection = false
+		w.header.Del("Connection")
+	}
+	if w.closesConnection {
+		w.header.Set("Connection", "close")
+	} else if w.request.ProtoMinor == 0 {
+		w.header.Set("Connection", "keep-alive")
+	}
+	if w.header.Get("Date") == "" {
+		w.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	if w.err != nil || len(p) == 0 || w.hasNoBody {
+		return len(p), w.err
+	}
+	if w.contentLength >= 0 && w.written+int64(len(p)) > w.contentLength {
+		return 0, http.ErrContentLength
+	}
+	writer := w.session.writer
+	if w.isChunked {
+		_, _ = io.WriteString(writer, strconv.FormatInt(int64(len(p)), 16)+"\r\n")
+	}
+	n, err := writer.Write(p)
+	if w.isChunked {
+		_, err = io.WriteString(writer, "\r\n")
+	}
+	w.written += int64(n)
+	w.err = err
+	return n, err
+}
+
+// finish completes the response. The connection is closed if the body is shorter than
+// its Content-Length.
+func (w *responseWriter) finish() {
+	w.WriteHeader(http.StatusOK)
+	writer := w.session.writer
+	if w.isChunked && w.err == nil {
+		_, w.err = io.WriteString(writer, "0\r\n\r\n")
+	}
+	if w.err == nil {
+		w.err = writer.Flush()
+	}
+	if w.err != nil || !w.hasNoBody && w.contentLength >= 0 && w.written < w.contentLength {
+		_ = w.session.conn.Close()
+		return
+	}
+	if body := w.request.Body; body != nil && body != http.NoBody {
+		if n, err := io.CopyN(io.Discard, body, maxDrainedBodyBytes); n == maxDrainedBodyBytes || err != io.EOF {
+			w.closesConnection = true
+		}
+	}
+	if w.closesConnection {
+		w.session.linger()
+	}
+}
