--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -18,9 +18,9 @@
 // pipelined requests wait.
 type clientConn struct {
 	net.Conn
-	// ctx is canceled when either side has closed the connection.
+	// ctx is canceled when either side has closed the connection. Its cause tells which.
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 
 	mu       sync.Mutex
 	buffer   []byte
@@ -33,8 +33,14 @@
 	spaceFreed chan struct{}
 }
 
+// Causes of the end of a connection.
+var (
+	errClosedByClient = errors.New("the client closed the connection")
+	errClosedByNode   = errors.New("the node closed the connection")
+)
+
 func newClientConn(c net.Conn) *clientConn {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	conn := &clientConn{Conn: c, ctx: ctx, cancel: cancel, changed: make(chan struct{}), spaceFreed: make(chan struct{}, 1)}
 	go conn.readAhead()
 	return conn
@@ -54,7 +60,7 @@
 		c.broadcast()
 		c.mu.Unlock()
 		if err != nil {
-			c.cancel()
+			c.cancel(errClosedByClient)
 			return
 		}
 		if isFull {
@@ -139,8 +145,15 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
+// unreadBytes returns the number of bytes that have arrived and were not taken by Read.
+func (c *clientConn) unreadBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.buffer)
+}
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
-	c.cancel()
+	c.cancel(errClosedByNode)
 	return c.Conn.Close()
 }
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -46,6 +46,9 @@
 	limits  func() mesh.Limits
 	// onPanic is called for a panic of a handler other than http.ErrAbortHandler.
 	onPanic func(reason any, stack []byte)
+	// onCut is called when the server closes a connection on which a request has begun to
+	// arrive or has not been answered.
+	onCut func(cutConnection)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -54,11 +57,34 @@
 }
 
 func newClientServer(
-	handler http.Handler, limits func() mesh.Limits, onPanic func(reason any, stack []byte),
+	handler http.Handler, limits func() mesh.Limits, onPanic func(reason any, stack []byte), onCut func(cutConnection),
 ) *clientServer {
-	return &clientServer{handler: handler, limits: limits, onPanic: onPanic, sessions: make(map[*session]struct{})}
+	return &clientServer{
+		handler: handler, limits: limits, onPanic: onPanic, onCut: onCut, sessions: make(map[*session]struct{}),
+	}
+}
+
+// cutConnection describes a connection that the server closed before a request on it
+// was answered.
+type cutConnection struct {
+	reason string
+	client string
+	// inFlight is the number of requests without a complete response. isReading is set if
+	// a further request was arriving; unreadBytes is what had arrived behind it.
+	inFlight    int
+	isReading   bool
+	unreadBytes int
+	// idle is the time since the last response ended; it means nothing unless inFlight is
+	// 0.
+	idle time.Duration
 }
 
+// Reasons for which the server closes a connection.
+const (
+	cutByIdleTimeout = "idle-timeout"
+	cutByShutdown    = "shutdown"
+)
+
 // Serve accepts connections until Shutdown or Close is called, and then returns
 // http.ErrServerClosed.
 func (s *clientServer) Serve(listener net.Listener) error {
@@ -97,7 +123,7 @@
 	for {
 		s.mu.Lock()
 		for session := range s.sessions {
-			session.closeIfIdle(0)
+			session.closeIfIdle(0, cutByShutdown)
 		}
 		remaining := len(s.sessions)
 		s.mu.Unlock()
@@ -118,6 +144,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for session := range s.sessions {
+		session.mu.Lock()
+		session.reportCut(cutByShutdown)
+		session.mu.Unlock()
 		_ = session.conn.Close()
 	}
 	return nil
@@ -140,11 +169,13 @@
 	reader       *bufio.Reader
 	writer       *bufio.Writer
 
+	// isReading is set while a request is arriving that has not been started.
 	// lastResponse belongs to the request that was started last; inFlight is the number
 	// of requests that have not ended. Once isClosing is set, no further request is
 	// started and the connection ends after lastResponse, or at once if nothing is in
 	// flight.
 	mu           sync.Mutex
+	isReading    bool
 	lastResponse *responseWriter
 	inFlight     int
 	isClosing    bool
@@ -162,6 +193,7 @@
 	if s.isClosing {
 		return false
 	}
+	s.isReading = false
 	s.lastResponse = w
 	s.inFlight++
 	return true
@@ -188,13 +220,16 @@
 	if s.idleTimer != nil {
 		s.idleTimer.Stop()
 	}
-	s.idleTimer = time.AfterFunc(idleTimeout, func() { s.closeIfIdle(idleTimeout) })
+	s.idleTimer = time.AfterFunc(idleTimeout, func() { s.closeIfIdle(idleTimeout, cutByIdleTimeout) })
 }
 
 // closeIfIdle closes the connection if it has been idle for at least minIdle.
-func (s *session) closeIfIdle(minIdle time.Duration) {
+func (s *session) closeIfIdle(minIdle time.Duration, reason string) {
 	s.mu.Lock()
 	isIdle := s.inFlight == 0 && time.Since(s.idleSince) >= minIdle
+	if isIdle && !s.isClosing {
+		s.reportCut(reason)
+	}
 	s.isClosing = s.isClosing || isIdle
 	s.mu.Unlock()
 	if isIdle {
@@ -202,6 +237,19 @@
 	}
 }
 
+// reportCut reports that the server closes the connection if a request on it is not
+// answered; s.mu must be held.
+func (s *session) reportCut(reason string) {
+	unreadBytes := s.conn.unreadBytes()
+	if s.conn.ctx.Err() != nil || s.inFlight == 0 && !s.isReading && unreadBytes == 0 {
+		return
+	}
+	s.server.onCut(cutConnection{
+		reason: reason, client: s.conn.RemoteAddr().String(), inFlight: s.inFlight, isReading: s.isReading,
+		unreadBytes: unreadBytes, idle: time.Since(s.idleSince),
+	})
+}
+
 // closeAfter reports whether the connection may be closed after the response of w. It
 // may not if later requests have been started, because their responses would be lost.
 // Otherwise no further request is started on the connection.
@@ -302,6 +350,9 @@
 	if _, err := s.reader.Peek(1); err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
+	s.isReading = true
+	s.mu.Unlock()
 	_ = s.conn.SetReadDeadline(time.Now().Add(clientHeaderTimeout))
 	r, err := http.ReadRequest(s.reader)
 	if err != nil {
--- a/pkg/sidecar/clientserver_test.go
+++ b/pkg/sidecar/clientserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -46,7 +47,7 @@
 	if shutdown {
 		limits.IdleTimeout = time.Minute
 	}
-	server := newClientServer(handler, func() mesh.Limits { return limits }, func(reason any, _ []byte) { t.Error(reason) })
+	server := newClientServer(handler, func() mesh.Limits { return limits }, func(reason any, _ []byte) { t.Error(reason) }, func(cutConnection) {})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	served := make(chan error, 1)
@@ -99,3 +100,50 @@
 		}
 	}
 }
+
+// Verifies that a connection that the node closes under a request is reported and told
+// apart from a client that leaves. Otherwise a lost request looks like an impatient client.
+func TestCutConnectionIsReported(t *testing.T) {
+	for _, byNode := range []bool{false, true} {
+		t.Run(fmt.Sprint("by node ", byNode), func(t *testing.T) {
+			started, cause := make(chan struct{}), make(chan error, 1)
+			handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				close(started)
+				<-r.Context().Done()
+				cause <- context.Cause(r.Context())
+				panic(http.ErrAbortHandler)
+			})
+			var cuts []cutConnection
+			server := newClientServer(handler, func() mesh.Limits { return mesh.Limits{} },
+				func(reason any, _ []byte) { t.Error(reason) }, func(c cutConnection) { cuts = append(cuts, c) })
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(listener) }()
+			c, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			defer c.Close()
+			_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			assert.NilError(t, err)
+			<-started
+			if byNode {
+				assert.NilError(t, server.Close())
+				assert.Equal(t, <-cause, errClosedByNode)
+			} else {
+				assert.NilError(t, c.Close())
+				assert.Equal(t, <-cause, errClosedByClient)
+				assert.NilError(t, server.Shutdown(t.Context()))
+			}
+			assert.Equal(t, <-served, http.ErrServerClosed)
+			want := []cutConnection{}
+			if byNode {
+				want = append(want, cutConnection{reason: cutByShutdown, client: c.LocalAddr().String(), inFlight: 1})
+			}
+			assert.Equal(t, len(cuts), len(want))
+			for i := range want {
+				cuts[i].idle = 0
+				assert.Equal(t, cuts[i], want[i])
+			}
+		})
+	}
+}
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -36,4 +36,8 @@
 
 func (m *metrics) nodeConnection() { m.scope.Counter("node_connections_opened").Inc(1) }
 
+func (m *metrics) connectionCut(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("connections_cut").Inc(1)
+}
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -294,7 +294,7 @@
 	addresses := []listenAddress{
 		{s.ControlAddress, &http.Server{Handler: n.deps.NewAnnouncementHandler(n.admission), ReadHeaderTimeout: headerTimeout}},
 		{s.InboundAddress, &http.Server{Handler: n.hopServer, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
-		{s.OutboundAddress, newClientServer(n.entry, n.limits, n.logPanic)},
+		{s.OutboundAddress, newClientServer(n.entry, n.limits, n.logPanic, n.logCut)},
 		{s.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}},
 	}
 	if address := metricsAddress(s); address != "" {
@@ -317,6 +317,14 @@
 	n.shared.log.event("handler_panicked", fields{"reason": fmt.Sprint(reason), "stack": string(stack)})
 }
 
+func (n *Node) logCut(c cutConnection) {
+	n.shared.metrics.connectionCut(c.reason)
+	n.shared.log.event("connection_cut", fields{
+		"reason": c.reason, "client": c.client, "inFlight": c.inFlight, "reading": c.isReading,
+		"unreadBytes": c.unreadBytes, "idleMs": c.idle.Milliseconds(),
+	})
+}
+
 // limits returns the limits on clients from the active configuration.
 func (n *Node) limits() mesh.Limits {
 	if snapshot := n.shared.snapshot.Load(); snapshot != nil {
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -200,5 +200,5 @@
 	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		return &verdict.Error{Code: verdict.DeadlineExceeded, Verdict: v, Detail: "the deadline has passed"}
 	}
-	return &verdict.Error{Code: verdict.Canceled, Verdict: v, Detail: "the client gave up"}
+	return &verdict.Error{Code: verdict.Canceled, Verdict: v, Detail: context.Cause(x.ctx).Error()}
 }
