--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -119,6 +119,15 @@
 	return changed
 }
 
+// rejectWaiting rejects all calls that wait for a slot.
+func (la *localAdmission) rejectWaiting() {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	for _, ea := range la.admissions {
+		ea.deliverDecisions(ea.queue.RejectAll())
+	}
+}
+
 // syncAdmissions creates an admission queue for each endpoint that takes requests, and
 // rejects the requests that wait at the other endpoints. Running requests continue.
 func (la *localAdmission) syncAdmissions() {
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -56,6 +56,9 @@
 		case <-x.ctx.Done():
 			x.mayHaveRun = x.mayHaveRun || x.pendingAttempts > 0
 			return nil, x.contextError()
+		case <-x.entry.deps.requestsEnded:
+			x.mayHaveRun = x.mayHaveRun || x.pendingAttempts > 0
+			return x.finalResult(verdict.NotRunErrorf(verdict.Draining, "the node stopped before the request ended"))
 		}
 	}
 }
@@ -123,7 +126,7 @@
 
 // mayRetryAfter reports whether another attempt may follow one that ended with failure.
 func (x *request) mayRetryAfter(failure *verdict.Error) bool {
-	if x.ctx.Err() != nil || x.rejections > maxRejections || failure.Code == verdict.BadRequest {
+	if x.ctx.Err() != nil || !x.entry.deps.now().Before(x.deadline) || x.rejections > maxRejections || failure.Code == verdict.BadRequest {
 		return false
 	}
 	return x.mayRetry()
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -169,13 +169,15 @@
 	reader       *bufio.Reader
 	writer       *bufio.Writer
 
-	// isReading is set while a request is arriving that has not been started.
+	// isReading is set while a request is arriving that has not been started, isLingering
+	// once the response that closes the connection has been sent.
 	// lastResponse belongs to the request that was started last; inFlight is the number
 	// of requests that have not ended. Once isClosing is set, no further request is
 	// started and the connection ends after lastResponse, or at once if nothing is in
 	// flight.
 	mu           sync.Mutex
 	isReading    bool
+	isLingering  bool
 	lastResponse *responseWriter
 	inFlight     int
 	isClosing    bool
@@ -241,7 +243,7 @@
 // answered; s.mu must be held.
 func (s *session) reportCut(reason string) {
 	unreadBytes := s.conn.unreadBytes()
-	if s.conn.ctx.Err() != nil || s.inFlight == 0 && !s.isReading && unreadBytes == 0 {
+	if s.conn.ctx.Err() != nil || s.isLingering || s.inFlight == 0 && !s.isReading && unreadBytes == 0 {
 		return
 	}
 	s.server.onCut(cutConnection{
@@ -408,6 +410,9 @@
 
 // linger gives the client time to read the last response, then closes the connection.
 func (s *session) linger() {
+	s.mu.Lock()
+	s.isLingering = true
+	s.mu.Unlock()
 	if tcp, ok := s.conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -114,7 +114,7 @@
 		}
 	}()
 	resp, failure := x.run()
-	if e.deps.isShuttingDown.Load() {
+	if e.deps.isShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	if failure == nil {
@@ -182,7 +182,7 @@
 	if !resp.isComplete {
 		body, length = io.MultiReader(body, resp.body), resp.contentLength
 	}
-	chunk := egress.Chunk{SoftDeadline: x.started.Add(x.route.TargetLatency), Urgent: x.entry.deps.isShuttingDown.Load()}
+	chunk := egress.Chunk{SoftDeadline: x.started.Add(x.route.TargetLatency), Urgent: x.entry.deps.isShuttingDown()}
 	err := link.copyResponse(x.ctx, writer, body, length, chunk)
 	switch {
 	case writer.err != nil || x.r.Context().Err() != nil:
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -138,7 +138,7 @@
 	}
 	metadata := c.hopMetadata
 	metadata.TimeoutUs = c.deadline.Sub(h.deps.now()).Microseconds()
-	metadata.Stopping = h.deps.isShuttingDown.Load()
+	metadata.Stopping = h.deps.isShuttingDown()
 	metadata.ConfigurationVersion, metadata.RolloutRevision = h.deps.newestConfigVersion.Load(), h.deps.newestRolloutRevision.Load()
 	request.Header[hopMetadataHeader] = []string{encodeHopHeader(metadata)}
 	exchangeRequest := exchange.Request{Request: request, MaxDialWait: maxNodeDialWait}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -41,26 +41,6 @@
 	Version string
 }
 
-// Times of a graceful shutdown. The node reports at once that it is not ready. For at
-// least two readiness checks of the platform, which come once per second, and a margin,
-// it still accepts requests of clients that have not noticed yet.
-const (
-	minShutdownDuration = 2500 * time.Millisecond
-	// closeInboundDelay is when other nodes are told to send no more calls to the local
-	// endpoints. Until then these endpoints still take calls.
-	closeInboundDelay = 1500 * time.Millisecond
-	// rejectNewFraction is the fraction of the grace period after which new requests
-	// are rejected. Clients that still send requests are told that these have not run.
-	rejectNewFraction = 0.58
-	// shutdownMargin is the part of the grace period that is left for the end of the
-	// process.
-	shutdownMargin = 900 * time.Millisecond
-	// closeTimeout bounds the wait for connections on which a request is still being
-	// read.
-	closeTimeout         = 300 * time.Millisecond
-	shutdownPollInterval = 50 * time.Millisecond
-)
-
 // maintenanceInterval is the time between two sweeps of idle connections and
 // unresponsive endpoints.
 const maintenanceInterval = time.Second
@@ -134,7 +114,7 @@
 }
 
 func (n *Node) newShared(do.Injector) (*shared, error) {
-	s := &shared{settings: n.deps.Settings, headers: n.deps.HeaderNames, now: time.Now}
+	s := &shared{settings: n.deps.Settings, headers: n.deps.HeaderNames, now: time.Now, requestsEnded: make(chan struct{})}
 	s.service.Store(&n.deps.Settings.Service)
 	s.uplink = newUplink(s.now, s.settings.LinkBytesPerSecond)
 	s.log = newEventLog(n.deps.LogOutput, timeline.Origin{
@@ -209,41 +189,6 @@
 	return nil
 }
 
-// shutDown shuts the node down gracefully: it reports that it is not ready, informs
-// other nodes, gives clients time to notice, and waits for the requests in flight.
-func (n *Node) shutDown(servers []server) {
-	started := time.Now()
-	n.shared.isShuttingDown.Store(true)
-	n.shared.log.event("stopping", fields{"inFlight": n.inFlight()})
-	ctx, cancel := context.WithTimeout(context.Background(), n.shared.settings.GracePeriod-shutdownMargin)
-	defer cancel()
-	for {
-		elapsed := time.Since(started)
-		if elapsed >= closeInboundDelay && !n.shared.isInboundClosed.Swap(true) {
-			n.tracker.markStopping()
-		}
-		if elapsed >= time.Duration(rejectNewFraction*float64(n.shared.settings.GracePeriod)) {
-			n.shared.isRejectingNew.Store(true)
-		}
-		if ctx.Err() != nil || elapsed >= minShutdownDuration && n.inFlight() == 0 {
-			break
-		}
-		time.Sleep(shutdownPollInterval)
-	}
-	n.shared.isRejectingNew.Store(true)
-	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancelClosing()
-	var shutdowns sync.WaitGroup
-	for _, server := range servers {
-		shutdowns.Go(func() {
-			if server.http.Shutdown(closing) != nil {
-				_ = server.http.Close()
-			}
-		})
-	}
-	shutdowns.Wait()
-}
-
 // inFlight returns the number of requests that have not ended.
 func (n *Node) inFlight() int64 { return n.entry.inFlight.Load() + n.hopServer.inFlight.Load() }
 
@@ -337,7 +282,7 @@
 	switch {
 	case r.URL.Path != n.deps.ReadinessPath:
 		http.NotFound(w, r)
-	case n.shared.isShuttingDown.Load() || !n.tracker.isLoaded():
+	case n.shared.isShuttingDown() || !n.tracker.isLoaded():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -47,11 +47,13 @@
 	id      string
 	started time.Time
 
-	snapshot      *mesh.Snapshot
-	route         *mesh.Route
-	service       string
-	ctx           context.Context
-	cancel        context.CancelFunc
+	snapshot *mesh.Snapshot
+	route    *mesh.Route
+	service  string
+	ctx      context.Context
+	cancel   context.CancelFunc
+	// deadline is that of the attempts. It is earlier than that of ctx if the node shuts
+	// down before.
 	deadline      time.Time
 	header        http.Header
 	body          []byte
@@ -141,7 +143,8 @@
 const startRetryAfter = 200 * time.Millisecond
 
 // setDeadline sets the deadline of the request: that of the client or the timeout of
-// the route, whichever is earlier.
+// the route, whichever is earlier. A shutdown ends the attempts of the request earlier, or
+// the request is rejected.
 func (x *request) setDeadline() *verdict.Error {
 	timeout := x.route.Timeout
 	if timeout <= 0 {
@@ -156,6 +159,14 @@
 	}
 	x.deadline = x.started.Add(timeout)
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline)
+	schedule := x.entry.deps.shutdown.Load()
+	if schedule == nil || !schedule.attemptsEndAt.Before(x.deadline) {
+		return nil
+	}
+	if !schedule.admits(x.started, x.deadline) {
+		return verdict.NotRunErrorf(verdict.Draining, "the node stops before the deadline of the request")
+	}
+	x.deadline = schedule.attemptsEndAt
 	return nil
 }
 
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -23,8 +23,11 @@
 	table    atomic.Pointer[placement.Table]
 	// service is the service of the local endpoint; a reload of the settings may change
 	// it.
-	service        atomic.Pointer[string]
-	isShuttingDown atomic.Bool
+	service atomic.Pointer[string]
+	// shutdown is nil until the node shuts down. requestsEnded is closed when all requests
+	// have to end.
+	shutdown      atomic.Pointer[shutdownSchedule]
+	requestsEnded chan struct{}
 	// newestConfigVersion and newestRolloutRevision are the highest that any node,
 	// including this one, is known to have read. They are forwarded before this node
 	// has read them itself; otherwise an update would be delayed by one fetch pause for
@@ -32,7 +35,7 @@
 	newestConfigVersion, newestRolloutRevision atomic.Uint64
 	// isInboundClosed is set once calls of other nodes are rejected.
 	isInboundClosed atomic.Bool
-	// isRejectingNew is set for the last part of a shutdown, in which new requests are
+	// isRejectingNew is set for the last part of a shutdown, in which all new requests are
 	// rejected.
 	isRejectingNew atomic.Bool
 	// rolloutRevision is the revision of the newest rollout that this node has read; 0
@@ -53,6 +56,8 @@
 	awaitPublished func(wait time.Duration) bool
 }
 
+func (s *shared) isShuttingDown() bool { return s.shutdown.Load() != nil }
+
 // configVersion returns the active configuration version; 0 if there is none.
 func (s *shared) configVersion() uint64 {
 	if snapshot := s.snapshot.Load(); snapshot != nil {
--- /dev/null
+++ b/pkg/sidecar/shutdown.go
@@ -0,0 +1,100 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Times of a graceful shutdown. The node reports at once that it is not ready. For at
+// least two readiness checks of the platform, which come once per second, and a margin,
+// it still accepts requests of clients that have not noticed yet.
+const (
+	minShutdownDuration = 2500 * time.Millisecond
+	// closeInboundDelay is when other nodes are told to send no more calls to the local
+	// endpoints. Until then these endpoints still take calls.
+	closeInboundDelay = 1500 * time.Millisecond
+	// rejectUnfinishableFraction is the fraction of the grace period after which requests
+	// that may last longer than the node are rejected. Earlier ones are accepted, because
+	// most requests take much less than their deadline allows.
+	rejectUnfinishableFraction = 0.5
+	// shutdownMargin is the part of the grace period that is left for the end of the
+	// process.
+	shutdownMargin = 800 * time.Millisecond
+	// finalResponseMargin is the time between the end of the attempts and that of the
+	// requests, in which other nodes report whether an attempt has run. The longest round
+	// trip takes about 20 ms.
+	finalResponseMargin = 100 * time.Millisecond
+	// closeTimeout bounds the wait for final responses and for connections on which a
+	// request is still being read.
+	closeTimeout         = 300 * time.Millisecond
+	shutdownPollInterval = 50 * time.Millisecond
+)
+
+// shutdownSchedule holds the times of a graceful shutdown.
+//
+// Invariant: each request that was begun gets a final response before the process ends.
+type shutdownSchedule struct {
+	earliestEndAt   time.Time
+	closeInboundAt  time.Time
+	rejectingFromAt time.Time
+	// attemptsEndAt is the deadline of all attempts, requestsEndAt that of all requests.
+	attemptsEndAt time.Time
+	requestsEndAt time.Time
+}
+
+func newShutdownSchedule(started time.Time, gracePeriod time.Duration) shutdownSchedule {
+	end := started.Add(gracePeriod - shutdownMargin)
+	return shutdownSchedule{
+		earliestEndAt: started.Add(minShutdownDuration), closeInboundAt: started.Add(closeInboundDelay),
+		rejectingFromAt: started.Add(time.Duration(rejectUnfinishableFraction * float64(gracePeriod))),
+		attemptsEndAt:   end.Add(-finalResponseMargin), requestsEndAt: end,
+	}
+}
+
+// admits reports whether a request with the given deadline is begun at now.
+func (s shutdownSchedule) admits(now, deadline time.Time) bool {
+	return now.Before(s.rejectingFromAt) || now.Before(deadline) && !deadline.After(s.attemptsEndAt)
+}
+
+// shutDown shuts the node down gracefully: it reports that it is not ready, informs
+// other nodes, gives clients time to notice, and waits for the requests in flight.
+func (n *Node) shutDown(servers []server) {
+	schedule := newShutdownSchedule(n.shared.now(), n.shared.settings.GracePeriod)
+	n.shared.shutdown.Store(&schedule)
+	n.shared.log.event("stopping", fields{"inFlight": n.inFlight()})
+	n.awaitRequests(schedule)
+	n.shared.isRejectingNew.Store(true)
+	close(n.shared.requestsEnded)
+	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClosing()
+	var shutdowns sync.WaitGroup
+	for _, server := range servers {
+		shutdowns.Go(func() {
+			if server.http.Shutdown(closing) != nil {
+				_ = server.http.Close()
+			}
+		})
+	}
+	shutdowns.Wait()
+}
+
+// awaitRequests waits until no request is in flight, at the latest until all requests
+// have to end.
+func (n *Node) awaitRequests(schedule shutdownSchedule) {
+	ticker := time.NewTicker(shutdownPollInterval)
+	defer ticker.Stop()
+	for {
+		now := n.shared.now()
+		if !now.Before(schedule.closeInboundAt) && !n.shared.isInboundClosed.Swap(true) {
+			n.tracker.markStopping()
+		}
+		if !now.Before(schedule.attemptsEndAt) {
+			n.admission.rejectWaiting()
+		}
+		if !now.Before(schedule.requestsEndAt) || !now.Before(schedule.earliestEndAt) && n.inFlight() == 0 {
+			return
+		}
+		<-ticker.C
+	}
+}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -259,7 +259,7 @@
 		delete(t.instances, name)
 		delete(t.progress, name)
 		delete(t.resourceVersions, name)
-		if name == t.entryName() && !t.deps.isShuttingDown.Load() {
+		if name == t.entryName() && !t.deps.isShuttingDown() {
 			notify(t.publishWake)
 		}
 	}
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -148,11 +149,12 @@
 func (f *fleet) addNode(failureDomain string, endpoint *platformtest.Endpoint) *testNode {
 	f.t.Helper()
 	assert.NilError(f.t, endpoint.Start())
+	metricsPort := netip.MustParseAddrPort(freeAddress(f.t)).Port()
 	n := &testNode{endpoint: endpoint, settings: sidecar.Settings{
 		Instance: fmt.Sprint("n", len(f.nodes)), FailureDomain: failureDomain, Region: "r-" + failureDomain, Service: endpoint.Service,
 		InboundAddress: freeAddress(f.t), OutboundAddress: freeAddress(f.t),
 		ReadinessAddress: freeAddress(f.t), ControlAddress: freeAddress(f.t), StoreAddress: strings.TrimPrefix(f.server.URL, "http://"),
-		HeartbeatInterval: time.Second, GracePeriod: 6 * time.Second, ConfigurationApplyTimeout: 2 * time.Second,
+		MetricsPort: int(metricsPort), HeartbeatInterval: time.Second, GracePeriod: 6 * time.Second, ConfigurationApplyTimeout: 2 * time.Second,
 		RetryBudgetRatio: 0.2, RetryBudgetWindow: 10 * time.Second, RetryBudgetSlack: 1000,
 	}}
 	f.startNode(n)
@@ -239,6 +241,25 @@
 	}
 }
 
+// gauge returns the value of a gauge without labels from the metrics of the node, or 0 if
+// the node does not report it yet.
+func (n *testNode) gauge(name string) float64 {
+	host := netip.MustParseAddrPort(n.settings.InboundAddress).Addr()
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", host, n.settings.MetricsPort))
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		var value float64
+		if _, err := fmt.Sscanf(lines.Text(), "azurespring_"+name+" %g", &value); err == nil {
+			return value
+		}
+	}
+	return 0
+}
+
 func (n *testNode) isReady() bool {
 	response, err := http.Get("http://" + n.settings.ReadinessAddress + platform.ReadinessPath)
 	if err != nil {
--- /dev/null
+++ b/test/sidecar/shutdown_test.go
@@ -0,0 +1,102 @@
+package sidecar_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/platform/platformtest"
+)
+
+// longRouteRule routes /safe/ with a timeout that is longer than a graceful shutdown.
+func longRouteRule() string {
+	return strings.Replace(routeRule("safe", "/safe/", `"kind":"safe"`), `"3000ms"`, `"30000ms"`, 1)
+}
+
+// Guards against a node that begins requests with a deadline after its own end and closes
+// their connections without a response.
+func TestRequestIsAnsweredBeforeItsNodeStops(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// remote is set if the endpoint is at another instance than the stopping node.
+		remote bool
+		// afterSignal is set if the request is sent once the node is stopping.
+		afterSignal bool
+		// waits is set if all slots of the endpoint are taken.
+		waits bool
+	}{
+		{"running at a remote endpoint, sent before the stop", true, false, false},
+		{"running at a remote endpoint, sent during the stop", true, true, false},
+		{"running at the local endpoint, sent during the stop", false, true, false},
+		{"waiting for a remote endpoint, sent before the stop", true, false, true},
+		{"waiting for a remote endpoint, sent during the stop", true, true, true},
+		{"waiting for the local endpoint, sent during the stop", false, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			arrived := make(chan string, 8)
+			e := endpoint("e")
+			e.Slots = 1
+			e.Handler = func(_ http.ResponseWriter, r *http.Request) {
+				arrived <- r.Header.Get(platformtest.HeaderRequestID)
+				<-r.Context().Done()
+			}
+			endpointNode := f.addNode("a", e)
+			other := f.addNode("a", &platformtest.Endpoint{ID: "other", Service: "t", Version: "v1"})
+			f.storeConfiguration(longRouteRule())
+			f.waitUntilReady()
+			f.waitUntil("the configuration is active everywhere", func() bool {
+				return endpointNode.gauge("configuration_version") == float64(f.version) && other.gauge("configuration_version") == float64(f.version)
+			})
+			stopping := endpointNode
+			if c.remote {
+				stopping = other
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			send := func(n *testNode, id string) <-chan result {
+				r := n.request(ctx, http.MethodGet, "/safe/x", id, nil)
+				r.Header.Set(platformtest.HeaderDeadline, "25000")
+				done := make(chan result, 1)
+				go func() { done <- do(r) }()
+				return done
+			}
+			if c.waits {
+				// The request that takes the slot enters at the endpoint's node, or, if that
+				// stops, at the other one.
+				holder := endpointNode
+				if !c.remote {
+					holder = other
+				}
+				send(holder, "holder")
+				assert.Equal(t, <-arrived, "holder")
+			}
+			if c.afterSignal {
+				stopping.stop()
+				f.waitUntil("the node is stopping", func() bool { return !stopping.isReady() })
+			}
+			done := send(stopping, "id")
+			if c.waits {
+				f.waitUntil("the request waits", func() bool { return endpointNode.gauge("endpoints_waiting") == 1 })
+			} else {
+				assert.Equal(t, <-arrived, "id")
+			}
+			if !c.afterSignal {
+				stopping.stop()
+			}
+			got := <-done
+			assert.NilError(t, got.err, "the connection was closed without a response")
+			want := []int{http.StatusBadGateway, http.StatusGatewayTimeout}
+			if c.waits && c.afterSignal {
+				want = []int{http.StatusServiceUnavailable}
+			}
+			assert.Assert(t, slices.Contains(want, got.status), "status %d, want one of %d", got.status, want)
+			<-stopping.done
+			assert.Equal(t, len(stopping.log.events("connection_cut")), 0)
+		})
+	}
+}
