--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -7,7 +7,10 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // maxReadAheadRequestBytes is the number of unread bytes from which a connection is not
@@ -152,6 +155,29 @@
 	return len(c.buffer)
 }
 
+// hasUnread reports whether bytes have arrived that Read has not returned, in the buffer
+// or in the socket.
+func (c *clientConn) hasUnread() bool {
+	if c.unreadBytes() > 0 {
+		return true
+	}
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	// Control does not wait for readAhead, which Read of the raw connection would.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.cancel(errClosedByNode)
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -79,11 +79,8 @@
 	idle time.Duration
 }
 
-// Reasons for which the server closes a connection.
-const (
-	cutByIdleTimeout = "idle-timeout"
-	cutByShutdown    = "shutdown"
-)
+// cutByShutdown is the reason of a connection that is closed at the end of a shutdown.
+const cutByShutdown = "shutdown"
 
 // Serve accepts connections until Shutdown or Close is called, and then returns
 // http.ErrServerClosed.
@@ -123,7 +120,7 @@
 	for {
 		s.mu.Lock()
 		for session := range s.sessions {
-			session.closeIfIdle(0, cutByShutdown)
+			session.closeIfIdle()
 		}
 		remaining := len(s.sessions)
 		s.mu.Unlock()
@@ -222,16 +219,20 @@
 	if s.idleTimer != nil {
 		s.idleTimer.Stop()
 	}
-	s.idleTimer = time.AfterFunc(idleTimeout, func() { s.closeIfIdle(idleTimeout, cutByIdleTimeout) })
+	s.idleTimer = time.AfterFunc(idleTimeout, func() {
+		s.mu.Lock()
+		hasExpired := time.Since(s.idleSince) >= idleTimeout
+		s.mu.Unlock()
+		if hasExpired {
+			s.closeIfIdle()
+		}
+	})
 }
 
-// closeIfIdle closes the connection if it has been idle for at least minIdle.
-func (s *session) closeIfIdle(minIdle time.Duration, reason string) {
+// closeIfIdle closes the connection if no request is in flight or arriving.
+func (s *session) closeIfIdle() {
 	s.mu.Lock()
-	isIdle := s.inFlight == 0 && time.Since(s.idleSince) >= minIdle
-	if isIdle && !s.isClosing {
-		s.reportCut(reason)
-	}
+	isIdle := s.inFlight == 0 && !s.isReading && !s.conn.hasUnread()
 	s.isClosing = s.isClosing || isIdle
 	s.mu.Unlock()
 	if isIdle {
--- a/pkg/sidecar/clientserver_test.go
+++ b/pkg/sidecar/clientserver_test.go
@@ -147,3 +147,68 @@
 		})
 	}
 }
+
+// startClientServer starts a server on a loopback address and returns a connection to it.
+func startClientServer(t *testing.T, server *clientServer) net.Conn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	c, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = c.Close()
+		assert.NilError(t, server.Shutdown(context.Background()))
+		assert.Equal(t, <-served, http.ErrServerClosed)
+	})
+	return c
+}
+
+// onlySession waits for the session of the only connection.
+func (s *clientServer) onlySession() *session {
+	for {
+		s.mu.Lock()
+		for session := range s.sessions {
+			s.mu.Unlock()
+			return session
+		}
+		s.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a connection that is taken for idle and closed while a request on it is
+// arriving or has been read but not begun.
+func TestConnectionWithArrivingRequestIsNotClosedAsIdle(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, c := range []struct {
+		name string
+		// arrived is the part of the request that has arrived when the connection is checked.
+		arrived int
+	}{
+		{"first byte", 1},
+		{"all but the last byte", len(request) - 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
+				func() mesh.Limits { return mesh.Limits{} }, func(reason any, _ []byte) { t.Error(reason) }, func(cut cutConnection) { t.Error(cut) })
+			conn := startClientServer(t, server)
+			_, err := conn.Write([]byte(request[:c.arrived]))
+			assert.NilError(t, err)
+			session := server.onlySession()
+			for isReading := false; !isReading; time.Sleep(time.Millisecond) {
+				session.mu.Lock()
+				isReading = session.isReading
+				session.mu.Unlock()
+			}
+			session.closeIfIdle()
+			_, err = conn.Write([]byte(request[c.arrived:]))
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err, "the connection was closed under the request")
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+		})
+	}
+}
