--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -212,21 +212,33 @@
 // configuration; s.mu must be held.
 func (s *session) startIdleTimer() {
 	s.idleSince = time.Now()
-	idleTimeout := s.server.limits().IdleTimeout
-	if idleTimeout <= 0 {
-		return
+	if idleTimeout := s.server.limits().IdleTimeout; idleTimeout > 0 {
+		s.resetIdleTimer(idleTimeout)
 	}
+}
+
+// resetIdleTimer lets the idle timeout be checked after wait; s.mu must be held.
+func (s *session) resetIdleTimer(wait time.Duration) {
 	if s.idleTimer != nil {
 		s.idleTimer.Stop()
 	}
-	s.idleTimer = time.AfterFunc(idleTimeout, func() {
-		s.mu.Lock()
-		hasExpired := time.Since(s.idleSince) >= idleTimeout
-		s.mu.Unlock()
-		if hasExpired {
-			s.closeIfIdle()
-		}
-	})
+	s.idleTimer = time.AfterFunc(wait, s.checkIdleTimeout)
+}
+
+// checkIdleTimeout closes the connection if it has been idle for the idle timeout. A
+// configuration may have changed the timeout since the timer was started: clients go by
+// the new one.
+func (s *session) checkIdleTimeout() {
+	s.mu.Lock()
+	idleTimeout := s.server.limits().IdleTimeout
+	remaining := idleTimeout - time.Since(s.idleSince)
+	if idleTimeout > 0 && remaining > 0 && s.inFlight == 0 {
+		s.resetIdleTimer(remaining)
+	}
+	s.mu.Unlock()
+	if idleTimeout > 0 && remaining <= 0 {
+		s.closeIfIdle()
+	}
 }
 
 // closeIfIdle closes the connection if no request is in flight or arriving.
--- a/pkg/sidecar/clientserver_test.go
+++ b/pkg/sidecar/clientserver_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -212,3 +215,34 @@
 		})
 	}
 }
+
+// Guards against a connection that is closed after an idle timeout that a configuration
+// has raised in the meantime.
+func TestRaisedIdleTimeoutAppliesToIdleConnections(t *testing.T) {
+	var reads atomic.Int64
+	limits := func() mesh.Limits {
+		// The timeout is raised after the timers were started: at the accept and at the end
+		// of the first request.
+		if reads.Add(1) <= 2 {
+			return mesh.Limits{IdleTimeout: 50 * time.Millisecond}
+		}
+		return mesh.Limits{IdleTimeout: time.Minute}
+	}
+	server := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
+		limits, func(reason any, _ []byte) { t.Error(reason) }, func(cut cutConnection) { t.Error(cut) })
+	conn := startClientServer(t, server)
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		_, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err, "request %d", i)
+		assert.NilError(t, response.Body.Close())
+		if i == 0 {
+			_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			_, err = reader.Peek(1)
+			assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "the connection was closed: %v", err)
+			_ = conn.SetReadDeadline(time.Time{})
+		}
+	}
+}
