--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -123,7 +123,7 @@
 	x.recordOutcome(failure)
 	switch {
 	case failure == nil:
-	case x.status != 0 || failure.Code == verdict.Canceled:
+	case x.status != 0 || r.Context().Err() != nil:
 		// The header has been sent, or the client is gone. Only a broken connection can
 		// tell the client that the response is incomplete.
 		panic(http.ErrAbortHandler)
--- a/test/sidecar/shutdown_test.go
+++ b/test/sidecar/shutdown_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -100,3 +102,28 @@
 		})
 	}
 }
+
+// Guards against a connection to a client that is closed without a response because
+// another node reports that a call was canceled.
+func TestCancellationReportedByAnotherNodeIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		notRun bool
+		status int
+	}{{true, http.StatusServiceUnavailable}, {false, http.StatusBadGateway}} {
+		t.Run(fmt.Sprint("not run ", c.notRun), func(t *testing.T) {
+			f := newFleet(t)
+			n := f.addNode("a", &platformtest.Endpoint{ID: "other", Service: "t", Version: "v1"})
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Azurespring-Hop-Error", fmt.Sprintf(`{"code":"canceled","notRun":%v,"detail":"the caller gave up"}`, c.notRun))
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			t.Cleanup(peer.Close)
+			f.store.Put("azurespring-mesh", "instance-peer", fmt.Sprintf(`{"name":"peer","address":%q,"failureDomain":"a","region":"r-a",`+
+				`"endpoints":[{"id":"e","service":"s","version":"v1","slots":1}]}`, strings.TrimPrefix(peer.URL, "http://")))
+			f.waitUntil("the node knows the endpoint", func() bool { return n.gauge("instances_known") == 2 })
+			got := n.post("/unsafe/x", "id")
+			assert.NilError(t, got.err, "the connection was closed without a response")
+			assert.Equal(t, got.status, c.status)
+		})
+	}
+}
