--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -248,6 +248,11 @@
 	return ea.load(route)
 }
 
+// rejectionMargin is the time before its deadline at which a call without a slot is
+// rejected, so that the entry node learns that the call has not run. The longest round
+// trip between nodes takes about 20 ms.
+const rejectionMargin = 30 * time.Millisecond
+
 // admit waits for a slot of the endpoint.
 func (la *localAdmission) admit(ctx context.Context, c *call) (*endpointAdmission, placement.Load, *verdict.Error) {
 	now := la.deps.now()
@@ -281,6 +286,8 @@
 	decided := make(chan *verdict.Error, 1)
 	ea.waiting[id] = decided
 	la.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(-rejectionMargin))
+	defer cancel()
 	return la.awaitAdmission(ctx, ea, id, decided, c.Route)
 }
 
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -126,7 +126,8 @@
 
 // mayRetryAfter reports whether another attempt may follow one that ended with failure.
 func (x *request) mayRetryAfter(failure *verdict.Error) bool {
-	if x.ctx.Err() != nil || !x.entry.deps.now().Before(x.deadline) || x.rejections > maxRejections || failure.Code == verdict.BadRequest {
+	remaining := x.deadline.Sub(x.entry.deps.now())
+	if x.ctx.Err() != nil || remaining <= rejectionMargin || x.rejections > maxRejections || failure.Code == verdict.BadRequest {
 		return false
 	}
 	return x.mayRetry()
--- a/test/sidecar/path_test.go
+++ b/test/sidecar/path_test.go
@@ -395,3 +395,43 @@
 		assert.Equal(t, got.closesConnection, i == 2, "response %d", i)
 	}
 }
+
+// Guards against a request that waited for a slot until its route's timeout and is then
+// reported as one that may have run, so that the client must not send it again.
+func TestRequestThatNeverGotASlotIsReportedAsNotRun(t *testing.T) {
+	for _, remote := range []bool{true, false} {
+		t.Run(fmt.Sprint("remote ", remote), func(t *testing.T) {
+			arrived, release := make(chan struct{}), make(chan struct{})
+			e := endpoint("e")
+			e.Slots = 1
+			e.Handler = func(w http.ResponseWriter, r *http.Request) {
+				close(arrived)
+				<-release
+				e.Sign(w, r)
+			}
+			f, entryNode := startRemoteEndpoint(t, e)
+			holder := f.nodes[1]
+			if !remote {
+				holder, entryNode = entryNode, holder
+			}
+			unsafe := routeRule("unsafe", "/unsafe/", `"kind":"unsafe"`)
+			f.storeConfiguration(strings.Replace(unsafe, `"3000ms"`, `"20000ms"`, 1), strings.Replace(strings.Replace(unsafe, "/unsafe/", "/unsafe/short/", 1), `"3000ms"`, `"700ms"`, 1))
+			for _, n := range f.nodes {
+				f.waitUntil("the configuration is active", func() bool { return n.gauge("configuration_version") == float64(f.version) })
+			}
+			held := make(chan result, 1)
+			go func() {
+				r := holder.request(context.Background(), http.MethodPost, "/unsafe/x", "held", strings.NewReader("a booking"))
+				r.Header.Set(platformtest.HeaderDeadline, "20000")
+				held <- do(r)
+			}()
+			<-arrived
+			got := entryNode.post("/unsafe/short/x", "id")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable)
+			close(release)
+			assert.Equal(t, (<-held).status, http.StatusOK)
+			assert.Equal(t, e.RunCount(), 1, "a request that got 503 ran")
+		})
+	}
+}
