--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -7,8 +7,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -29,9 +31,15 @@
 
 const bufferBytes = 8 << 10
 
-// maxStaleResponseBytes bounds the body of a response to an earlier request that
-// is discarded; after a longer one the connection is closed.
-const maxStaleResponseBytes = 1 << 20
+// Limits of what an exchange reads before the body of its response; a peer that sends
+// more fails the exchange.
+const (
+	// maxResponseHeaderBytes bounds the header section of the response together with
+	// those of interim responses and of responses to earlier requests.
+	maxResponseHeaderBytes = 64 << 10
+	// maxStaleResponseBytes bounds the discarded bodies of responses to earlier requests.
+	maxStaleResponseBytes = 1 << 20
+)
 
 // Dialer opens TCP connections that fail when the peer becomes unresponsive.
 type Dialer struct {
@@ -87,6 +95,7 @@
 // conn is one connection. It is used by one exchange at a time.
 type conn struct {
 	net.Conn
+	input        *limitedReader
 	reader       *bufio.Reader
 	bytesWritten int64
 	// idleSince is when the connection became idle, expiresAt when it may no longer
@@ -95,7 +104,29 @@
 	expiresAt time.Time
 }
 
-func newConn(c net.Conn) *conn { return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferBytes)} }
+func newConn(c net.Conn) *conn {
+	input := &limitedReader{source: c, remainingBytes: math.MaxInt64}
+	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, bufferBytes)}
+}
+
+// limitedReader fails once remainingBytes have been read. Unlike the end of an
+// io.LimitedReader, the error differs from that of a connection that was closed.
+type limitedReader struct {
+	source         io.Reader
+	remainingBytes int64
+}
+
+var errResponseTooLarge = errors.New("the response header, or what was sent before it, is too large")
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.remainingBytes <= 0 {
+		return 0, errResponseTooLarge
+	}
+	n, err := l.source.Read(p[:min(int64(len(p)), l.remainingBytes)])
+	l.remainingBytes -= int64(n)
+	return n, err
+}
 
 // Write counts the bytes written, so that an error can tell whether any byte of
 // the request was sent.
@@ -167,7 +198,11 @@
 	return response, nil
 }
 
+// readResponse reads the header section of the response to r.
 func (c *conn) readResponse(r Request) (*http.Response, error) {
+	c.input.remainingBytes = maxResponseHeaderBytes
+	defer func() { c.input.remainingBytes = math.MaxInt64 }()
+	remainingStaleBytes := int64(maxStaleResponseBytes)
 	for {
 		response, err := http.ReadResponse(c.reader, r.Request)
 		if err != nil {
@@ -183,18 +218,21 @@
 		if id == "" || id == r.Header.Get(r.IDHeader) {
 			return response, nil
 		}
+		if response.Close {
+			return nil, errStaleResponse
+		}
 		// The response belongs to an earlier request; discard it.
-		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleResponseBytes))
+		remainingHeaderBytes := c.input.remainingBytes
+		c.input.remainingBytes = remainingStaleBytes
+		_, err = io.Copy(io.Discard, response.Body)
+		remainingStaleBytes, c.input.remainingBytes = c.input.remainingBytes, remainingHeaderBytes
 		if err != nil {
 			return nil, err
 		}
-		if n == maxStaleResponseBytes || response.Close {
-			return nil, errStaleResponse
-		}
 	}
 }
 
-var errStaleResponse = fmt.Errorf("received a response to another request that is too long to discard or closes the connection")
+var errStaleResponse = errors.New("received a response to another request that closes the connection")
 
 // requestWriter writes a request. A body that is not in memory is written while the
 // response is read, because the response may arrive before the end of the body.
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -210,6 +210,7 @@
 		return nil, load, rejection
 	}
 	started := la.deps.now()
+	callerCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	resp, failure := la.send(ctx, ea, c)
 	if failure != nil {
@@ -230,7 +231,7 @@
 	}
 	la.analyzeResponse(ea, c, resp)
 	resp.load = la.loadOf(ea, c.Route)
-	resp.body = la.readAhead.wrap(&slotBody{ReadCloser: resp.body, onDone: func(complete bool, bytes int64) {
+	body := &slotBody{ReadCloser: resp.body, onDone: func(complete bool, bytes int64) {
 		cancel()
 		la.releaseSlot(ea, la.deps.now().Sub(started))
 		if complete && !resp.notRun {
@@ -238,7 +239,9 @@
 			ea.updateResponseSize(c.Route, bytes)
 			la.mu.Unlock()
 		}
-	}}, resp.contentLength, cancel)
+	}}
+	context.AfterFunc(callerCtx, body.abort)
+	resp.body = la.readAhead.wrap(body, resp.contentLength, cancel)
 	return resp, resp.load, nil
 }
 
@@ -341,10 +344,14 @@
 	return n, err
 }
 
+// abort releases the slot without waiting for the reader, which may be blocked by a
+// client that does not read. The end of the call's context closes the connection.
+func (b *slotBody) abort() { b.once.Do(func() { b.onDone(false, 0) }) }
+
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(func() { b.onDone(false, 0) })
+	b.abort()
 	return err
 }
 
@@ -376,6 +383,13 @@
 		_ = httpResponse.Body.Close()
 		return nil, verdict.MayHaveRunErrorf(verdict.TargetFailed, nil, "the answer with status %d is not signed", httpResponse.StatusCode)
 	}
+	if resp.notRun {
+		// The body of a rejection is never sent to a client.
+		if err := discardBody(httpResponse.Body); err != nil {
+			return nil, verdict.MayHaveRunErrorf(verdict.AnswerCut, err, "the endpoint's rejection has no end")
+		}
+		resp.body, resp.contentLength = http.NoBody, 0
+	}
 	return resp, nil
 }
 
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -80,6 +81,23 @@
 	isComplete bool
 }
 
+// maxDiscardedBodyBytes bounds the body of a response that is read only so that its
+// connection can be reused.
+const maxDiscardedBodyBytes = 64 << 10
+
+var errBodyTooLong = errors.New("the body is too long to discard")
+
+// discardBody reads a body to its end and closes it. The connection of a body that is
+// too long is closed.
+func discardBody(body io.ReadCloser) error {
+	defer body.Close()
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBodyBytes))
+	if err == nil && n == maxDiscardedBodyBytes {
+		return errBodyTooLong
+	}
+	return err
+}
+
 // Headers between nodes. They are removed from the requests of clients.
 const (
 	hopHeaderPrefix          = "Azurespring-Hop-"
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -33,7 +33,9 @@
 	// maxDrainedBodyBytes is how much of a request body is read and discarded after a
 	// response that was sent before the body had been read.
 	maxDrainedBodyBytes = 256 << 10
-	writeBufferBytes    = 16 << 10
+	// bodyDrainTimeout bounds the time that this takes.
+	bodyDrainTimeout = 2 * time.Second
+	writeBufferBytes = 16 << 10
 )
 
 // clientServer is an HTTP/1.1 server for clients. Unlike the server of net/http, it
@@ -493,9 +495,11 @@
 		return
 	}
 	if body := w.request.Body; body != nil && body != http.NoBody {
+		_ = w.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
 		if n, err := io.CopyN(io.Discard, body, maxDrainedBodyBytes); n == maxDrainedBodyBytes || err != io.EOF {
 			w.closesConnection = true
 		}
+		_ = w.SetReadDeadline(time.Time{})
 	}
 	if w.closesConnection {
 		w.session.linger()
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -157,8 +157,7 @@
 		h.sendStateIfDue(address)
 	}
 	if text := httpResponse.Header.Get(hopErrorHeader); text != "" {
-		_, _ = io.Copy(io.Discard, httpResponse.Body)
-		_ = httpResponse.Body.Close()
+		_ = discardBody(httpResponse.Body)
 		var e hopError
 		if err := json.Unmarshal([]byte(text), &e); err != nil {
 			return nil, load, verdict.MayHaveRunErrorf(verdict.Internal, err, "the node's answer cannot be read")
@@ -314,20 +313,25 @@
 	return c, nil
 }
 
-// readBody reads a small body completely before the call asks for a slot.
+// readBody reads a small body completely before the call asks for a slot. Reading any
+// body ends at the deadline of the call.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request) *verdict.Error {
+	controller := http.NewResponseController(w)
 	switch {
 	case r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody:
 		return nil
 	case r.ContentLength > 0 && r.ContentLength <= bufferedRequestBytes:
+		_ = controller.SetReadDeadline(c.deadline)
 		c.body = make([]byte, r.ContentLength)
 		if _, err := io.ReadFull(r.Body, c.body); err != nil {
 			return verdict.NotRunErrorf(verdict.Canceled, "the body was cut: %v", err)
 		}
+		_ = controller.SetReadDeadline(time.Time{})
 		return nil
 	}
 	c.remainingBody = r.Body
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	_ = controller.SetReadDeadline(c.deadline)
+	_ = controller.EnableFullDuplex()
 	return nil
 }
 
--- a/pkg/sidecar/hop_test.go
+++ b/pkg/sidecar/hop_test.go
@@ -1,7 +1,10 @@
 package sidecar
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -62,3 +65,25 @@
 	_, lateness := deps.uplink.reserve(egress.ExpectedResponse{Bytes: 1, SoftDeadline: softDeadline, Deadline: softDeadline})
 	assert.Assert(t, lateness > 0)
 }
+
+// Verifies that a call whose sender stalls within the body ends at its deadline.
+// Otherwise its memory is never released, and a shutdown waits for it.
+func TestCallWithUnfinishedBodyEndsAtDeadline(t *testing.T) {
+	log := newEventLog(io.Discard, testOrigin, func() uint64 { return 0 })
+	defer log.close(time.Second)
+	deps := &shared{now: time.Now, log: log, isLoaded: func() bool { return true }, onNewerRevision: func() {}}
+	deps.uplink = newUplink(time.Now, 0)
+	server := httptest.NewServer(&hopServer{deps: deps, admission: newLocalAdmission(deps)})
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: 10\r\n\r\nx",
+		hopMetadataHeader, encodeHopHeader(hopMetadata{Endpoint: "e", TimeoutUs: 50_000}))
+	assert.NilError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err, "the call is still waiting for its body")
+	assert.Assert(t, response.Header.Get(hopErrorHeader) != "")
+	_ = response.Body.Close()
+}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -65,7 +65,7 @@
 // unresponsive endpoints.
 const maintenanceInterval = time.Second
 
-// headerTimeout bounds the time that a node or endpoint takes to send a request header.
+// headerTimeout bounds the time that a node takes to send a request header.
 // maxHeaderBytes bounds the size of the header: that of a client plus the fields added
 // for a hop.
 const (
@@ -73,6 +73,13 @@
 	maxHeaderBytes = 2 * maxClientHeaderBytes
 )
 
+// localReadTimeout bounds the time that a local peer takes to send a request to the
+// control, readiness or metrics address, localIdleTimeout the time between two requests.
+const (
+	localReadTimeout = 5 * time.Second
+	localIdleTimeout = time.Minute
+)
+
 // heapMemoryFraction is the fraction of the memory of the instance that the heap may
 // use. The rest is for stacks, the C library and socket buffers.
 const heapMemoryFraction = 0.6
@@ -292,15 +299,13 @@
 		http    httpServer
 	}
 	addresses := []listenAddress{
-		{s.ControlAddress, &http.Server{Handler: n.deps.NewAnnouncementHandler(n.admission), ReadHeaderTimeout: headerTimeout}},
+		{s.ControlAddress, newLocalServer(n.deps.NewAnnouncementHandler(n.admission))},
 		{s.InboundAddress, &http.Server{Handler: n.hopServer, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
 		{s.OutboundAddress, newClientServer(n.entry, n.limits, n.logPanic)},
-		{s.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: headerTimeout}},
+		{s.ReadinessAddress, newLocalServer(http.HandlerFunc(n.serveReadiness))},
 	}
 	if address := metricsAddress(s); address != "" {
-		addresses = append(addresses, listenAddress{
-			address, &http.Server{Handler: n.shared.metrics.handler, ReadHeaderTimeout: headerTimeout},
-		})
+		addresses = append(addresses, listenAddress{address, newLocalServer(n.shared.metrics.handler)})
 	}
 	var servers []server
 	for _, each := range addresses {
@@ -313,6 +318,13 @@
 	return servers, nil
 }
 
+// newLocalServer returns a server for short requests with small bodies or none.
+func newLocalServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadTimeout: localReadTimeout, IdleTimeout: localIdleTimeout, MaxHeaderBytes: maxClientHeaderBytes,
+	}
+}
+
 func (n *Node) logPanic(reason any, stack []byte) {
 	n.shared.log.event("handler_panicked", fields{"reason": fmt.Sprint(reason), "stack": string(stack)})
 }
--- a/pkg/sidecar/statetransfer.go
+++ b/pkg/sidecar/statetransfer.go
@@ -121,9 +121,7 @@
 	if failure != nil {
 		return failure
 	}
-	_, err = io.Copy(io.Discard, response.Body)
-	_ = response.Body.Close()
-	return err
+	return discardBody(response.Body)
 }
 
 // receiveState handles a state transfer from another node.
