--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
@@ -92,12 +93,21 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// maxRequestsPerConn bounds the number of request IDs that are kept for a connection.
+const maxRequestsPerConn = 2048
+
 // conn is one connection. It is used by one exchange at a time.
 type conn struct {
 	net.Conn
-	input        *limitedReader
-	reader       *bufio.Reader
+	input  *limitedReader
+	reader *bufio.Reader
+	// writeMu guards bytesWritten while a request body is written in the background.
+	writeMu      sync.Mutex
 	bytesWritten int64
+	// sentIDs holds the hashes of the IDs of all requests that were sent. requestCount
+	// also counts requests whose responses are not checked.
+	sentIDs      map[uint64]struct{}
+	requestCount int
 	// idleSince is when the connection became idle, expiresAt when it may no longer
 	// be reused.
 	idleSince time.Time
@@ -106,7 +116,20 @@
 
 func newConn(c net.Conn) *conn {
 	input := &limitedReader{source: c, remainingBytes: math.MaxInt64}
-	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, bufferBytes)}
+	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, bufferBytes), sentIDs: make(map[uint64]struct{})}
+}
+
+var idHashSeed = maphash.MakeSeed()
+
+// canMatch reports whether the response to r can be told from responses to requests that
+// the connection has already carried, which a faulty peer may repeat.
+func (c *conn) canMatch(r Request) bool {
+	if r.IDHeader == "" || c.requestCount == 0 {
+		return true
+	}
+	id := r.id()
+	_, isSent := c.sentIDs[maphash.String(idHashSeed, id)]
+	return id != "" && !isSent
 }
 
 // limitedReader fails once remainingBytes have been read. Unlike the end of an
@@ -131,6 +154,8 @@
 // Write counts the bytes written, so that an error can tell whether any byte of
 // the request was sent.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.bytesWritten += int64(n)
 	return n, err
@@ -160,7 +185,8 @@
 type Request struct {
 	*http.Request
 	// IDHeader names the header that the peer echoes; responses with another value
-	// belong to earlier requests. If it is empty, responses are not checked.
+	// belong to earlier requests. A connection carries each ID at most once, and a request
+	// without one only as its first. If IDHeader is empty, responses are not checked.
 	IDHeader string
 	// MaxIdleTime is the longest time that a reused connection may have been idle;
 	// 0 means no limit.
@@ -170,9 +196,16 @@
 	MaxDialWait time.Duration
 }
 
+// id returns the ID of the request.
+func (r Request) id() string { return r.Header.Get(r.IDHeader) }
+
 // exchange sends the request and reads the header section of its response.
 func (c *conn) exchange(ctx context.Context, r Request) (*http.Response, *Error) {
 	bytesBefore := c.bytesWritten
+	c.requestCount++
+	if r.IDHeader != "" {
+		c.sentIDs[maphash.String(idHashSeed, r.id())] = struct{}{}
+	}
 	stopCancelWatch := context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	fail := func(err error) *Error {
 		stopCancelWatch()
@@ -180,6 +213,9 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
+		// A write that is still running ends because the connection is closed.
+		c.writeMu.Lock()
+		defer c.writeMu.Unlock()
 		return &Error{RequestSent: c.bytesWritten != bytesBefore, Err: err}
 	}
 	writer := newRequestWriter(c, r.Request)
@@ -198,11 +234,13 @@
 	return response, nil
 }
 
-// readResponse reads the header section of the response to r.
+// readResponse reads the header section of the response to r. On a connection that has
+// carried other requests, only the ID tells the response from a repeated earlier one.
 func (c *conn) readResponse(r Request) (*http.Response, error) {
 	c.input.remainingBytes = maxResponseHeaderBytes
 	defer func() { c.input.remainingBytes = math.MaxInt64 }()
 	remainingStaleBytes := int64(maxStaleResponseBytes)
+	mayOmitID := c.requestCount == 1
 	for {
 		response, err := http.ReadResponse(c.reader, r.Request)
 		if err != nil {
@@ -214,13 +252,15 @@
 		if r.IDHeader == "" {
 			return response, nil
 		}
-		id := response.Header.Get(r.IDHeader)
-		if id == "" || id == r.Header.Get(r.IDHeader) {
+		switch id := response.Header.Get(r.IDHeader); {
+		case id == "" && !mayOmitID:
+			return nil, errUnidentifiedResponse
+		case id == "" || id == r.id():
 			return response, nil
-		}
-		if response.Close {
+		case response.Close:
 			return nil, errStaleResponse
 		}
+		mayOmitID = false
 		// The response belongs to an earlier request; discard it.
 		remainingHeaderBytes := c.input.remainingBytes
 		c.input.remainingBytes = remainingStaleBytes
@@ -232,7 +272,10 @@
 	}
 }
 
-var errStaleResponse = errors.New("received a response to another request that closes the connection")
+var (
+	errStaleResponse        = errors.New("received a response to another request that closes the connection")
+	errUnidentifiedResponse = errors.New("received a response without an ID on a connection that was used before")
+)
 
 // requestWriter writes a request. A body that is not in memory is written while the
 // response is read, because the response may arrive before the end of the body.
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,7 +42,7 @@
 // Do sends a request and returns its response as soon as the header section is
 // read. The body must be read to its end or closed. Do never sends a request twice.
 func (p *Pool) Do(ctx context.Context, r Request) (*http.Response, *Error) {
-	c := p.take(r.MaxIdleTime)
+	c := p.take(r)
 	if c == nil {
 		var err error
 		if c, err = p.dialWithin(ctx, r.MaxDialWait); err != nil {
@@ -68,7 +69,7 @@
 
 // EnsureIdleConn dials if the pool has no usable idle connection.
 func (p *Pool) EnsureIdleConn(ctx context.Context) error {
-	c := p.take(0)
+	c := p.take(Request{})
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
@@ -134,18 +135,21 @@
 	}
 }
 
-// take returns the most recently used idle connection that is still usable. It returns
-// nil if there is none, or if it has been idle for longer than maxIdle; 0 means no limit.
-func (p *Pool) take(maxIdle time.Duration) *conn {
+// take returns the most recently used idle connection that is still usable for r. It
+// returns nil if there is none, or if it has been idle for longer than r allows.
+func (p *Pool) take(r Request) *conn {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		if maxIdle > 0 && now.Sub(c.idleSince) > maxIdle {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if r.MaxIdleTime > 0 && now.Sub(c.idleSince) > r.MaxIdleTime {
 			return nil
 		}
-		p.idle = p.idle[:len(p.idle)-1]
+		if !c.canMatch(r) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Before(c.expiresAt) && c.isUsable() {
 			return c
 		}
@@ -155,7 +159,7 @@
 }
 
 func (p *Pool) put(c *conn, timeout time.Duration) bool {
-	if timeout <= 0 || c.reader.Buffered() > 0 {
+	if timeout <= 0 || c.reader.Buffered() > 0 || len(c.sentIDs) >= maxRequestsPerConn {
 		return false
 	}
 	c.idleSince = p.now()
