--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -108,6 +108,9 @@
 	// also counts requests whose responses are not checked.
 	sentIDs      map[uint64]struct{}
 	requestCount int
+	// carriedHead is set once a HEAD request was sent. Whether a response to another
+	// request has a body is then not known.
+	carriedHead bool
 	// idleSince is when the connection became idle, expiresAt when it may no longer
 	// be reused.
 	idleSince time.Time
@@ -203,6 +206,7 @@
 func (c *conn) exchange(ctx context.Context, r Request) (*http.Response, *Error) {
 	bytesBefore := c.bytesWritten
 	c.requestCount++
+	c.carriedHead = c.carriedHead || r.Method == http.MethodHead
 	if r.IDHeader != "" {
 		c.sentIDs[maphash.String(idHashSeed, r.id())] = struct{}{}
 	}
@@ -257,7 +261,7 @@
 			return nil, errUnidentifiedResponse
 		case id == "" || id == r.id():
 			return response, nil
-		case response.Close:
+		case response.Close || c.carriedHead:
 			return nil, errStaleResponse
 		}
 		mayOmitID = false
@@ -273,7 +277,7 @@
 }
 
 var (
-	errStaleResponse        = errors.New("received a response to another request that closes the connection")
+	errStaleResponse        = errors.New("received a response to another request that cannot be discarded")
 	errUnidentifiedResponse = errors.New("received a response without an ID on a connection that was used before")
 )
 
--- a/pkg/exchange/repeated_test.go
+++ b/pkg/exchange/repeated_test.go
@@ -112,3 +112,26 @@
 		}
 	}
 }
+
+// A repeated response to a HEAD request has a length but no body. The response to the
+// current request must not be discarded as that body, which held the caller until its
+// deadline.
+func TestRepeatedHeadResponseDoesNotHideNextResponse(t *testing.T) {
+	p := startPeer(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+		head := "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 1000\r\n\r\n"
+		readRequestID(r)
+		_, _ = io.WriteString(conn, head)
+		_, _ = io.WriteString(conn, head+responseText(readRequestID(r), "two"))
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	pool := newPool(t, p.address)
+	request := newRequest(context.Background(), "1", nil)
+	request.Method = http.MethodHead
+	response, failure := pool.Do(context.Background(), request)
+	assert.Assert(t, failure == nil, "%v", failure)
+	_, err := io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	_, err = exchangeOnce(t, pool, "2")
+	assert.Equal(t, p.connections.Load(), int64(1))
+	assert.ErrorContains(t, err, errStaleResponse.Error())
+}
