--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -33,7 +33,9 @@
 	// maxDrainedBodyBytes is how much of a request body is read and discarded after a
 	// response that was sent before the body had been read.
 	maxDrainedBodyBytes = 256 << 10
-	writeBufferBytes    = 16 << 10
+	// bodyDrainTimeout bounds the time that this takes.
+	bodyDrainTimeout = 2 * time.Second
+	writeBufferBytes = 16 << 10
 )
 
 // clientServer is an HTTP/1.1 server for clients. Unlike the server of net/http, it
--- a/pkg/sidecar/responsewriter.go
+++ b/pkg/sidecar/responsewriter.go
@@ -131,9 +131,11 @@
 		return
 	}
 	if body := w.request.Body; body != nil && body != http.NoBody {
+		_ = w.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
 		if n, err := io.CopyN(io.Discard, body, maxDrainedBodyBytes); n == maxDrainedBodyBytes || err != io.EOF {
 			w.closesConnection = true
 		}
+		_ = w.SetReadDeadline(time.Time{})
 	}
 	if w.closesConnection {
 		w.session.linger()
