--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -333,6 +333,11 @@
 
 	accept()
 	<-opened // The kernel retries the connection a second after the first attempt.
+	for isPooled := false; !isPooled; time.Sleep(time.Millisecond) {
+		pool.mu.Lock()
+		isPooled = len(pool.idle) == 1
+		pool.mu.Unlock()
+	}
 	assert.NilError(t, pool.EnsureIdleConn(context.Background()))
 	assert.Equal(t, len(opened), 0, "the connection of the first request was not reused")
 }
