--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -24,6 +24,9 @@
 	// ctx is canceled when either side has closed the connection. Its cause tells which.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// onInterrupted is called by readAhead after interruptRead, when all bytes that were
+	// taken from the socket are in the buffer.
+	onInterrupted func()
 
 	mu       sync.Mutex
 	buffer   []byte
@@ -44,9 +47,9 @@
 
 func newClientConn(c net.Conn) *clientConn {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	conn := &clientConn{Conn: c, ctx: ctx, cancel: cancel, changed: make(chan struct{}), spaceFreed: make(chan struct{}, 1)}
-	go conn.readAhead()
-	return conn
+	return &clientConn{
+		Conn: c, ctx: ctx, cancel: cancel, onInterrupted: func() {}, changed: make(chan struct{}), spaceFreed: make(chan struct{}, 1),
+	}
 }
 
 // readAhead copies bytes from the connection to the buffer until the connection ends.
@@ -54,6 +57,11 @@
 	chunk := make([]byte, 4<<10)
 	for {
 		n, err := c.Conn.Read(chunk)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = c.Conn.SetReadDeadline(time.Time{})
+			c.onInterrupted()
+			continue
+		}
 		c.mu.Lock()
 		c.buffer = append(c.buffer, chunk[:n]...)
 		if err != nil {
@@ -76,6 +84,9 @@
 	}
 }
 
+// interruptRead lets readAhead call onInterrupted.
+func (c *clientConn) interruptRead() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // broadcast wakes all waiting readers; c.mu must be held.
 func (c *clientConn) broadcast() {
 	close(c.changed)
@@ -103,12 +114,8 @@
 			}
 			return n, nil
 		}
-		if c.err != nil {
-			err := c.err
+		if err := c.endError(); err != nil {
 			c.mu.Unlock()
-			if errors.Is(err, net.ErrClosed) {
-				return 0, io.EOF
-			}
 			return 0, err
 		}
 		changed, deadline := c.changed, c.deadline
@@ -117,6 +124,31 @@
 	}
 }
 
+// endError returns the error that the connection ended with, or nil; c.mu must be held.
+func (c *clientConn) endError() error {
+	if errors.Is(c.err, net.ErrClosed) {
+		return io.EOF
+	}
+	return c.err
+}
+
+// awaitData waits until Read has bytes to return. It takes none, so that they stay visible
+// to hasUnread.
+func (c *clientConn) awaitData() error {
+	for {
+		c.mu.Lock()
+		hasData, err, changed := len(c.buffer) > 0, c.endError(), c.changed
+		c.mu.Unlock()
+		switch {
+		case hasData:
+			return nil
+		case err != nil:
+			return err
+		}
+		<-changed
+	}
+}
+
 // awaitChange waits until changed is closed or the deadline has passed.
 func awaitChange(changed <-chan struct{}, deadline time.Time) {
 	if deadline.IsZero() {
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -109,6 +109,7 @@
 		}
 		s.sessions[session] = struct{}{}
 		s.mu.Unlock()
+		go session.conn.readAhead()
 		go session.serve()
 	}
 }
@@ -122,7 +123,7 @@
 	for {
 		s.mu.Lock()
 		for session := range s.sessions {
-			session.closeIfIdle()
+			session.closeIfIdle(0)
 		}
 		remaining := len(s.sessions)
 		s.mu.Unlock()
@@ -181,8 +182,10 @@
 	inFlight     int
 	isClosing    bool
 	// idleSince is when the last response ended. idleTimer closes the idle connection.
+	// minIdle is the idle time from which closeIfIdle closes it.
 	idleSince time.Time
 	idleTimer *time.Timer
+	minIdle   time.Duration
 }
 
 // begin counts the request of w as in flight and reports whether it may be started. A
@@ -194,7 +197,8 @@
 	if s.isClosing {
 		return false
 	}
-	s.isReading = false
+	// What follows the header may be the begin of the next request.
+	s.isReading = s.reader.Buffered() > 0 || !mayStartEarly(w.request)
 	s.lastResponse = w
 	s.inFlight++
 	return true
@@ -239,14 +243,27 @@
 	}
 	s.mu.Unlock()
 	if idleTimeout > 0 && remaining <= 0 {
-		s.closeIfIdle()
+		s.closeIfIdle(idleTimeout)
 	}
 }
 
-// closeIfIdle closes the connection if no request is in flight or arriving.
-func (s *session) closeIfIdle() {
+// closeIfIdle closes the connection if no request has been in flight or arriving for at
+// least minIdle. The goroutine that reads from the socket decides that, because a request
+// may be on its way from the socket to the buffer.
+func (s *session) closeIfIdle(minIdle time.Duration) {
 	s.mu.Lock()
-	isIdle := s.inFlight == 0 && !s.isReading && !s.conn.hasUnread()
+	mayBeIdle := s.inFlight == 0 && !s.isReading
+	s.minIdle = minIdle
+	s.mu.Unlock()
+	if mayBeIdle {
+		s.conn.interruptRead()
+	}
+}
+
+// closeInterrupted closes the connection whose read closeIfIdle interrupted if it is idle.
+func (s *session) closeInterrupted() {
+	s.mu.Lock()
+	isIdle := s.inFlight == 0 && !s.isReading && time.Since(s.idleSince) >= s.minIdle && !s.conn.hasUnread()
 	s.isClosing = s.isClosing || isIdle
 	s.mu.Unlock()
 	if isIdle {
@@ -297,10 +314,12 @@
 
 func newSession(server *clientServer, conn *clientConn) *session {
 	headerReader := &headerLimitReader{reader: conn, remainingBytes: maxClientHeaderBytes}
-	return &session{
+	s := &session{
 		server: server, conn: conn, headerReader: headerReader,
-		reader: bufio.NewReader(headerReader), writer: bufio.NewWriterSize(conn, writeBufferBytes),
+		reader: bufio.NewReader(headerReader), writer: bufio.NewWriterSize(conn, writeBufferBytes), idleSince: time.Now(),
 	}
+	conn.onInterrupted = s.closeInterrupted
+	return s
 }
 
 // serve reads and handles requests until the connection ends.
@@ -364,12 +383,13 @@
 // readRequest waits for the next request and reads its header.
 func (s *session) readRequest() (*http.Request, error) {
 	s.headerReader.remainingBytes = maxClientHeaderBytes
-	if _, err := s.reader.Peek(1); err != nil {
-		return nil, err
+	if s.reader.Buffered() == 0 {
+		s.setReading(false)
+		if err := s.conn.awaitData(); err != nil {
+			return nil, err
+		}
 	}
-	s.mu.Lock()
-	s.isReading = true
-	s.mu.Unlock()
+	s.setReading(true)
 	_ = s.conn.SetReadDeadline(time.Now().Add(clientHeaderTimeout))
 	r, err := http.ReadRequest(s.reader)
 	if err != nil {
@@ -384,6 +404,12 @@
 	return r.WithContext(s.conn.ctx), nil
 }
 
+func (s *session) setReading(isReading bool) {
+	s.mu.Lock()
+	s.isReading = isReading
+	s.mu.Unlock()
+}
+
 var errMalformed = errors.New("malformed request")
 
 // rejectUnreadable sends the status for a request that could not be read, and ends the
--- a/pkg/sidecar/clientserver_test.go
+++ b/pkg/sidecar/clientserver_test.go
@@ -205,7 +205,7 @@
 				isReading = session.isReading
 				session.mu.Unlock()
 			}
-			session.closeIfIdle()
+			session.closeIfIdle(0)
 			_, err = conn.Write([]byte(request[c.arrived:]))
 			assert.NilError(t, err)
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
