--- a/pkg/sidecar/shutdown.go
+++ b/pkg/sidecar/shutdown.go
@@ -11,16 +11,20 @@
 // it still accepts requests of clients that have not noticed yet.
 const (
 	minShutdownDuration = 2500 * time.Millisecond
-	// closeInboundDelay is when other nodes are told to send no more calls to the local
-	// endpoints. Until then these endpoints still take calls.
-	closeInboundDelay = 1500 * time.Millisecond
-	// rejectUnfinishableFraction is the fraction of the grace period after which requests
-	// that may last longer than the node are rejected. Earlier ones are accepted, because
-	// most requests take much less than their deadline allows.
-	rejectUnfinishableFraction = 0.5
-	// shutdownMargin is the part of the grace period that is left for the end of the
-	// process.
-	shutdownMargin = 800 * time.Millisecond
+	// maxCloseInboundDelay is when other nodes are told to send no more calls to the local
+	// endpoints, at the latest after a quarter of the grace period. Until then these
+	// endpoints still take calls.
+	maxCloseInboundDelay = 1500 * time.Millisecond
+	// maxNoticeTime is the time, at most half of the grace period, in which clients notice
+	// the shutdown. Afterwards requests that may last longer than the node are rejected.
+	// Earlier ones are accepted, because most take much less than their deadline allows.
+	maxNoticeTime = 3 * time.Second
+	// maxShutdownMargin and minShutdownMargin bound the part of the grace period that is
+	// left for the end of the process. The platform accepts that requests are broken off
+	// in the last sixth of the grace period; workMargin keeps the end of the attempts in it.
+	maxShutdownMargin = 800 * time.Millisecond
+	minShutdownMargin = closeTimeout + 100*time.Millisecond
+	workMargin        = finalResponseMargin + 30*time.Millisecond
 	// finalResponseMargin is the time between the end of the attempts and that of the
 	// requests, in which other nodes report whether an attempt has run. The longest round
 	// trip takes about 20 ms.
@@ -44,10 +48,12 @@
 }
 
 func newShutdownSchedule(started time.Time, gracePeriod time.Duration) shutdownSchedule {
-	end := started.Add(gracePeriod - shutdownMargin)
+	margin := max(min(maxShutdownMargin, gracePeriod/6-workMargin), minShutdownMargin)
+	end := started.Add(gracePeriod - margin)
 	return shutdownSchedule{
-		earliestEndAt: started.Add(minShutdownDuration), closeInboundAt: started.Add(closeInboundDelay),
-		rejectingFromAt: started.Add(time.Duration(rejectUnfinishableFraction * float64(gracePeriod))),
+		earliestEndAt:   started.Add(minShutdownDuration),
+		closeInboundAt:  started.Add(min(maxCloseInboundDelay, gracePeriod/4)),
+		rejectingFromAt: started.Add(min(maxNoticeTime, gracePeriod/2)),
 		attemptsEndAt:   end.Add(-finalResponseMargin), requestsEndAt: end,
 	}
 }
--- a/pkg/sidecar/shutdown_test.go
+++ b/pkg/sidecar/shutdown_test.go
@@ -34,3 +34,25 @@
 		})
 	}
 }
+
+// Guards against a request that is begun late in a shutdown and broken off while its
+// endpoint is at work. LOST excuses that only for requests sent no later than 3 s after
+// SIGTERM, and only in the last sixth of the grace period.
+func TestOnlyEarlyRequestsMayBeBrokenOffByShutdown(t *testing.T) {
+	const latestExcusedStart = 3 * time.Second
+	started := time.Unix(1000, 0)
+	for _, gracePeriod := range []time.Duration{4 * time.Second, 5 * time.Second, 6 * time.Second, 10 * time.Second, 30 * time.Second} {
+		t.Run(gracePeriod.String(), func(t *testing.T) {
+			schedule := newShutdownSchedule(started, gracePeriod)
+			for elapsed := time.Duration(0); elapsed < gracePeriod; elapsed += 50 * time.Millisecond {
+				now := started.Add(elapsed)
+				outlasts := schedule.attemptsEndAt.Add(time.Millisecond)
+				if !schedule.admits(now, outlasts) {
+					continue
+				}
+				assert.Assert(t, elapsed <= latestExcusedStart, "a request that may outlast the node is begun %v after SIGTERM", elapsed)
+				assert.Assert(t, !schedule.attemptsEndAt.Before(started.Add(gracePeriod*5/6)), "a request is broken off before the last sixth of the grace period")
+			}
+		})
+	}
+}
