--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -56,7 +56,7 @@
 		case <-x.ctx.Done():
 			x.mayHaveRun = x.mayHaveRun || x.pendingAttempts > 0
 			return nil, x.contextError()
-		case <-x.entry.deps.requestsEnded:
+		case <-x.entry.deps.requestsEnd.Done():
 			x.mayHaveRun = x.mayHaveRun || x.pendingAttempts > 0
 			return x.finalResult(verdict.NotRunErrorf(verdict.Draining, "the node stopped before the request ended"))
 		}
--- a/pkg/sidecar/attempts_test.go
+++ b/pkg/sidecar/attempts_test.go
@@ -45,7 +45,8 @@
 func TestBodyReadTimeoutIsNotBadRequest(t *testing.T) {
 	r := httptest.NewRequest(http.MethodPost, "/x", iotest.ErrReader(os.ErrDeadlineExceeded))
 	r.ContentLength = 10
-	x := &request{r: r, w: httptest.NewRecorder(), ctx: t.Context(), deadline: time.Now()}
+	entry := &EntryHandler{deps: &shared{requestsEnd: t.Context()}}
+	x := &request{entry: entry, r: r, w: httptest.NewRecorder(), ctx: t.Context(), deadline: time.Now()}
 	failure := x.readBody()
 	assert.Equal(t, failure.Code, verdict.DeadlineExceeded)
 	assert.Equal(t, statusOf(failure), http.StatusServiceUnavailable)
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -449,11 +449,15 @@
 	w.finish()
 }
 
-// linger gives the client time to read the last response, then closes the connection.
-func (s *session) linger() {
+func (s *session) setLingering() {
 	s.mu.Lock()
 	s.isLingering = true
 	s.mu.Unlock()
+}
+
+// linger gives the client time to read the last response, then closes the connection.
+func (s *session) linger() {
+	s.setLingering()
 	if tcp, ok := s.conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -121,7 +121,8 @@
 }
 
 func (n *Node) newShared(do.Injector) (*shared, error) {
-	s := &shared{settings: n.deps.Settings, headers: n.deps.HeaderNames, now: time.Now, requestsEnded: make(chan struct{})}
+	s := &shared{settings: n.deps.Settings, headers: n.deps.HeaderNames, now: time.Now}
+	s.requestsEnd, s.endRequests = context.WithCancel(context.Background())
 	s.service.Store(&n.deps.Settings.Service)
 	s.uplink = newUplink(s.now, s.settings.LinkBytesPerSecond)
 	s.log = newEventLog(n.deps.LogOutput, timeline.Origin{
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -176,7 +176,10 @@
 	if x.r.ContentLength == 0 || x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
+	controller := http.NewResponseController(x.w)
+	_ = controller.SetReadDeadline(x.deadline)
+	stopWatch := context.AfterFunc(x.entry.deps.requestsEnd, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+	defer stopWatch()
 	buffer := make([]byte, bufferedRequestBytes)
 	if length := x.r.ContentLength; length > 0 && length < bufferedRequestBytes {
 		buffer = buffer[:length]
@@ -191,14 +194,14 @@
 			return x.contextError()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			// The deadline of the connection is noticed before that of the context.
-			return verdict.NotRunErrorf(verdict.DeadlineExceeded, "the deadline has passed before the body was here")
+			return verdict.NotRunErrorf(verdict.DeadlineExceeded, "the body did not arrive in time")
 		}
 		return verdict.NotRunErrorf(verdict.BadRequest, "the body was cut: %v", err)
 	case x.r.ContentLength < 0 || x.r.ContentLength > int64(n):
 		x.remainingBody = x.r.Body
-		_ = http.NewResponseController(x.w).EnableFullDuplex()
+		_ = controller.EnableFullDuplex()
 	}
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	_ = controller.SetReadDeadline(time.Time{})
 	return nil
 }
 
--- a/pkg/sidecar/responsewriter.go
+++ b/pkg/sidecar/responsewriter.go
@@ -130,6 +130,9 @@
 		_ = w.session.conn.Close()
 		return
 	}
+	if w.closesConnection {
+		w.session.setLingering()
+	}
 	if body := w.request.Body; body != nil && body != http.NoBody {
 		_ = w.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
 		if n, err := io.CopyN(io.Discard, body, maxDrainedBodyBytes); n == maxDrainedBodyBytes || err != io.EOF {
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -24,10 +25,11 @@
 	// service is the service of the local endpoint; a reload of the settings may change
 	// it.
 	service atomic.Pointer[string]
-	// shutdown is nil until the node shuts down. requestsEnded is closed when all requests
-	// have to end.
-	shutdown      atomic.Pointer[shutdownSchedule]
-	requestsEnded chan struct{}
+	// shutdown is nil until the node shuts down. requestsEnd is canceled, by endRequests,
+	// when all requests have to end.
+	shutdown    atomic.Pointer[shutdownSchedule]
+	requestsEnd context.Context
+	endRequests context.CancelFunc
 	// newestConfigVersion and newestRolloutRevision are the highest that any node,
 	// including this one, is known to have read. They are forwarded before this node
 	// has read them itself; otherwise an update would be delayed by one fetch pause for
--- a/pkg/sidecar/shutdown.go
+++ b/pkg/sidecar/shutdown.go
@@ -71,7 +71,7 @@
 	n.shared.log.event("stopping", fields{"inFlight": n.inFlight()})
 	n.awaitRequests(schedule)
 	n.shared.isRejectingNew.Store(true)
-	close(n.shared.requestsEnded)
+	n.shared.endRequests()
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClosing()
 	var shutdowns sync.WaitGroup
--- a/test/sidecar/shutdown_test.go
+++ b/test/sidecar/shutdown_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -127,3 +128,58 @@
 		})
 	}
 }
+
+// Guards against a request that entered before the shutdown, whose body is still being
+// read, and whose connection is closed at the end of the process without a response.
+func TestRequestWithUnfinishedBodyIsAnsweredBeforeItsNodeStops(t *testing.T) {
+	f := newFleet(t)
+	n := f.addNode("a", endpoint("e"))
+	f.storeConfiguration(longRouteRule())
+	f.waitUntilReady()
+	f.waitUntil("the configuration is active", func() bool { return n.gauge("configuration_version") == float64(f.version) })
+	c := n.dial(t)
+	_, err := fmt.Fprintf(c, "POST /safe/x HTTP/1.1\r\nHost: h.example\r\n%s: id\r\n%s: 25000\r\nContent-Length: 10\r\n\r\nhalf",
+		platformtest.HeaderRequestID, platformtest.HeaderDeadline)
+	assert.NilError(t, err)
+	f.waitUntil("the request is in flight", func() bool { return n.gauge("requests_in_flight") == 1 })
+	n.stop()
+	_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+	response, err := http.ReadResponse(c.reader, nil)
+	assert.NilError(t, err, "the connection was closed without a response")
+	_ = response.Body.Close()
+	<-n.done
+	assert.Equal(t, len(n.log.events("connection_cut")), 0)
+}
+
+// Guards against a stopping node that begins a request late which may outlast it, instead
+// of rejecting it at once.
+func TestLateRequestThatOutlastsTheNodeIsRejectedAtOnce(t *testing.T) {
+	f := newFleet(t)
+	running := make(chan struct{}, 1)
+	e := endpoint("e")
+	e.Handler = func(_ http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		<-r.Context().Done()
+	}
+	n := f.addNode("a", e)
+	f.storeConfiguration(longRouteRule())
+	f.waitUntilReady()
+	f.waitUntil("the configuration is active", func() bool { return n.gauge("configuration_version") == float64(f.version) })
+	send := func(id string) <-chan result {
+		r := n.request(context.Background(), http.MethodGet, "/safe/x", id, nil)
+		r.Header.Set(platformtest.HeaderDeadline, "25000")
+		done := make(chan result, 1)
+		go func() { done <- do(r) }()
+		return done
+	}
+	held := send("held") // Keeps the node from ending early.
+	<-running
+	stopped := time.Now()
+	n.stop()
+	time.Sleep(time.Until(stopped.Add(n.settings.GracePeriod * 6 / 10)))
+	got := <-send("late")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, e.RunCount(), 1)
+	assert.NilError(t, (<-held).err)
+}
