--- a/pkg/sidecar/shutdown.go
+++ b/pkg/sidecar/shutdown.go
@@ -70,13 +70,18 @@
 	n.shared.shutdown.Store(&schedule)
 	n.shared.log.event("stopping", fields{"inFlight": n.inFlight()})
 	n.awaitRequests(schedule)
-	n.shared.isRejectingNew.Store(true)
 	n.shared.endRequests()
-	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancelClosing()
 	var shutdowns sync.WaitGroup
 	for _, server := range servers {
+		wait := closeTimeout
+		if _, ok := server.http.(*clientServer); ok {
+			// Waits for responses that are still being written and requests that are arriving.
+			// Open connections without any do not delay it.
+			wait += max(schedule.requestsEndAt.Sub(n.shared.now()), 0)
+		}
 		shutdowns.Go(func() {
+			closing, cancel := context.WithTimeout(context.Background(), wait)
+			defer cancel()
 			if server.http.Shutdown(closing) != nil {
 				_ = server.http.Close()
 			}
@@ -86,7 +91,7 @@
 }
 
 // awaitRequests waits until no request is in flight, at the latest until all requests
-// have to end.
+// have to end. Then all new requests are rejected.
 func (n *Node) awaitRequests(schedule shutdownSchedule) {
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
@@ -98,8 +103,13 @@
 		if !now.Before(schedule.attemptsEndAt) {
 			n.admission.rejectWaiting()
 		}
-		if !now.Before(schedule.requestsEndAt) || !now.Before(schedule.earliestEndAt) && n.inFlight() == 0 {
-			return
+		mayEnd := !now.Before(schedule.earliestEndAt) && n.inFlight() == 0
+		if mayEnd || !now.Before(schedule.requestsEndAt) {
+			n.shared.isRejectingNew.Store(true)
+			// A request may have begun before the flag was set.
+			if n.inFlight() == 0 || !now.Before(schedule.requestsEndAt) {
+				return
+			}
 		}
 		<-ticker.C
 	}
