--- /dev/null
+++ b/test/sidecar/entries_test.go
@@ -0,0 +1,38 @@
+package sidecar_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/platform/platformtest"
+)
+
+// unusableEntries are values that another writer may store.
+var unusableEntries = map[string]string{
+	"deeply nested": strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+	"no JSON":       `{"slots":NaN}`,
+	"large number":  `{"name":"x","address":"10.0.0.1:1","endpoints":[{"id":"e","service":"s","version":"v1","slots":1e999}]}`,
+}
+
+// Nodes must follow the store and new ones must start, whatever another writer has
+// stored beside the entries and configurations.
+func TestUnusableEntriesDoNotStopDiscovery(t *testing.T) {
+	e := endpoint("e")
+	f, entryNode := startRemoteEndpoint(t, e)
+	for name, value := range unusableEntries {
+		f.store.Put("azurespring-mesh", "instance-a "+name, value)
+		f.store.Put("azurespring-mesh", "rollout-a "+name, value)
+		f.store.Put("rollouts", name, value)
+		f.store.Put("config", name, value)
+	}
+	f.storeConfiguration(routeRule("safe", "/safe/", `"kind":"safe"`), routeRule("late", "/late/", `"kind":"safe"`))
+	f.waitUntil("the running node follows configurations", func() bool { return entryNode.get("/late/x", "id0").status == http.StatusOK })
+	newNode := f.addNode("b", &platformtest.Endpoint{ID: "third", Service: "t", Version: "v1"})
+	f.waitUntil("the new node is ready", newNode.isReady)
+	f.waitUntil("the new node knows the endpoint", func() bool { return newNode.get("/safe/x", "id1").status == http.StatusOK })
+	f.waitUntilReady()
+	assert.Equal(t, entryNode.get("/safe/x", "id2").status, http.StatusOK)
+}
