--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -102,7 +102,7 @@
 	}
 	name := rolloutPrefix + p.Service
 	t.mu.Lock()
-	version := t.resourceVersions[name]
+	version := t.resourceVersions[platform.KindMeshState][name]
 	t.mu.Unlock()
 	var written platform.Object
 	if version == "" {
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -85,7 +85,7 @@
 	t.mu.Lock()
 	entry, name := t.ownEntry(), t.entryName()
 	entry.Stopping = t.deps.isInboundClosed.Load()
-	stored, resourceVersion, isLoaded := t.instances[name], t.resourceVersions[name], t.loadedKinds[platform.KindMeshState]
+	stored, resourceVersion, isLoaded := t.instances[name], t.resourceVersions[platform.KindMeshState][name], t.loadedKinds[platform.KindMeshState]
 	t.mu.Unlock()
 	if !isLoaded || !t.admission.isRestored() {
 		// Until then the stored entry may contain deregistrations that are not known
@@ -107,7 +107,8 @@
 	}
 	if err == nil {
 		t.mu.Lock()
-		t.instances[name], t.resourceVersions[name] = entry, written.ResourceVersion
+		t.instances[name], t.resourceVersions[platform.KindMeshState][name] = entry, written.ResourceVersion
+		t.objects[platform.KindMeshState][name] = platform.Object{Kind: platform.KindMeshState, Name: name, ResourceVersion: written.ResourceVersion, Value: value}
 		t.mu.Unlock()
 		t.deps.log.event("entry_published", fields{"endpoints": len(entry.Endpoints), "revision": written.ResourceVersion})
 		return nil
--- a/pkg/sidecar/statetransfer.go
+++ b/pkg/sidecar/statetransfer.go
@@ -32,9 +32,6 @@
 	maxStateBytes = 4 << 20
 )
 
-// transferredKinds are the kinds of objects in a state transfer.
-var transferredKinds = []platform.Kind{platform.KindConfiguration, platform.KindRollout, platform.KindMeshState}
-
 // transferredObject is an object of the store in a state transfer.
 type transferredObject struct {
 	Name    string          `json:"name"`
@@ -48,7 +45,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	content := make(map[platform.Kind][]transferredObject)
-	for _, kind := range transferredKinds {
+	for _, kind := range trackedKinds {
 		if !t.loadedKinds[kind] {
 			return nil, nil
 		}
@@ -69,7 +66,7 @@
 	if err := json.Unmarshal(encoded, &objectsByKind); err != nil {
 		return eris.Wrap(err, "decode offer")
 	}
-	for _, kind := range transferredKinds {
+	for _, kind := range trackedKinds {
 		t.mu.Lock()
 		isLoaded := t.loadedKinds[kind]
 		t.mu.Unlock()
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -31,6 +31,9 @@
 	rolloutPrefix  = "rollout-"
 )
 
+// trackedKinds are the kinds of objects that a node follows.
+var trackedKinds = []platform.Kind{platform.KindConfiguration, platform.KindRollout, platform.KindMeshState}
+
 // DocumentCodec decodes and encodes the documents that operators write to the store.
 type DocumentCodec interface {
 	// ConfigurationName is the name of the object that holds the configuration.
@@ -48,14 +51,16 @@
 	admission *localAdmission
 	builder   *placement.Builder
 
-	// instances, rollouts and progress hold the decoded objects and resourceVersions
-	// the versions of the kind mesh state, all by object name.
-	mu               sync.Mutex
-	instances        map[string]mesh.Instance
-	rollouts         map[string]mesh.Rollout
-	progress         map[string]rollout.Progress
-	resourceVersions map[string]string
-	// objects holds the objects of each kind as last read. They are sent to nodes that
+	// instances, rollouts and progress hold the decoded objects by object name. An object
+	// that cannot be decoded leaves the last one in place that could.
+	mu        sync.Mutex
+	instances map[string]mesh.Instance
+	rollouts  map[string]mesh.Rollout
+	progress  map[string]rollout.Progress
+	// resourceVersions holds the version of each object that was read last, decoded or
+	// not.
+	resourceVersions map[platform.Kind]map[string]string
+	// objects holds the decoded objects in their stored form. They are sent to nodes that
 	// start while they cannot reach the store.
 	objects     map[platform.Kind]map[string]platform.Object
 	loadedKinds map[platform.Kind]bool
@@ -73,17 +78,21 @@
 }
 
 func newTracker(deps *shared, store platform.Store, codec DocumentCodec, admission *localAdmission) *tracker {
-	return &tracker{
+	t := &tracker{
 		deps: deps, store: store, codec: codec, admission: admission,
 		builder: placement.NewBuilder(placement.Locality{
 			Instance: deps.settings.Instance, FailureDomain: deps.settings.FailureDomain, Region: deps.settings.Region,
 		}),
 		instances: make(map[string]mesh.Instance), rollouts: make(map[string]mesh.Rollout),
-		progress: make(map[string]rollout.Progress), resourceVersions: make(map[string]string),
+		progress: make(map[string]rollout.Progress), resourceVersions: make(map[platform.Kind]map[string]string),
 		objects:     make(map[platform.Kind]map[string]platform.Object),
 		loadedKinds: make(map[platform.Kind]bool),
 		publishWake: make(chan struct{}, 1), rolloutWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), published: make(chan struct{}),
 	}
+	for _, kind := range trackedKinds {
+		t.resourceVersions[kind], t.objects[kind] = make(map[string]string), make(map[string]platform.Object)
+	}
+	return t
 }
 
 // notify wakes the receiver of c unless a wake-up is already pending.
@@ -97,7 +106,7 @@
 // run follows the store until ctx ends.
 func (t *tracker) run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, kind := range []platform.Kind{platform.KindConfiguration, platform.KindRollout, platform.KindMeshState} {
+	for _, kind := range trackedKinds {
 		running.Go(func() { t.followKind(ctx, kind) })
 	}
 	running.Go(func() { t.publish(ctx) })
@@ -168,18 +177,16 @@
 func (t *tracker) replaceView(kind platform.Kind, objects []platform.Object) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch kind {
-	case platform.KindRollout:
-		clear(t.rollouts)
-	case platform.KindMeshState:
-		clear(t.instances)
-		clear(t.progress)
-		clear(t.resourceVersions)
-	}
-	t.objects[kind] = make(map[string]platform.Object, len(objects))
+	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
+		listed[o.Name] = true
 		t.put(kind, o)
 	}
+	for name := range t.resourceVersions[kind] {
+		if !listed[name] {
+			t.remove(kind, name)
+		}
+	}
 	t.loadedKinds[kind] = true
 }
 
@@ -195,13 +202,14 @@
 	t.refresh(kind)
 }
 
-// put applies one object; t.mu must be held. Objects that cannot be decoded are logged
-// and ignored.
+// put applies one object; t.mu must be held. An object that cannot be decoded is logged
+// once per version and leaves the last one in place that could.
 func (t *tracker) put(kind platform.Kind, o platform.Object) {
-	if t.objects[kind] == nil {
-		t.objects[kind] = make(map[string]platform.Object)
+	read := t.resourceVersions[kind][o.Name]
+	if read != "" && (o.ResourceVersion == read || isOlder(o.ResourceVersion, read)) {
+		return // This or a newer version was read in the meantime.
 	}
-	t.objects[kind][o.Name] = o
+	t.resourceVersions[kind][o.Name] = o.ResourceVersion
 	var err error
 	switch kind {
 	case platform.KindConfiguration:
@@ -209,23 +217,30 @@
 			err = t.activate(o)
 		}
 	case platform.KindRollout:
-		var r mesh.Rollout
-		storeMax(&t.deps.rolloutRevision, parseRevision(o.ResourceVersion))
-		storeMax(&t.deps.newestRolloutRevision, parseRevision(o.ResourceVersion))
-		if isOlder(o.ResourceVersion, t.rollouts[o.Name].Revision) {
-			return // A newer revision was read in the meantime.
-		}
-		if r, err = t.codec.DecodeRollout(o.Value); err == nil {
-			r.Revision = o.ResourceVersion
-			t.rollouts[o.Name] = r
-		}
+		err = t.putRollout(o)
 	case platform.KindMeshState:
-		t.resourceVersions[o.Name] = o.ResourceVersion
 		err = t.putState(o)
 	}
+	if o.Name == "" {
+		err = eris.New("the metadata of the object cannot be read")
+	}
+	if err != nil {
+		t.deps.log.event("object_refused", fields{"kind": string(kind), "name": o.Name, "revision": o.ResourceVersion, "error": err.Error()})
+		return
+	}
+	t.objects[kind][o.Name] = o
+}
+
+func (t *tracker) putRollout(o platform.Object) error {
+	storeMax(&t.deps.rolloutRevision, parseRevision(o.ResourceVersion))
+	storeMax(&t.deps.newestRolloutRevision, parseRevision(o.ResourceVersion))
+	r, err := t.codec.DecodeRollout(o.Value)
 	if err != nil {
-		t.deps.log.event("object_refused", fields{"kind": string(kind), "name": o.Name, "error": err.Error()})
+		return err
 	}
+	r.Revision = o.ResourceVersion
+	t.rollouts[o.Name] = r
+	return nil
 }
 
 // isOlder reports whether revision a came before b. The order is unknown, and the
@@ -252,13 +267,13 @@
 
 func (t *tracker) remove(kind platform.Kind, name string) {
 	delete(t.objects[kind], name)
+	delete(t.resourceVersions[kind], name)
 	switch kind {
 	case platform.KindRollout:
 		delete(t.rollouts, name)
 	case platform.KindMeshState:
 		delete(t.instances, name)
 		delete(t.progress, name)
-		delete(t.resourceVersions, name)
 		if name == t.entryName() && !t.deps.isShuttingDown.Load() {
 			notify(t.publishWake)
 		}
--- /dev/null
+++ b/pkg/sidecar/tracker_test.go
@@ -0,0 +1,106 @@
+package sidecar
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/platform"
+)
+
+// testCodec decodes documents that have the fields of the decoded types.
+type testCodec struct{}
+
+func (testCodec) ConfigurationName() string { return "main" }
+
+func (testCodec) DecodeConfiguration(value []byte) (c mesh.Configuration, err error) {
+	return c, json.Unmarshal(value, &c)
+}
+
+func (testCodec) DecodeRollout(value []byte) (r mesh.Rollout, err error) {
+	return r, json.Unmarshal(value, &r)
+}
+
+func (testCodec) EncodeRolloutState(string, mesh.RolloutState) ([]byte, error) {
+	return nil, eris.New("not used")
+}
+
+// newTestTracker returns the tracker of node n and a function that ends its log and
+// returns it.
+func newTestTracker(t *testing.T) (*tracker, func() string) {
+	t.Helper()
+	var output bytes.Buffer
+	log := newEventLog(&output, testOrigin, func() uint64 { return 1 })
+	deps := &shared{
+		settings: Settings{Instance: "n", InboundAddress: "10.0.0.9:1", FailureDomain: "d", Region: "r", HeartbeatInterval: time.Second},
+		now:      time.Now, log: log, metrics: &metrics{scope: tally.NoopScope},
+	}
+	deps.rollouts = newRolloutTracker(deps.now, log, func() {})
+	admission := newLocalAdmission(deps)
+	tracker := newTracker(deps, nil, testCodec{}, admission)
+	deps.onEndpointsChanged = tracker.endpointsChanged
+	return tracker, func() string {
+		log.close(testTimeout)
+		return output.String()
+	}
+}
+
+// entryOf returns the stored entry of an instance with one endpoint of service s.
+func entryOf(t *testing.T, instance string, revision int) platform.Object {
+	t.Helper()
+	value, err := mesh.Instance{
+		Name: instance, Address: "10.0.0.1:80", FailureDomain: "d", Region: "r",
+		Endpoints: []mesh.Endpoint{{ID: "e-" + instance, Service: "s", Version: "v", Slots: 4, Address: "10.0.0.1:81"}},
+	}.Encode()
+	assert.NilError(t, err)
+	return stateObject(instancePrefix+instance, revision, string(value))
+}
+
+func stateObject(name string, revision int, value string) platform.Object {
+	return platform.Object{Kind: platform.KindMeshState, Name: name, ResourceVersion: fmt.Sprint(revision), Value: []byte(value)}
+}
+
+func (t *tracker) applyPut(o platform.Object) {
+	t.apply(o.Kind, platform.Event{Type: platform.EventPut, Object: o})
+}
+
+// knownEndpoints returns the IDs of the endpoints in the table.
+func knownEndpoints(t *tracker) map[string]bool {
+	ids := make(map[string]bool)
+	for _, endpoints := range t.deps.table.Load().EndpointsByVersion("s") {
+		for _, e := range endpoints {
+			ids[e.ID] = true
+		}
+	}
+	return ids
+}
+
+// An entry that cannot be decoded must leave the last good one in place, also when the
+// kind is listed again, until the object is deleted. It must be logged once.
+func TestUndecodableEntryKeepsLastGoodOne(t *testing.T) {
+	for _, value := range []string{`{`, `5`, strings.Repeat("[", 20_000), `{"name":"a","address":"10.0.0.1:80","endpoints":[{"slots":1e99}]}`} {
+		tracker, logText := newTestTracker(t)
+		unusable := stateObject("instance-a", 7, value)
+		tracker.replace(platform.KindMeshState, []platform.Object{entryOf(t, "a", 2), entryOf(t, "b", 3)})
+		tracker.applyPut(unusable)
+		assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true, "e-b": true})
+		for range 3 {
+			tracker.replace(platform.KindMeshState, []platform.Object{unusable, entryOf(t, "b", 3)})
+			assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true, "e-b": true})
+		}
+		tracker.apply(platform.KindMeshState, platform.Event{Type: platform.EventDeleted, Object: unusable})
+		assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-b": true})
+		tracker.applyPut(entryOf(t, "a", 9))
+		tracker.replace(platform.KindMeshState, []platform.Object{entryOf(t, "a", 9)})
+		assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true})
+		assert.Equal(t, strings.Count(logText(), `"event":"object_refused"`), 1)
+	}
+}
