--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -17,7 +17,7 @@
 // can help.
 func (x *request) runAttempts() (*endpointResponse, *verdict.Error) {
 	x.cancels = make(map[int]context.CancelFunc)
-	x.results = make(chan attemptResult, maxRejections+max(x.route.MaxAttempts, 1)+1)
+	x.results = make(chan attemptResult, maxRejections+x.attemptLimit()+1)
 	defer x.cancelAttempts()
 	expected, failure := x.startAttempt()
 	if failure != nil {
@@ -109,10 +109,17 @@
 	return delay
 }
 
+// maxAttempts bounds the attempts of a request whatever its route allows, because the
+// buffer of results has room for all of them.
+const maxAttempts = 64
+
+// attemptLimit is the number of endpoints that the request may be sent to.
+func (x *request) attemptLimit() int { return min(max(x.route.MaxAttempts, 1), maxAttempts) }
+
 // mayRetry reports whether the request may be sent to one more endpoint.
 func (x *request) mayRetry() bool {
 	switch {
-	case x.reachedAttempts+x.pendingAttempts >= max(x.route.MaxAttempts, 1):
+	case x.reachedAttempts+x.pendingAttempts >= x.attemptLimit():
 		return false
 	case x.remainingBody != nil && x.attempts > 0:
 		// Part of the body is no longer in memory.
--- a/test/sidecar/entries_test.go
+++ b/test/sidecar/entries_test.go
@@ -36,3 +36,14 @@
 	f.waitUntilReady()
 	assert.Equal(t, entryNode.get("/safe/x", "id2").status, http.StatusOK)
 }
+
+// A route that allows very many attempts must be served; a buffer for the results of all
+// of them does not fit into memory.
+func TestRouteWithHugeAttemptLimitIsServed(t *testing.T) {
+	f, entryNode := startRemoteEndpoint(t, endpoint("e"))
+	f.storeConfiguration(strings.Replace(routeRule("safe", "/many/", `"kind":"safe"`), `"max_attempts":2`, `"max_attempts":9223372036854775807`, 1))
+	f.waitUntil("the configuration is active", func() bool { return len(entryNode.log.events("configuration_activated")) > 1 })
+	got := entryNode.get("/many/x", "id0")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+}
