--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -106,10 +106,7 @@
 		written, err = t.store.Update(ctx, platform.Object{Kind: platform.KindMeshState, Name: name, ResourceVersion: resourceVersion, Value: value})
 	}
 	if err == nil {
-		t.mu.Lock()
-		t.instances[name], t.resourceVersions[platform.KindMeshState][name] = entry, written.ResourceVersion
-		t.objects[platform.KindMeshState][name] = platform.Object{Kind: platform.KindMeshState, Name: name, ResourceVersion: written.ResourceVersion, Value: value}
-		t.mu.Unlock()
+		t.recordWritten(platform.Object{Kind: platform.KindMeshState, Name: name, ResourceVersion: written.ResourceVersion, Value: value}, entry)
 		t.deps.log.event("entry_published", fields{"endpoints": len(entry.Endpoints), "revision": written.ResourceVersion})
 		return nil
 	}
@@ -117,6 +114,29 @@
 	return err
 }
 
+// recordWritten records this node's entry as stored, unless a newer version was read in
+// the meantime.
+func (t *tracker) recordWritten(o platform.Object, entry mesh.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if isOlder(o.ResourceVersion, t.resourceVersions[o.Kind][o.Name]) {
+		return
+	}
+	t.instances[o.Name], t.resourceVersions[o.Kind][o.Name], t.objects[o.Kind][o.Name] = entry, o.ResourceVersion, o
+}
+
+// recordOwnEntry is called with t.mu held after a version of this node's entry was read
+// that this node has not recorded as its own write. It may be another writer's, so
+// that the entry is compared and, if it differs, stored again.
+func (t *tracker) recordOwnEntry(err error) {
+	if err != nil {
+		delete(t.instances, t.entryName())
+	}
+	if t.admission.isRestored() {
+		notify(t.publishWake)
+	}
+}
+
 // reread reads the object of the given name again after a write that failed because the
 // resource version had changed, or whose outcome is not known.
 func (t *tracker) reread(ctx context.Context, name string) {
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -220,6 +220,9 @@
 		err = t.putRollout(o)
 	case platform.KindMeshState:
 		err = t.putState(o)
+		if o.Name == t.entryName() {
+			t.recordOwnEntry(err)
+		}
 	}
 	if o.Name == "" {
 		err = eris.New("the metadata of the object cannot be read")
--- a/test/sidecar/entries_test.go
+++ b/test/sidecar/entries_test.go
@@ -47,3 +47,34 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusOK)
 }
+
+// A node must store its entry again if another writer replaced or deleted it. Otherwise
+// the other nodes lose its endpoint until the next change of the endpoint.
+func TestOverwrittenEntryIsStoredAgain(t *testing.T) {
+	const kind, name = "azurespring-mesh", "instance-n1"
+	f, entryNode := startRemoteEndpoint(t, endpoint("e"))
+	owner := f.nodes[1]
+	good := func() bool {
+		o, ok := f.store.Get(kind, name)
+		return ok && strings.Contains(string(o.Specification), owner.settings.InboundAddress) && strings.Contains(string(o.Specification), `"id":"e"`)
+	}
+	f.waitUntil("the entry is stored", good)
+	values := map[string]string{
+		"no endpoints": `{"name":"n1","address":"` + owner.settings.InboundAddress + `","failureDomain":"a","region":"r-a","endpoints":[]}`,
+		"other type":   `{"name":"n1","address":"10.0.0.1:1","endpoints":[],"ended":"none"}`,
+		"stopping":     `{"name":"n1","address":"10.0.0.1:1","endpoints":[],"stopping":true}`,
+	}
+	for form, value := range unusableEntries {
+		values[form] = value
+	}
+	for _, value := range values {
+		f.store.Put(kind, name, value)
+		f.waitUntil("the entry is stored again", good)
+	}
+	f.store.Delete(kind, name)
+	f.waitUntil("the entry is stored again after it was deleted", good)
+	f.waitUntil("the endpoint is known", func() bool { return entryNode.get("/safe/x", "id0").status == http.StatusOK })
+	if writes := len(owner.log.events("entry_published")); writes > 2*(len(values)+2) {
+		t.Errorf("the entry was written %d times", writes)
+	}
+}
