--- a/pkg/mesh/instance.go
+++ b/pkg/mesh/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -78,23 +79,22 @@
 	return value, eris.Wrap(err, "encode instance entry")
 }
 
-// DecodeInstance decodes a stored instance entry. An entry without a name or an
-// address is an error; endpoints without an ID, a service or slots are skipped.
+// DecodeInstance decodes a stored instance entry. An entry without a name or an address
+// that can be used is an error; endpoints that cannot be used are skipped.
 func DecodeInstance(value []byte) (Instance, error) {
 	var i Instance
 	if err := json.Unmarshal(value, &i); err != nil {
 		return Instance{}, eris.Wrap(err, "decode instance entry")
 	}
-	if i.Name == "" || i.Address == "" {
-		return Instance{}, eris.New("instance entry lacks a name or an address")
+	if err := i.validate(); err != nil {
+		return Instance{}, err
 	}
-	valid := i.Endpoints[:0]
-	for _, e := range i.Endpoints {
-		if e.ID != "" && e.Service != "" && e.Slots > 0 {
-			valid = append(valid, e)
-		}
-	}
-	i.Endpoints = valid
+	seen := make(map[string]bool, len(i.Endpoints))
+	i.Endpoints = slices.DeleteFunc(i.Endpoints, func(e Endpoint) bool {
+		isUnusable := !e.isValid() || seen[e.ID]
+		seen[e.ID] = true
+		return isUnusable
+	})
 	return i, nil
 }
 
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -120,7 +121,7 @@
 	first.Announce(now, announcement("gone", 1, 1, EndpointReady))
 	first.Deregister(now, "gone", 0)
 	first.Announce(now, announcement("drains", 1, 1, EndpointDraining))
-	entry, err := Instance{Name: "n", Address: "a", EndedEndpoints: first.EndedEndpoints()}.Encode()
+	entry, err := Instance{Name: "n", Address: "10.0.0.1:1", EndedEndpoints: first.EndedEndpoints()}.Encode()
 	assert.NilError(t, err)
 	stored, err := DecodeInstance(entry)
 	assert.NilError(t, err)
@@ -174,20 +175,41 @@
 // Entries come from other writers: an invalid one must fail to decode, and an
 // invalid endpoint must not affect the others.
 func TestDecodeInstanceRejectsInvalidEntries(t *testing.T) {
+	const address = `"name":"n","address":"10.0.0.1:1"`
+	many := func(element string, n int) string { return strings.Repeat(element+",", n-1) + element }
 	for _, c := range []struct {
 		value     string
 		ok        bool
 		endpoints int
 	}{
-		{`{"name":"n","address":"a","endpoints":[{"id":"e","service":"s","slots":1}]}`, true, 1},
-		{`{"name":"n","address":"a","endpoints":[{"id":"e","slots":1},{"id":"f","service":"s"}]}`, true, 0},
-		{`{"name":"n","address":"a","endpoints":"none"}`, false, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1}]}`, true, 1},
+		{`{"name":"n","address":"[::1]:80","endpoints":[{"id":"e","service":"s","slots":1}]}`, true, 1},
+		{`{` + address + `,"endpoints":[{"id":"e","slots":1},{"id":"f","service":"s"}]}`, true, 0},
+		{`{` + address + `,"endpoints":"none"}`, false, 0},
+		{`{` + address + `,"ended":"none"}`, false, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"more":` + many("[", 20_000) + `]}`, false, 0},
 		{`{"name":"n"}`, false, 0},
+		{`{"address":"10.0.0.1:1"}`, false, 0},
 		{`{`, false, 0},
 		{``, false, 0},
+		{`{"name":"n","address":"a"}`, false, 0},
+		{`{"name":"n","address":"10.0.0.1:99999"}`, false, 0},
+		{`{"name":"n","address":"10.0.0.1:0"}`, false, 0},
+		{`{"name":"n","address":"10.0.0.1"}`, false, 0},
+		{`{"name":"n","address":"host:80"}`, false, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":-1},{"id":"f","service":"s","slots":1}]}`, true, 1},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":9223372036854775807},{"id":"f","service":"s","slots":1}]}`, true, 1},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":9223372036854775808}]}`, false, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"warmupMs":9223372036854775}]}`, true, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"warmupMs":-1}]}`, true, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"born":-5}]}`, true, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"address":"10.0.0.1:99999"}]}`, true, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1},{"id":"e","service":"t","slots":1}]}`, true, 1},
+		{`{` + address + `,"endpoints":[` + many(`{"id":"e","service":"s","slots":1}`, 5000) + `]}`, false, 0},
+		{`{` + address + `,"ended":[` + many(`{"id":"e","born":1}`, 50_000) + `]}`, false, 0},
 	} {
 		i, err := DecodeInstance([]byte(c.value))
-		assert.Equal(t, err == nil, c.ok, c.value)
-		assert.Equal(t, len(i.Endpoints), c.endpoints, c.value)
+		assert.Equal(t, err == nil, c.ok, "%.200s", c.value)
+		assert.Equal(t, len(i.Endpoints), c.endpoints, "%.200s", c.value)
 	}
 }
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -257,6 +257,9 @@
 		if err != nil {
 			return err
 		}
+		if o.Name != instancePrefix+i.Name {
+			return eris.Errorf("the entry names another instance: %.60q", i.Name)
+		}
 		t.instances[o.Name] = i
 	case strings.HasPrefix(o.Name, rolloutPrefix):
 		var p rollout.Progress
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -104,3 +104,39 @@
 		assert.Equal(t, strings.Count(logText(), `"event":"object_refused"`), 1)
 	}
 }
+
+// An entry of another writer must not add endpoints under another instance's name, nor
+// crowd out the endpoints of other entries.
+func TestEntryOfOtherWriterTakesNoEndpointAway(t *testing.T) {
+	endpoints := func(ids ...string) string {
+		var list []string
+		for _, id := range ids {
+			list = append(list, fmt.Sprintf(`{"id":%q,"service":"s","version":"v","slots":1}`, id))
+		}
+		return strings.Join(list, ",")
+	}
+	var many []string
+	for i := range 2000 {
+		many = append(many, fmt.Sprint("x", i))
+	}
+	for _, c := range []struct {
+		value string
+		want  map[string]bool
+	}{
+		{`{"name":"a","address":"10.0.0.7:1","failureDomain":"d","endpoints":[` + endpoints("e-x") + `]}`, map[string]bool{"e-a": true}},
+		{`{"name":"n","address":"10.0.0.7:1","failureDomain":"d","endpoints":[` + endpoints("e-x") + `]}`, map[string]bool{"e-a": true}},
+		{`{"name":"x","address":"10.0.0.7:99999","failureDomain":"d","endpoints":[` + endpoints("e-x") + `]}`, map[string]bool{"e-a": true}},
+		{`{"name":"x","address":"10.0.0.7:1","failureDomain":"d","endpoints":[` + endpoints(many...) + `]}`, map[string]bool{"e-a": true}},
+		{`{"name":"x","address":"10.0.0.7:1","failureDomain":"unknown","endpoints":[` + endpoints("e-a", "e-x") + `]}`, map[string]bool{"e-a": true, "e-x": true}},
+	} {
+		tracker, logText := newTestTracker(t)
+		tracker.replace(platform.KindMeshState, []platform.Object{entryOf(t, "a", 2), stateObject("instance-x", 3, c.value)})
+		assert.DeepEqual(t, knownEndpoints(tracker), c.want)
+		nodes := make(map[string]bool)
+		for _, e := range tracker.deps.table.Load().EndpointsByVersion("s")["v"] {
+			nodes[e.ID+" at "+e.NodeAddress] = true
+		}
+		assert.Assert(t, nodes["e-a at 10.0.0.1:80"], "%v", nodes)
+		logText()
+	}
+}
--- a/test/sidecar/entries_test.go
+++ b/test/sidecar/entries_test.go
@@ -15,6 +15,7 @@
 	"deeply nested": strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
 	"no JSON":       `{"slots":NaN}`,
 	"large number":  `{"name":"x","address":"10.0.0.1:1","endpoints":[{"id":"e","service":"s","version":"v1","slots":1e999}]}`,
+	"port":          `{"name":"a port","address":"10.0.0.1:99999","endpoints":[{"id":"e","service":"s","version":"v1","slots":4}]}`,
 }
 
 // Nodes must follow the store and new ones must start, whatever another writer has
