--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -213,3 +213,22 @@
 		assert.Equal(t, len(i.Endpoints), c.endpoints, "%.200s", c.value)
 	}
 }
+
+// An entry that names ends or starts in the far future must not keep the node's own
+// endpoint out: the endpoint's announcements would count as those of an earlier process.
+func TestRestoredStartBeyondAnyClockIsIgnored(t *testing.T) {
+	now := time.Now()
+	const far = int64(1) << 62
+	for _, entry := range []Instance{
+		{EndedEndpoints: []EndedEndpoint{{ID: "e", StartUnixMs: far}}},
+		{Endpoints: []Endpoint{{ID: "e", Service: "s", Version: "v1", Slots: 4, Address: "a", StartUnixMs: far}}},
+		{Endpoints: []Endpoint{{ID: "other", Service: "s", Version: "v1", Slots: 4, Address: "a", StartUnixMs: far}}},
+	} {
+		registry := NewEndpointRegistry(heartbeatInterval)
+		registry.Restore(now, entry)
+		registry.Announce(now, announcement("e", now.UnixMilli(), 1, EndpointReady))
+		e := registry.ReadyEndpoint("e")
+		assert.Assert(t, e != nil && e.StartUnixMs == now.UnixMilli(), "%+v", entry)
+		assert.Equal(t, len(registry.EndedEndpoints()), 0)
+	}
+}
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -129,7 +129,7 @@
 // acknowledged, so that no restored endpoint has an acknowledged end.
 func (r *EndpointRegistry) Restore(now time.Time, entry Instance) {
 	for _, e := range entry.Endpoints {
-		if r.endpoints[e.ID] == nil && e.Address != "" {
+		if r.endpoints[e.ID] == nil && e.Address != "" && isPlausibleStart(now, e.StartUnixMs) {
 			r.Announce(now, Announcement{
 				ID: e.ID, Service: e.Service, Version: e.Version, Address: e.Address, Slots: e.Slots, State: EndpointReady, StartUnixMs: e.StartUnixMs,
 				Sequence: restoredSequence,
@@ -137,6 +137,9 @@
 		}
 	}
 	for _, e := range entry.EndedEndpoints {
+		if e.ID == "" || !isPlausibleStart(now, e.StartUnixMs) {
+			continue
+		}
 		if current := r.endpoints[e.ID]; current != nil && current.StartUnixMs <= e.StartUnixMs {
 			delete(r.endpoints, e.ID)
 		}
--- a/pkg/mesh/validate.go
+++ b/pkg/mesh/validate.go
@@ -12,6 +12,8 @@
 const (
 	maxSlots  = 1 << 20
 	maxWarmup = time.Hour
+	// maxClockLead is how far ahead of the local clock the start of a process may lie.
+	maxClockLead = 365 * 24 * time.Hour
 	// maxInstanceEndpoints and maxEndedEndpoints bound the lists of one entry.
 	maxInstanceEndpoints = 16
 	maxEndedEndpoints    = 1000
@@ -48,3 +50,8 @@
 	}
 	return e.Address == "" || validateAddress(e.Address) == nil
 }
+
+// isPlausibleStart reports whether a process can have started at the given time.
+func isPlausibleStart(now time.Time, startUnixMs int64) bool {
+	return startUnixMs >= 0 && startUnixMs <= now.Add(maxClockLead).UnixMilli()
+}
