--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -232,3 +232,31 @@
 		assert.Equal(t, len(registry.EndedEndpoints()), 0)
 	}
 }
+
+// An announcement of another writer in the name of a running process must not change
+// what is known of it, nor keep its own announcements from counting.
+func TestContradictingAnnouncementDoesNotDisturbEndpoint(t *testing.T) {
+	now := time.Now()
+	start := now.UnixMilli()
+	for name, change := range map[string]func(*Announcement){
+		"service":       func(a *Announcement) { a.Service = "unknown" },
+		"version":       func(a *Announcement) { a.Version = "v9" },
+		"address":       func(a *Announcement) { a.Address = "b" },
+		"no start time": func(a *Announcement) { a.StartUnixMs = 0 },
+		"sequence":      func(a *Announcement) {},
+	} {
+		registry := NewEndpointRegistry(heartbeatInterval)
+		registry.Announce(now, announcement("e", start, 1, EndpointReady))
+		other := announcement("e", start, 1<<50, EndpointReady)
+		change(&other)
+		registry.Announce(now, other)
+		for i := range 2 * maxMissedHeartbeats {
+			now := now.Add(time.Duration(i+1) * heartbeatInterval)
+			registry.Announce(now, announcement("e", start, int64(i+2), EndpointReady))
+			assert.Assert(t, !registry.RemoveExpired(now), "%s: the endpoint expired", name)
+		}
+		e := registry.ReadyEndpoint("e")
+		assert.Assert(t, e != nil, name)
+		assert.Equal(t, e.Service+" "+e.Version+" "+e.Address, "s v1 a", name)
+	}
+}
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -60,8 +60,16 @@
 		return false
 	}
 	current := r.endpoints[a.ID]
+	if current != nil && current.contradicts(a) {
+		return false
+	}
 	// Draining is final for a process, so it applies even if announcements are reordered.
 	outdated := current != nil && a.StartUnixMs == current.StartUnixMs && a.Sequence <= current.Sequence && a.State != EndpointDraining
+	if outdated {
+		// It shows that the process is still running, also if another writer sent a higher
+		// sequence in its name.
+		current.LastSeen = now
+	}
 	if current != nil && a.StartUnixMs < current.StartUnixMs || outdated {
 		return false
 	}
@@ -89,6 +97,14 @@
 	return changed || wasReady != isReady || current == nil || current.StartUnixMs != a.StartUnixMs || current.Slots != a.Slots
 }
 
+// contradicts reports whether an announcement in the name of the same process tells of
+// another endpoint. A process keeps its address, service and version. What an entry
+// told of the process may be wrong.
+func (e *LocalEndpoint) contradicts(a Announcement) bool {
+	isSameProcess := e.StartUnixMs != 0 && e.StartUnixMs == a.StartUnixMs && e.Sequence != restoredSequence
+	return isSameProcess && (e.Address != a.Address || e.Service != a.Service || e.Version != a.Version)
+}
+
 // Deregister removes an endpoint and reports whether the set that takes new requests
 // changed. startUnixMs is 0 if the caller did not say which process has ended.
 func (r *EndpointRegistry) Deregister(now time.Time, id string, startUnixMs int64) (changed bool) {
@@ -129,7 +145,7 @@
 // acknowledged, so that no restored endpoint has an acknowledged end.
 func (r *EndpointRegistry) Restore(now time.Time, entry Instance) {
 	for _, e := range entry.Endpoints {
-		if r.endpoints[e.ID] == nil && e.Address != "" && isPlausibleStart(now, e.StartUnixMs) {
+		if r.endpoints[e.ID] == nil && e.Address != "" && IsPlausibleStart(now, e.StartUnixMs) {
 			r.Announce(now, Announcement{
 				ID: e.ID, Service: e.Service, Version: e.Version, Address: e.Address, Slots: e.Slots, State: EndpointReady, StartUnixMs: e.StartUnixMs,
 				Sequence: restoredSequence,
@@ -137,7 +153,7 @@
 		}
 	}
 	for _, e := range entry.EndedEndpoints {
-		if e.ID == "" || !isPlausibleStart(now, e.StartUnixMs) {
+		if e.ID == "" || !IsPlausibleStart(now, e.StartUnixMs) {
 			continue
 		}
 		if current := r.endpoints[e.ID]; current != nil && current.StartUnixMs <= e.StartUnixMs {
--- a/pkg/mesh/validate.go
+++ b/pkg/mesh/validate.go
@@ -14,6 +14,8 @@
 	maxWarmup = time.Hour
 	// maxClockLead is how far ahead of the local clock the start of a process may lie.
 	maxClockLead = 365 * 24 * time.Hour
+	// maxNameBytes bounds each name that an endpoint gives.
+	maxNameBytes = 256
 	// maxInstanceEndpoints and maxEndedEndpoints bound the lists of one entry.
 	maxInstanceEndpoints = 16
 	maxEndedEndpoints    = 1000
@@ -51,7 +53,31 @@
 	return e.Address == "" || validateAddress(e.Address) == nil
 }
 
-// isPlausibleStart reports whether a process can have started at the given time.
-func isPlausibleStart(now time.Time, startUnixMs int64) bool {
+// IsPlausibleStart reports whether a process can have started at the given time.
+func IsPlausibleStart(now time.Time, startUnixMs int64) bool {
 	return startUnixMs >= 0 && startUnixMs <= now.Add(maxClockLead).UnixMilli()
 }
+
+// Validate checks that an announcement describes an endpoint that can be used.
+func (a Announcement) Validate(now time.Time) error {
+	for _, name := range []string{a.ID, a.Service, a.Version} {
+		if len(name) > maxNameBytes {
+			return eris.Errorf("announcement has a name of %d bytes", len(name))
+		}
+	}
+	switch {
+	case a.ID == "" || a.Service == "":
+		return eris.New("announcement lacks an id or a service")
+	case a.Slots <= 0 || a.Slots > maxSlots:
+		return eris.Errorf("announcement has %d slots", a.Slots)
+	case a.State != EndpointReady && a.State != EndpointDraining:
+		return eris.Errorf("state %.60q is unknown", a.State)
+	case !IsPlausibleStart(now, a.StartUnixMs):
+		return eris.Errorf("announcement of a process that started at %d ms", a.StartUnixMs)
+	case a.Sequence < 0:
+		return eris.Errorf("announcement has the sequence %d", a.Sequence)
+	case a.WarmupRemaining > maxWarmup:
+		return eris.Errorf("announcement has a slow start of %v", a.WarmupRemaining)
+	}
+	return validateAddress(a.Address)
+}
