--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -1,8 +1,11 @@
 package sidecar
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/gate"
@@ -10,6 +13,20 @@
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
+// Check implements Registry. Only the IP address is compared: the next endpoint on the
+// instance may use another port.
+func (la *localAdmission) Check(a mesh.Announcement) error {
+	own, err := netip.ParseAddrPort(la.deps.settings.EndpointAddress)
+	if err != nil {
+		return nil // The settings do not name the address.
+	}
+	announced, err := netip.ParseAddrPort(a.Address)
+	if err != nil || announced.Addr() != own.Addr() {
+		return eris.Errorf("address %.60q is not on this instance", a.Address)
+	}
+	return nil
+}
+
 // Announce implements Registry.
 func (la *localAdmission) Announce(a mesh.Announcement) bool {
 	la.change("announcement", a.ID, string(a.State), func(now time.Time) bool {
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -91,6 +91,9 @@
 
 // Registry receives the announcements of the local endpoints.
 type Registry interface {
+	// Check returns an error for an announcement that is not of an endpoint on this
+	// instance.
+	Check(a mesh.Announcement) error
 	// Announce applies an announcement and reports whether it may be acknowledged.
 	Announce(a mesh.Announcement) bool
 	// Deregister removes an endpoint and reports whether that may be acknowledged.
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -17,6 +17,8 @@
 	// Service is the service of the local endpoint. Requests that enter here are sent
 	// on its behalf.
 	Service string
+	// EndpointAddress is the address of the local endpoint; "" if unknown.
+	EndpointAddress string
 
 	// InboundAddress accepts calls of other nodes, OutboundAddress requests of clients
 	// and of the local endpoint, ReadinessAddress the readiness checks of the platform,
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -140,3 +140,15 @@
 		logText()
 	}
 }
+
+// An announcement of an address on another instance must name no endpoint.
+func TestAnnouncementOfOtherInstanceIsRefused(t *testing.T) {
+	tracker, logText := newTestTracker(t)
+	defer logText()
+	assert.NilError(t, tracker.admission.Check(mesh.Announcement{Address: "10.0.0.7:1"}), "the settings name no address")
+	tracker.deps.settings.EndpointAddress = "10.0.0.9:8301"
+	assert.NilError(t, tracker.admission.Check(mesh.Announcement{Address: "10.0.0.9:8305"}))
+	for _, address := range []string{"10.0.0.7:8301", "10.0.0.9", "", "[::1]:8301"} {
+		assert.Assert(t, tracker.admission.Check(mesh.Announcement{Address: address}) != nil, address)
+	}
+}
