--- a/pkg/sidecar/statetransfer.go
+++ b/pkg/sidecar/statetransfer.go
@@ -13,6 +13,7 @@
 
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/rawjson"
 )
 
 // State transfer: a node that starts while it cannot reach the store knows no other
@@ -62,21 +63,18 @@
 // store yet. It does not restore the local endpoints: what the sender knows of them may
 // be older than a deregistration that an earlier process of this node acknowledged.
 func (t *tracker) applyState(encoded []byte) error {
-	var objectsByKind map[platform.Kind][]transferredObject
-	if err := json.Unmarshal(encoded, &objectsByKind); err != nil {
-		return eris.Wrap(err, "decode offer")
+	objectsByKind, err := decodeState(encoded)
+	if err != nil {
+		return err
 	}
 	for _, kind := range trackedKinds {
+		objects := objectsByKind[kind]
 		t.mu.Lock()
 		isLoaded := t.loadedKinds[kind]
 		t.mu.Unlock()
-		if isLoaded || kind == platform.KindConfiguration && len(objectsByKind[kind]) == 0 {
+		if isLoaded || kind == platform.KindConfiguration && len(objects) == 0 {
 			continue
 		}
-		objects := make([]platform.Object, 0, len(objectsByKind[kind]))
-		for _, o := range objectsByKind[kind] {
-			objects = append(objects, platform.Object{Kind: kind, Name: o.Name, ResourceVersion: o.Version, Value: o.Value})
-		}
 		t.replaceView(kind, objects)
 		t.refresh(kind)
 		t.deps.log.event("offer_adopted", fields{"kind": string(kind), "objects": len(objects)})
@@ -84,6 +82,30 @@
 	return nil
 }
 
+// decodeState decodes a state transfer. Each object is decoded on its own: one that the
+// sender could use may be nested too deeply for encoding/json inside of the transfer.
+func decodeState(encoded []byte) (map[platform.Kind][]platform.Object, error) {
+	kinds, err := rawjson.Members(encoded)
+	if err != nil {
+		return nil, eris.Wrap(err, "decode offer")
+	}
+	objectsByKind := make(map[platform.Kind][]platform.Object)
+	for _, kind := range trackedKinds {
+		list, err := rawjson.Elements(kinds[string(kind)])
+		if err != nil && kinds[string(kind)] != nil {
+			return nil, eris.Wrapf(err, "decode objects of kind %s", kind)
+		}
+		for _, text := range list {
+			parts, _ := rawjson.Members(text)
+			o := platform.Object{Kind: kind, Value: bytes.Clone(parts["value"])}
+			if json.Unmarshal(parts["name"], &o.Name) == nil && json.Unmarshal(parts["version"], &o.ResourceVersion) == nil {
+				objectsByKind[kind] = append(objectsByKind[kind], o)
+			}
+		}
+	}
+	return objectsByKind, nil
+}
+
 // sendStateIfDue sends this node's view of the store to the node at address, at most
 // once per stateSendInterval.
 func (h *hopClient) sendStateIfDue(address string) {
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -210,22 +210,12 @@
 		return // This or a newer version was read in the meantime.
 	}
 	t.resourceVersions[kind][o.Name] = o.ResourceVersion
-	var err error
-	switch kind {
-	case platform.KindConfiguration:
-		if o.Name == t.codec.ConfigurationName() {
-			err = t.activate(o)
-		}
-	case platform.KindRollout:
-		err = t.putRollout(o)
-	case platform.KindMeshState:
-		err = t.putState(o)
-		if o.Name == t.entryName() {
-			t.recordOwnEntry(err)
-		}
+	if !t.isUsed(kind, o.Name) {
+		return
 	}
-	if o.Name == "" {
-		err = eris.New("the metadata of the object cannot be read")
+	err := t.decode(kind, o)
+	if kind == platform.KindMeshState && o.Name == t.entryName() {
+		t.recordOwnEntry(err)
 	}
 	if err != nil {
 		t.deps.log.event("object_refused", fields{"kind": string(kind), "name": o.Name, "revision": o.ResourceVersion, "error": err.Error()})
@@ -234,6 +224,30 @@
 	t.objects[kind][o.Name] = o
 }
 
+// isUsed reports whether nodes use an object of the given name. One without a name is
+// reported.
+func (t *tracker) isUsed(kind platform.Kind, name string) bool {
+	switch kind {
+	case platform.KindConfiguration:
+		return name == t.codec.ConfigurationName() || name == ""
+	case platform.KindMeshState:
+		return strings.HasPrefix(name, instancePrefix) || strings.HasPrefix(name, rolloutPrefix) || name == ""
+	}
+	return true
+}
+
+func (t *tracker) decode(kind platform.Kind, o platform.Object) error {
+	switch {
+	case o.Name == "":
+		return eris.New("the metadata of the object cannot be read")
+	case kind == platform.KindConfiguration:
+		return t.activate(o)
+	case kind == platform.KindRollout:
+		return t.putRollout(o)
+	}
+	return t.putState(o)
+}
+
 func (t *tracker) putRollout(o platform.Object) error {
 	storeMax(&t.deps.rolloutRevision, parseRevision(o.ResourceVersion))
 	storeMax(&t.deps.newestRolloutRevision, parseRevision(o.ResourceVersion))
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -152,3 +152,34 @@
 		assert.Assert(t, tracker.admission.Check(mesh.Announcement{Address: address}) != nil, address)
 	}
 }
+
+// One object that another writer stored must not keep a node that cannot read the store
+// from the objects of other nodes.
+func TestStateTransferHoldsDespiteUnusableObjects(t *testing.T) {
+	deep := strings.Repeat("[", 20_000)
+	// encoding/json accepts this value alone but not inside of another document.
+	almostTooDeep := strings.Repeat("[", 9_998) + strings.Repeat("]", 9_998)
+	sender, senderLog := newTestTracker(t)
+	defer senderLog()
+	entry := string(entryOf(t, "c", 1).Value)
+	sender.replace(platform.KindMeshState, []platform.Object{
+		entryOf(t, "a", 2), entryOf(t, "b", 3), stateObject("instance-c", 4, entry[:len(entry)-1]+`,"more":`+almostTooDeep+`}`),
+		stateObject("instance-d", 5, deep), stateObject("other", 6, `{`), stateObject("rollout-s", 7, `NaN`), stateObject("", 8, ""),
+	})
+	sender.replace(platform.KindConfiguration, []platform.Object{
+		{Name: "main", ResourceVersion: "9", Value: []byte(`{"Version":3}`)}, {Name: "other", ResourceVersion: "10", Value: []byte(deep)},
+	})
+	sender.replace(platform.KindRollout, []platform.Object{{Name: "s", ResourceVersion: "11", Value: []byte(deep)}})
+	encoded, err := sender.encodeState()
+	assert.NilError(t, err)
+
+	for _, transfer := range []string{string(encoded), strings.Replace(string(encoded), `"version":"2"`, `"version":2`, 1)} {
+		receiver, receiverLog := newTestTracker(t)
+		assert.NilError(t, receiver.applyState([]byte(transfer)))
+		assert.Assert(t, receiver.isLoaded())
+		known := knownEndpoints(receiver)
+		assert.Assert(t, known["e-b"] && known["e-c"], "%v", known)
+		receiverLog()
+	}
+	assert.DeepEqual(t, knownEndpoints(sender), map[string]bool{"e-a": true, "e-b": true, "e-c": true})
+}
