--- a/pkg/mesh/rollout/rollout_test.go
+++ b/pkg/mesh/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -219,3 +220,18 @@
 	m.Step(epoch, Event{Kind: VersionFailed, Service: "s", Version: "v2"})
 	assert.Equal(t, m.Policies()["s"].Share, CanaryShare)
 }
+
+// Progress with a start beyond any clock must not advance a rollout: its age overflowed a
+// time.Duration to a plausible value.
+func TestProgressBeyondAnyClockDoesNotAdvanceRollout(t *testing.T) {
+	nowUnixMs := epoch.UnixMilli()
+	// 2^58 ms are a multiple of 2^64 ns.
+	for _, started := range []int64{nowUnixMs - 11_000 - 1<<58, nowUnixMs - 11_000 + 1<<58, math.MinInt64, math.MaxInt64} {
+		m := NewStateMachine()
+		m.Step(epoch, Event{Kind: RolloutsReplaced, Rollouts: []mesh.Rollout{baseRollout}})
+		m.Step(epoch, Event{Kind: ProgressRead, Progress: Progress{Service: "s", Version: "v2", Phase: Canary, StartedUnixMs: started}, NowUnixMs: nowUnixMs})
+		effects := m.Step(epoch, Event{Kind: Tick, Roles: map[string]NodeRole{"s": {Rank: 0}}, NowUnixMs: nowUnixMs})
+		assert.Equal(t, len(effects), 2)
+		assert.Equal(t, effects[0].State, mesh.RolloutRunning, "started at %d", started)
+	}
+}
--- a/pkg/mesh/rollout/statemachine.go
+++ b/pkg/mesh/rollout/statemachine.go
@@ -186,9 +186,9 @@
 	}
 	// A node that started after the rollout adopts its stored age. Wall clocks may
 	// differ, so an age beyond the rollout's duration is ignored.
-	age := time.Duration(event.NowUnixMs-p.StartedUnixMs) * time.Millisecond
-	if age > now.Sub(t.startedAt) && age <= t.rollout.Duration {
-		t.startedAt = now.Add(-age)
+	ageMs := event.NowUnixMs - p.StartedUnixMs
+	if ageMs > now.Sub(t.startedAt).Milliseconds() && ageMs <= t.rollout.Duration.Milliseconds() {
+		t.startedAt = now.Add(-time.Duration(ageMs) * time.Millisecond)
 	}
 	if p.Phase == Shift && t.phase != Shift {
 		t.phase, t.shiftedAt = Shift, now
