--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -255,6 +255,9 @@
 	if err != nil {
 		return err
 	}
+	if o.Name != r.Service {
+		return eris.Errorf("the rollout names another service: %.60q", r.Service)
+	}
 	r.Revision = o.ResourceVersion
 	t.rollouts[o.Name] = r
 	return nil
@@ -280,6 +283,9 @@
 		if err := json.Unmarshal(o.Value, &p); err != nil {
 			return eris.Wrap(err, "decode rollout progress")
 		}
+		if o.Name != rolloutPrefix+p.Service {
+			return eris.Errorf("the progress names another service: %.60q", p.Service)
+		}
 		t.progress[o.Name] = p
 	}
 	return nil
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -183,3 +183,23 @@
 	}
 	assert.DeepEqual(t, knownEndpoints(sender), map[string]bool{"e-a": true, "e-b": true, "e-c": true})
 }
+
+// A rollout or progress that another writer stored under another name must not shift
+// the traffic of a service.
+func TestRolloutUnderAnotherNameIsRefused(t *testing.T) {
+	tracker, logText := newTestTracker(t)
+	defer logText()
+	rollout := func(name, version string, revision int) platform.Object {
+		value := fmt.Sprintf(`{"Service":"s","Version":%q,"Duration":10000000000}`, version)
+		return platform.Object{Kind: platform.KindRollout, Name: name, ResourceVersion: fmt.Sprint(revision), Value: []byte(value)}
+	}
+	tracker.replace(platform.KindMeshState, []platform.Object{
+		entryOf(t, "a", 2), stateObject("rollout-x", 3, `{"service":"s","version":"v2","phase":"shift"}`),
+	})
+	for round := range 10 {
+		tracker.replace(platform.KindRollout, []platform.Object{rollout("s", "v2", 3+round), rollout("x", "v3", 3+round)})
+		p := tracker.deps.rollouts.policies["s"]
+		assert.Equal(t, p.Version, "v2")
+		assert.Assert(t, p.Share < 1, "the traffic was shifted")
+	}
+}
