--- a/pkg/mesh/configuration.go
+++ b/pkg/mesh/configuration.go
@@ -112,7 +112,7 @@
 }
 
 func (s *Snapshot) validateRoute(route *Route) error {
-	total := 0
+	hasWeight := false
 	for _, weighted := range route.WeightedServices {
 		if weighted.Weight < 0 {
 			return eris.Errorf("weight of service %q is negative", weighted.Service)
@@ -120,9 +120,9 @@
 		if s.services[weighted.Service] == nil {
 			return eris.Errorf("service %q is not defined", weighted.Service)
 		}
-		total += weighted.Weight
+		hasWeight = hasWeight || weighted.Weight > 0
 	}
-	if total == 0 {
+	if !hasWeight {
 		return eris.New("no service has a weight above 0")
 	}
 	if !strings.HasPrefix(route.Prefix, "/") {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 	}{
 		{"known service", route("r", "h", "/a/"), true},
 		{"traffic split", route("r", "h", "/a/", WeightedService{"s", 90}, WeightedService{"t", 10}), true},
+		{"weights whose sum overflows", route("r", "h", "/a/", WeightedService{"s", math.MaxInt}, WeightedService{"t", math.MaxInt}, WeightedService{"s", 2}), true},
 		{"one weight of 0", route("r", "h", "/a/", WeightedService{"s", 90}, WeightedService{"t", 0}), true},
 		{"unknown service", route("r", "h", "/a/", WeightedService{"gone", 1}), false},
 		{"unknown service in a split", route("r", "h", "/a/", WeightedService{"s", 90}, WeightedService{"gone", 10}), false},
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -90,11 +90,11 @@
 	e.routeRequestCounts[route.Name]++
 	position := unitPosition(e.routeRequestCounts[route.Name])
 	e.mu.Unlock()
-	total := 0
+	total := 0.0 // A sum of integers may overflow.
 	for _, weighted := range route.WeightedServices {
-		total += weighted.Weight
+		total += float64(weighted.Weight)
 	}
-	position *= float64(total)
+	position *= total
 	for _, weighted := range route.WeightedServices {
 		if position -= float64(weighted.Weight); position < 0 {
 			return weighted.Service
