--- a/test/sidecar/entries_test.go
+++ b/test/sidecar/entries_test.go
@@ -79,3 +79,24 @@
 		t.Errorf("the entry was written %d times", writes)
 	}
 }
+
+// A configuration that cannot be used must leave the active one in place.
+func TestUnusableConfigurationKeepsTheActiveOne(t *testing.T) {
+	f, entryNode := startRemoteEndpoint(t, endpoint("e"))
+	const change = `"timeout":"3000ms"`
+	values := []string{`{"version":"r99",}`, `{"version":"r99999999999999999999"}`, `{"version":["r99"]}`}
+	for _, value := range unusableEntries {
+		values = append(values, value)
+	}
+	for _, rule := range []string{`"timeout":"99999999999999s"`, `"timeout":"-1s"`, `"timeout":7`} {
+		values = append(values, `{"version":"r99","listeners":[{"host":"h.example","rules":[`+
+			strings.Replace(routeRule("safe", "/other/", `"kind":"safe"`), change, rule, 1)+`]}],"clusters":[{"name":"s"}]}`)
+	}
+	for _, value := range values {
+		f.store.Put("config", "main", value)
+	}
+	f.storeConfiguration(routeRule("safe", "/safe/", `"kind":"safe"`), routeRule("late", "/late/", `"kind":"safe"`))
+	f.waitUntil("the next configuration is active", func() bool { return entryNode.get("/late/x", "id0").status == http.StatusOK })
+	assert.Equal(t, entryNode.get("/safe/x", "id1").status, http.StatusOK)
+	assert.Assert(t, len(entryNode.log.events("object_refused")) > 0)
+}
