--- a/pkg/sidecar/eventlog.go
+++ b/pkg/sidecar/eventlog.go
@@ -21,6 +21,9 @@
 	logBurst             = 80
 	servedLinesPerSecond = 5
 	servedLogBurst       = 20
+	// maxLogFieldBytes bounds the text of one field. Names and decoding errors may quote
+	// what another writer stored.
+	maxLogFieldBytes = 8 << 10
 	// logQueueLines is the number of lines that may wait for a slow reader.
 	logQueueLines = 2048
 )
@@ -81,6 +84,9 @@
 	l.mu.Unlock()
 	entry := logrus.Fields{"event": name}
 	for key, value := range f {
+		if text, ok := value.(string); ok && len(text) > maxLogFieldBytes {
+			value = text[:maxLogFieldBytes] + "..."
+		}
 		entry[key] = value
 	}
 	if omitted > 0 {
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -203,3 +205,57 @@
 		assert.Assert(t, p.Share < 1, "the traffic was shifted")
 	}
 }
+
+// The log line of an object must not hold all that another writer stored in it.
+func TestLogLineOfRefusedObjectIsBounded(t *testing.T) {
+	tracker, logText := newTestTracker(t)
+	tracker.applyPut(stateObject("instance-x"+strings.Repeat("x", 1<<20), 3, `{"name":"x","address":"10.0.0.1:1","endpoints":[{"slots":`+strings.Repeat("9", 1<<20)+`}]}`))
+	text := logText()
+	assert.Assert(t, strings.Contains(text, `"event":"object_refused"`))
+	assert.Assert(t, len(text) < 64<<10, "the line has %d bytes", len(text))
+}
+
+// No sequence of objects that other writers may store may end the process, add an
+// endpoint that cannot be used, or keep the other objects from being transferred.
+func FuzzTracker(f *testing.F) {
+	for _, value := range []string{
+		`{"name":"x","address":"10.0.0.1:1","endpoints":[{"id":"e","service":"s","version":"v","slots":4,"warmupMs":5,"born":1}],"ended":[{"id":"f","born":9}]}`,
+		`{"service":"s","version":"v2","phase":"shift","startedMs":-9223372036854775808}`,
+		`{"Service":"s","Version":"v2","Duration":9223372036854775807}`, `[[[[`, `1e999`, ``,
+	} {
+		f.Add([]byte(value), "x")
+	}
+	log := newEventLog(io.Discard, testOrigin, func() uint64 { return 1 })
+	f.Fuzz(func(t *testing.T, value []byte, name string) {
+		tracker, logText := newTestTracker(t)
+		logText()
+		tracker.deps.log, tracker.deps.rollouts.log = log, log
+		good := entryOf(t, "good", 1)
+		tracker.replace(platform.KindConfiguration, []platform.Object{{Name: "main", ResourceVersion: "1", Value: value}})
+		tracker.replace(platform.KindRollout, []platform.Object{{Name: name, ResourceVersion: "1", Value: value}})
+		tracker.replace(platform.KindMeshState, []platform.Object{good, stateObject(instancePrefix+name, 2, string(value)), stateObject(rolloutPrefix+name, 3, string(value))})
+		tracker.applyPut(stateObject(tracker.entryName(), 4, string(value)))
+		tracker.rolloutRoles()
+		if name != "good" && !knownEndpoints(tracker)["e-good"] {
+			t.Fatal("an endpoint of another entry is gone")
+		}
+		for id := range knownEndpoints(tracker) {
+			for _, e := range tracker.deps.table.Load().EndpointsByVersion("s")["v"] {
+				if _, err := netip.ParseAddrPort(e.NodeAddress); err != nil || e.Slots <= 0 {
+					t.Fatalf("endpoint %q cannot be used: %+v", id, e)
+				}
+			}
+		}
+		encoded, err := tracker.encodeState()
+		if err != nil {
+			t.Fatal(err)
+		}
+		receiver, receiverLog := newTestTracker(t)
+		receiverLog()
+		receiver.deps.log, receiver.deps.rollouts.log = log, log
+		if encoded != nil && receiver.applyState(encoded) != nil {
+			t.Fatal("the receiver refused the state")
+		}
+		_ = receiver.applyState(value)
+	})
+}
