--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -262,3 +264,32 @@
 		assert.Equal(t, e.Service+" "+e.Version+" "+e.Address, "s v1 a", name)
 	}
 }
+
+// Announcements and deregistrations of many IDs must not make the node's entry one that
+// other nodes refuse.
+func TestEntryStaysUsableAfterManyAnnouncements(t *testing.T) {
+	now := time.Now()
+	registry := NewEndpointRegistry(heartbeatInterval)
+	registry.Announce(now, announcement("e", 1, 1, EndpointReady))
+	for i := range 2 * maxEndedEndpoints {
+		now = now.Add(time.Millisecond)
+		registry.Deregister(now, fmt.Sprint("gone", i), 0)
+		for state, id := range map[EndpointState]string{EndpointReady: "ready", EndpointDraining: "drains"} {
+			other := announcement(fmt.Sprint(id, i), 1, 1, state)
+			other.Address = other.ID
+			registry.Announce(now, other)
+		}
+	}
+	entry := Instance{Name: "n", Address: "10.0.0.1:1", Endpoints: registry.ReadyEndpoints(now), EndedEndpoints: registry.EndedEndpoints()}
+	for i := range entry.Endpoints {
+		entry.Endpoints[i].Address = "" // Those of the test are no addresses.
+	}
+	value, err := entry.Encode()
+	assert.NilError(t, err)
+	stored, err := DecodeInstance(value)
+	assert.NilError(t, err)
+	assert.Assert(t, registry.ReadyEndpoint("e") != nil)
+	assert.Equal(t, len(stored.Endpoints), len(entry.Endpoints))
+	last := EndedEndpoint{ID: fmt.Sprint("gone", 2*maxEndedEndpoints-1), StartUnixMs: now.UnixMilli()}
+	assert.Assert(t, slices.Contains(stored.EndedEndpoints, last), "the latest end is missing")
+}
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -84,6 +84,12 @@
 		r.removeProcess(now, id, other.StartUnixMs)
 		changed = true
 	}
+	if current == nil && len(r.endpoints) >= maxInstanceEndpoints {
+		if a.State == EndpointDraining {
+			r.removeProcess(now, a.ID, a.StartUnixMs)
+		}
+		return changed
+	}
 	wasReady := current != nil && current.State == EndpointReady
 	if current != nil && current.StartUnixMs == a.StartUnixMs {
 		a.Sequence = max(a.Sequence, current.Sequence)
@@ -160,14 +166,30 @@
 			delete(r.endpoints, e.ID)
 		}
 		if e.StartUnixMs > r.tombstones[e.ID].startUnixMs {
-			r.tombstones[e.ID] = tombstone{startUnixMs: e.StartUnixMs, createdAt: now}
+			r.addTombstone(now, e.ID, e.StartUnixMs)
 		}
 	}
 }
 
 func (r *EndpointRegistry) removeProcess(now time.Time, id string, startUnixMs int64) {
 	delete(r.endpoints, id)
+	r.addTombstone(now, id, startUnixMs)
+}
+
+// addTombstone records the end of a process. Beyond maxTombstones the oldest one is
+// dropped: other nodes refuse an entry with more, and with it the endpoints in use.
+func (r *EndpointRegistry) addTombstone(now time.Time, id string, startUnixMs int64) {
 	r.tombstones[id] = tombstone{startUnixMs: startUnixMs, createdAt: now}
+	if len(r.tombstones) <= maxTombstones {
+		return
+	}
+	oldest := id
+	for other, t := range r.tombstones {
+		if t.createdAt.Before(r.tombstones[oldest].createdAt) {
+			oldest = other
+		}
+	}
+	delete(r.tombstones, oldest)
 }
 
 // RemoveExpired removes unresponsive endpoints and old tombstones and reports whether
--- a/pkg/mesh/validate.go
+++ b/pkg/mesh/validate.go
@@ -19,6 +19,8 @@
 	// maxInstanceEndpoints and maxEndedEndpoints bound the lists of one entry.
 	maxInstanceEndpoints = 16
 	maxEndedEndpoints    = 1000
+	// maxTombstones leaves room in an entry for the endpoints that are draining.
+	maxTombstones = maxEndedEndpoints - maxInstanceEndpoints
 )
 
 // validateAddress checks that an address is an IP address with a port.
