--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -93,8 +94,12 @@
 // second.
 const deregistrationAckTimeout = 700 * time.Millisecond
 
-// restore applies the instance entry that an earlier process of this node stored.
+// restore applies the instance entry that an earlier process of this node stored. Another
+// writer may have replaced it: endpoints on other instances are left out.
 func (la *localAdmission) restore(entry mesh.Instance) {
+	entry.Endpoints = slices.DeleteFunc(slices.Clone(entry.Endpoints), func(e mesh.Endpoint) bool {
+		return la.Check(mesh.Announcement{Address: e.Address}) != nil
+	})
 	la.change("endpoints_restored", "", "ready", func(now time.Time) bool {
 		if la.restored {
 			return false
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -206,6 +206,22 @@
 	}
 }
 
+// A node must not take over endpoints on other instances from an entry that another
+// writer stored in its name.
+func TestEndpointOfOtherInstanceIsNotRestored(t *testing.T) {
+	tracker, logText := newTestTracker(t)
+	defer logText()
+	tracker.deps.settings.EndpointAddress = "10.0.0.9:8301"
+	entry := mesh.Instance{Endpoints: []mesh.Endpoint{
+		{ID: "own", Service: "s", Version: "v", Slots: 4, Address: "10.0.0.9:8305"},
+		{ID: "other", Service: "s", Version: "v", Slots: 4, Address: "10.0.0.7:8305"},
+	}}
+	tracker.admission.restore(entry)
+	endpoints, _ := tracker.admission.endpointsToPublish()
+	assert.Equal(t, len(endpoints), 1)
+	assert.Equal(t, endpoints[0].ID, "own")
+}
+
 // The log line of an object must not hold all that another writer stored in it.
 func TestLogLineOfRefusedObjectIsBounded(t *testing.T) {
 	tracker, logText := newTestTracker(t)
