--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -59,10 +59,10 @@
 	if t, ok := r.tombstones[a.ID]; ok && a.StartUnixMs <= t.startUnixMs {
 		return false
 	}
-	current := r.endpoints[a.ID]
-	if current != nil && current.contradicts(a) {
+	if r.Contradicts(a) {
 		return false
 	}
+	current := r.endpoints[a.ID]
 	// Draining is final for a process, so it applies even if announcements are reordered.
 	outdated := current != nil && a.StartUnixMs == current.StartUnixMs && a.Sequence <= current.Sequence && a.State != EndpointDraining
 	if outdated {
@@ -103,12 +103,15 @@
 	return changed || wasReady != isReady || current == nil || current.StartUnixMs != a.StartUnixMs || current.Slots != a.Slots
 }
 
-// contradicts reports whether an announcement in the name of the same process tells of
+// Contradicts reports whether an announcement in the name of a known process tells of
 // another endpoint. A process keeps its address, service and version. What an entry
 // told of the process may be wrong.
-func (e *LocalEndpoint) contradicts(a Announcement) bool {
-	isSameProcess := e.StartUnixMs != 0 && e.StartUnixMs == a.StartUnixMs && e.Sequence != restoredSequence
-	return isSameProcess && (e.Address != a.Address || e.Service != a.Service || e.Version != a.Version)
+func (r *EndpointRegistry) Contradicts(a Announcement) bool {
+	current := r.endpoints[a.ID]
+	if current == nil || current.StartUnixMs == 0 || current.StartUnixMs != a.StartUnixMs || current.Sequence == restoredSequence {
+		return false
+	}
+	return current.Address != a.Address || current.Service != a.Service || current.Version != a.Version
 }
 
 // Deregister removes an endpoint and reports whether the set that takes new requests
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -14,16 +14,28 @@
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
-// Check implements Registry. Only the IP address is compared: the next endpoint on the
-// instance may use another port.
+// Check implements Registry. An announcement that the registry would ignore must not be
+// acknowledged: it may say that the endpoint drains.
 func (la *localAdmission) Check(a mesh.Announcement) error {
+	la.mu.Lock()
+	contradicts := la.registry.Contradicts(a)
+	la.mu.Unlock()
+	if contradicts {
+		return eris.New("the announcement contradicts earlier ones of the same process")
+	}
+	return la.checkAddress(a.Address)
+}
+
+// checkAddress returns an error for an address on another instance. Only the IP address
+// is compared: the next endpoint on the instance may use another port.
+func (la *localAdmission) checkAddress(address string) error {
 	own, err := netip.ParseAddrPort(la.deps.settings.EndpointAddress)
 	if err != nil {
 		return nil // The settings do not name the address.
 	}
-	announced, err := netip.ParseAddrPort(a.Address)
+	announced, err := netip.ParseAddrPort(address)
 	if err != nil || announced.Addr() != own.Addr() {
-		return eris.Errorf("address %.60q is not on this instance", a.Address)
+		return eris.Errorf("address %.60q is not on this instance", address)
 	}
 	return nil
 }
@@ -98,7 +110,7 @@
 // writer may have replaced it: endpoints on other instances are left out.
 func (la *localAdmission) restore(entry mesh.Instance) {
 	entry.Endpoints = slices.DeleteFunc(slices.Clone(entry.Endpoints), func(e mesh.Endpoint) bool {
-		return la.Check(mesh.Announcement{Address: e.Address}) != nil
+		return la.checkAddress(e.Address) != nil
 	})
 	la.change("endpoints_restored", "", "ready", func(now time.Time) bool {
 		if la.restored {
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -206,6 +206,20 @@
 	}
 }
 
+// An announcement that contradicts what is known of its process is ignored, and must not
+// be acknowledged: an endpoint that drains would count on it.
+func TestContradictingAnnouncementIsNotAcknowledged(t *testing.T) {
+	tracker, logText := newTestTracker(t)
+	defer logText()
+	known := mesh.Announcement{ID: "e", Service: "s", Version: "v", Address: "10.0.0.9:1", Slots: 4, State: mesh.EndpointReady, StartUnixMs: 5, Sequence: 1}
+	assert.Assert(t, tracker.admission.Announce(known))
+	draining := known
+	draining.State, draining.Sequence = mesh.EndpointDraining, 2
+	assert.NilError(t, tracker.admission.Check(draining))
+	draining.Version = "v9"
+	assert.Assert(t, tracker.admission.Check(draining) != nil)
+}
+
 // A node must not take over endpoints on other instances from an entry that another
 // writer stored in its name.
 func TestEndpointOfOtherInstanceIsNotRestored(t *testing.T) {
