--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -1,6 +1,10 @@
 package mesh
 
 import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,6 +28,7 @@
 	}{
 		{"known service", route("r", "h", "/a/"), true},
 		{"traffic split", route("r", "h", "/a/", WeightedService{"s", 90}, WeightedService{"t", 10}), true},
+		{"weights whose sum overflows", route("r", "h", "/a/", WeightedService{"s", math.MaxInt}, WeightedService{"t", math.MaxInt}, WeightedService{"s", 2}), true},
 		{"one weight of 0", route("r", "h", "/a/", WeightedService{"s", 90}, WeightedService{"t", 0}), true},
 		{"unknown service", route("r", "h", "/a/", WeightedService{"gone", 1}), false},
 		{"unknown service in a split", route("r", "h", "/a/", WeightedService{"s", 90}, WeightedService{"gone", 10}), false},
@@ -120,7 +125,7 @@
 	first.Announce(now, announcement("gone", 1, 1, EndpointReady))
 	first.Deregister(now, "gone", 0)
 	first.Announce(now, announcement("drains", 1, 1, EndpointDraining))
-	entry, err := Instance{Name: "n", Address: "a", EndedEndpoints: first.EndedEndpoints()}.Encode()
+	entry, err := Instance{Name: "n", Address: "10.0.0.1:1", EndedEndpoints: first.EndedEndpoints()}.Encode()
 	assert.NilError(t, err)
 	stored, err := DecodeInstance(entry)
 	assert.NilError(t, err)
@@ -174,20 +179,117 @@
 // Entries come from other writers: an invalid one must fail to decode, and an
 // invalid endpoint must not affect the others.
 func TestDecodeInstanceRejectsInvalidEntries(t *testing.T) {
+	const address = `"name":"n","address":"10.0.0.1:1"`
+	many := func(element string, n int) string { return strings.Repeat(element+",", n-1) + element }
 	for _, c := range []struct {
 		value     string
 		ok        bool
 		endpoints int
 	}{
-		{`{"name":"n","address":"a","endpoints":[{"id":"e","service":"s","slots":1}]}`, true, 1},
-		{`{"name":"n","address":"a","endpoints":[{"id":"e","slots":1},{"id":"f","service":"s"}]}`, true, 0},
-		{`{"name":"n","address":"a","endpoints":"none"}`, false, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1}]}`, true, 1},
+		{`{"name":"n","address":"[::1]:80","endpoints":[{"id":"e","service":"s","slots":1}]}`, true, 1},
+		{`{` + address + `,"endpoints":[{"id":"e","slots":1},{"id":"f","service":"s"}]}`, true, 0},
+		{`{` + address + `,"endpoints":"none"}`, false, 0},
+		{`{` + address + `,"ended":"none"}`, false, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"more":` + many("[", 20_000) + `]}`, false, 0},
 		{`{"name":"n"}`, false, 0},
+		{`{"address":"10.0.0.1:1"}`, false, 0},
 		{`{`, false, 0},
 		{``, false, 0},
+		{`{"name":"n","address":"a"}`, false, 0},
+		{`{"name":"n","address":"10.0.0.1:99999"}`, false, 0},
+		{`{"name":"n","address":"10.0.0.1:0"}`, false, 0},
+		{`{"name":"n","address":"10.0.0.1"}`, false, 0},
+		{`{"name":"n","address":"host:80"}`, false, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":-1},{"id":"f","service":"s","slots":1}]}`, true, 1},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":9223372036854775807},{"id":"f","service":"s","slots":1}]}`, true, 1},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":9223372036854775808}]}`, false, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"warmupMs":9223372036854775}]}`, true, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"warmupMs":-1}]}`, true, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"born":-5}]}`, true, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1,"address":"10.0.0.1:99999"}]}`, true, 0},
+		{`{` + address + `,"endpoints":[{"id":"e","service":"s","slots":1},{"id":"e","service":"t","slots":1}]}`, true, 1},
+		{`{` + address + `,"endpoints":[` + many(`{"id":"e","service":"s","slots":1}`, 5000) + `]}`, false, 0},
+		{`{` + address + `,"ended":[` + many(`{"id":"e","born":1}`, 50_000) + `]}`, false, 0},
 	} {
 		i, err := DecodeInstance([]byte(c.value))
-		assert.Equal(t, err == nil, c.ok, c.value)
-		assert.Equal(t, len(i.Endpoints), c.endpoints, c.value)
+		assert.Equal(t, err == nil, c.ok, "%.200s", c.value)
+		assert.Equal(t, len(i.Endpoints), c.endpoints, "%.200s", c.value)
 	}
 }
+
+// An entry that names ends or starts in the far future must not keep the node's own
+// endpoint out: the endpoint's announcements would count as those of an earlier process.
+func TestRestoredStartBeyondAnyClockIsIgnored(t *testing.T) {
+	now := time.Now()
+	const far = int64(1) << 62
+	for _, entry := range []Instance{
+		{EndedEndpoints: []EndedEndpoint{{ID: "e", StartUnixMs: far}}},
+		{Endpoints: []Endpoint{{ID: "e", Service: "s", Version: "v1", Slots: 4, Address: "a", StartUnixMs: far}}},
+		{Endpoints: []Endpoint{{ID: "other", Service: "s", Version: "v1", Slots: 4, Address: "a", StartUnixMs: far}}},
+	} {
+		registry := NewEndpointRegistry(heartbeatInterval)
+		registry.Restore(now, entry)
+		registry.Announce(now, announcement("e", now.UnixMilli(), 1, EndpointReady))
+		e := registry.ReadyEndpoint("e")
+		assert.Assert(t, e != nil && e.StartUnixMs == now.UnixMilli(), "%+v", entry)
+		assert.Equal(t, len(registry.EndedEndpoints()), 0)
+	}
+}
+
+// An announcement of another writer in the name of a running process must not change
+// what is known of it, nor keep its own announcements from counting.
+func TestContradictingAnnouncementDoesNotDisturbEndpoint(t *testing.T) {
+	now := time.Now()
+	start := now.UnixMilli()
+	for name, change := range map[string]func(*Announcement){
+		"service":       func(a *Announcement) { a.Service = "unknown" },
+		"version":       func(a *Announcement) { a.Version = "v9" },
+		"address":       func(a *Announcement) { a.Address = "b" },
+		"no start time": func(a *Announcement) { a.StartUnixMs = 0 },
+		"sequence":      func(a *Announcement) {},
+	} {
+		registry := NewEndpointRegistry(heartbeatInterval)
+		registry.Announce(now, announcement("e", start, 1, EndpointReady))
+		other := announcement("e", start, 1<<50, EndpointReady)
+		change(&other)
+		registry.Announce(now, other)
+		for i := range 2 * maxMissedHeartbeats {
+			now := now.Add(time.Duration(i+1) * heartbeatInterval)
+			registry.Announce(now, announcement("e", start, int64(i+2), EndpointReady))
+			assert.Assert(t, !registry.RemoveExpired(now), "%s: the endpoint expired", name)
+		}
+		e := registry.ReadyEndpoint("e")
+		assert.Assert(t, e != nil, name)
+		assert.Equal(t, e.Service+" "+e.Version+" "+e.Address, "s v1 a", name)
+	}
+}
+
+// Announcements and deregistrations of many IDs must not make the node's entry one that
+// other nodes refuse.
+func TestEntryStaysUsableAfterManyAnnouncements(t *testing.T) {
+	now := time.Now()
+	registry := NewEndpointRegistry(heartbeatInterval)
+	registry.Announce(now, announcement("e", 1, 1, EndpointReady))
+	for i := range 2 * maxEndedEndpoints {
+		now = now.Add(time.Millisecond)
+		registry.Deregister(now, fmt.Sprint("gone", i), 0)
+		for state, id := range map[EndpointState]string{EndpointReady: "ready", EndpointDraining: "drains"} {
+			other := announcement(fmt.Sprint(id, i), 1, 1, state)
+			other.Address = other.ID
+			registry.Announce(now, other)
+		}
+	}
+	entry := Instance{Name: "n", Address: "10.0.0.1:1", Endpoints: registry.ReadyEndpoints(now), EndedEndpoints: registry.EndedEndpoints()}
+	for i := range entry.Endpoints {
+		entry.Endpoints[i].Address = "" // Those of the test are no addresses.
+	}
+	value, err := entry.Encode()
+	assert.NilError(t, err)
+	stored, err := DecodeInstance(value)
+	assert.NilError(t, err)
+	assert.Assert(t, registry.ReadyEndpoint("e") != nil)
+	assert.Equal(t, len(stored.Endpoints), len(entry.Endpoints))
+	last := EndedEndpoint{ID: fmt.Sprint("gone", 2*maxEndedEndpoints-1), StartUnixMs: now.UnixMilli()}
+	assert.Assert(t, slices.Contains(stored.EndedEndpoints, last), "the latest end is missing")
+}
--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -59,9 +59,17 @@
 	if t, ok := r.tombstones[a.ID]; ok && a.StartUnixMs <= t.startUnixMs {
 		return false
 	}
+	if r.Contradicts(a) {
+		return false
+	}
 	current := r.endpoints[a.ID]
 	// Draining is final for a process, so it applies even if announcements are reordered.
 	outdated := current != nil && a.StartUnixMs == current.StartUnixMs && a.Sequence <= current.Sequence && a.State != EndpointDraining
+	if outdated {
+		// It shows that the process is still running, also if another writer sent a higher
+		// sequence in its name.
+		current.LastSeen = now
+	}
 	if current != nil && a.StartUnixMs < current.StartUnixMs || outdated {
 		return false
 	}
@@ -76,6 +84,12 @@
 		r.removeProcess(now, id, other.StartUnixMs)
 		changed = true
 	}
+	if current == nil && len(r.endpoints) >= maxInstanceEndpoints {
+		if a.State == EndpointDraining {
+			r.removeProcess(now, a.ID, a.StartUnixMs)
+		}
+		return changed
+	}
 	wasReady := current != nil && current.State == EndpointReady
 	if current != nil && current.StartUnixMs == a.StartUnixMs {
 		a.Sequence = max(a.Sequence, current.Sequence)
@@ -89,6 +103,17 @@
 	return changed || wasReady != isReady || current == nil || current.StartUnixMs != a.StartUnixMs || current.Slots != a.Slots
 }
 
+// Contradicts reports whether an announcement in the name of a known process tells of
+// another endpoint. A process keeps its address, service and version. What an entry
+// told of the process may be wrong.
+func (r *EndpointRegistry) Contradicts(a Announcement) bool {
+	current := r.endpoints[a.ID]
+	if current == nil || current.StartUnixMs == 0 || current.StartUnixMs != a.StartUnixMs || current.Sequence == restoredSequence {
+		return false
+	}
+	return current.Address != a.Address || current.Service != a.Service || current.Version != a.Version
+}
+
 // Deregister removes an endpoint and reports whether the set that takes new requests
 // changed. startUnixMs is 0 if the caller did not say which process has ended.
 func (r *EndpointRegistry) Deregister(now time.Time, id string, startUnixMs int64) (changed bool) {
@@ -129,7 +154,7 @@
 // acknowledged, so that no restored endpoint has an acknowledged end.
 func (r *EndpointRegistry) Restore(now time.Time, entry Instance) {
 	for _, e := range entry.Endpoints {
-		if r.endpoints[e.ID] == nil && e.Address != "" {
+		if r.endpoints[e.ID] == nil && e.Address != "" && IsPlausibleStart(now, e.StartUnixMs) {
 			r.Announce(now, Announcement{
 				ID: e.ID, Service: e.Service, Version: e.Version, Address: e.Address, Slots: e.Slots, State: EndpointReady, StartUnixMs: e.StartUnixMs,
 				Sequence: restoredSequence,
@@ -137,18 +162,37 @@
 		}
 	}
 	for _, e := range entry.EndedEndpoints {
+		if e.ID == "" || !IsPlausibleStart(now, e.StartUnixMs) {
+			continue
+		}
 		if current := r.endpoints[e.ID]; current != nil && current.StartUnixMs <= e.StartUnixMs {
 			delete(r.endpoints, e.ID)
 		}
 		if e.StartUnixMs > r.tombstones[e.ID].startUnixMs {
-			r.tombstones[e.ID] = tombstone{startUnixMs: e.StartUnixMs, createdAt: now}
+			r.addTombstone(now, e.ID, e.StartUnixMs)
 		}
 	}
 }
 
 func (r *EndpointRegistry) removeProcess(now time.Time, id string, startUnixMs int64) {
 	delete(r.endpoints, id)
+	r.addTombstone(now, id, startUnixMs)
+}
+
+// addTombstone records the end of a process. Beyond maxTombstones the oldest one is
+// dropped: other nodes refuse an entry with more, and with it the endpoints in use.
+func (r *EndpointRegistry) addTombstone(now time.Time, id string, startUnixMs int64) {
 	r.tombstones[id] = tombstone{startUnixMs: startUnixMs, createdAt: now}
+	if len(r.tombstones) <= maxTombstones {
+		return
+	}
+	oldest := id
+	for other, t := range r.tombstones {
+		if t.createdAt.Before(r.tombstones[oldest].createdAt) {
+			oldest = other
+		}
+	}
+	delete(r.tombstones, oldest)
 }
 
 // RemoveExpired removes unresponsive endpoints and old tombstones and reports whether
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -1,8 +1,12 @@
 package sidecar
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/gate"
@@ -10,6 +14,32 @@
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
+// Check implements Registry. An announcement that the registry would ignore must not be
+// acknowledged: it may say that the endpoint drains.
+func (la *localAdmission) Check(a mesh.Announcement) error {
+	la.mu.Lock()
+	contradicts := la.registry.Contradicts(a)
+	la.mu.Unlock()
+	if contradicts {
+		return eris.New("the announcement contradicts earlier ones of the same process")
+	}
+	return la.checkAddress(a.Address)
+}
+
+// checkAddress returns an error for an address on another instance. Only the IP address
+// is compared: the next endpoint on the instance may use another port.
+func (la *localAdmission) checkAddress(address string) error {
+	own, err := netip.ParseAddrPort(la.deps.settings.EndpointAddress)
+	if err != nil {
+		return nil // The settings do not name the address.
+	}
+	announced, err := netip.ParseAddrPort(address)
+	if err != nil || announced.Addr() != own.Addr() {
+		return eris.Errorf("address %.60q is not on this instance", address)
+	}
+	return nil
+}
+
 // Announce implements Registry.
 func (la *localAdmission) Announce(a mesh.Announcement) bool {
 	la.change("announcement", a.ID, string(a.State), func(now time.Time) bool {
@@ -76,8 +106,12 @@
 // second.
 const deregistrationAckTimeout = 700 * time.Millisecond
 
-// restore applies the instance entry that an earlier process of this node stored.
+// restore applies the instance entry that an earlier process of this node stored. Another
+// writer may have replaced it: endpoints on other instances are left out.
 func (la *localAdmission) restore(entry mesh.Instance) {
+	entry.Endpoints = slices.DeleteFunc(slices.Clone(entry.Endpoints), func(e mesh.Endpoint) bool {
+		return la.checkAddress(e.Address) != nil
+	})
 	la.change("endpoints_restored", "", "ready", func(now time.Time) bool {
 		if la.restored {
 			return false
