--- a/test/soak/endpoint_test.go
+++ b/test/soak/endpoint_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 	// state, in Unix nanoseconds; 0 before that.
 	drainAcknowledgedAt atomic.Int64
 	cancel              context.CancelFunc
+	// isStopped is set before the endpoint closes its connections.
+	isStopped atomic.Bool
 }
 
 // startEndpoint starts an endpoint that announces itself until stop. clockOffsetMillis shifts
@@ -76,6 +79,7 @@
 
 func (e *endpoint) stop() {
 	e.cancel()
+	e.isStopped.Store(true)
 	e.Close()
 }
 
@@ -105,14 +109,19 @@
 	if err != nil {
 		deadline = -1
 	}
-	e.instance.fleet.requestLog.recordRun(id, run{
+	started := &run{
 		receivedAt: time.Now(), endpoint: e, mode: mode, path: r.URL.Path, caller: r.Header.Get(platformtest.HeaderCallerService),
 		deadline: time.Duration(deadline * float64(time.Millisecond)),
-	})
+	}
+	e.instance.fleet.requestLog.recordRun(id, started)
+	defer e.instance.fleet.requestLog.recordRunEnd(started)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	serviceTime := 5*time.Millisecond + rand.N(20*time.Millisecond)
+	serviceTime, err := time.ParseDuration(path.Base(r.URL.Path))
+	if err != nil {
+		serviceTime = 5*time.Millisecond + rand.N(20*time.Millisecond)
+	}
 	switch mode {
 	case modeFailing:
 		e.Sign(w, r)
@@ -132,7 +141,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case modeSlow:
-		serviceTime *= 20
+		serviceTime = max(serviceTime, 20*(5*time.Millisecond+rand.N(20*time.Millisecond)))
 	}
 	select {
 	case <-time.After(serviceTime):
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"github.com/azurespring/azurespring/internal/faultproxy"
@@ -38,12 +39,15 @@
 // process and a local endpoint.
 type fleet struct {
 	programPath   string
-	dir           string
 	store         *platformtest.Store
 	instances     []*instance
 	requestLog    *requestLog
+	configMu      sync.Mutex
 	configVersion atomic.Int64
-	logf          func(format string, args ...any)
+	// idleTimeout is that of the stored configuration, in nanoseconds.
+	idleTimeout atomic.Int64
+	logf        func(format string, args ...any)
+	errorf      func(format string, args ...any)
 }
 
 // instance is a node with its endpoint and the fault-injecting proxies around it.
@@ -66,7 +70,9 @@
 	process  *testcluster.Process
 	endpoint *endpoint
 	// faults are the unplanned faults at this instance.
-	faults    []*faultSpan
+	faults []*faultSpan
+	// stops are the times at which the node got SIGTERM.
+	stops     []time.Time
 	processes []*testcluster.Process
 	// stalls are the times in which the node was ready to run and got no CPU.
 	stalls stalls
@@ -75,9 +81,10 @@
 // faultSpan is the duration of a fault; end is zero while the fault lasts.
 type faultSpan struct{ start, end time.Time }
 
-func newFleet(programPath, dir string, size int, seed uint64, logf func(string, ...any)) (*fleet, error) {
-	f := &fleet{programPath: programPath, dir: dir, store: platformtest.NewStore(), requestLog: newRequestLog(), logf: logf}
-	f.storeConfiguration(0)
+func newFleet(t *testing.T, programPath string, size int, seed uint64) (*fleet, error) {
+	f := &fleet{programPath: programPath, store: platformtest.NewStore(), requestLog: newRequestLog(), logf: t.Logf, errorf: t.Errorf}
+	f.storeConfiguration(defaultLimits)
+	dir := t.TempDir()
 	// An address per process and seed keeps the ports of concurrent runs apart.
 	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 1+seed%250, 1+(seed/250)%250)
 	for i := range size {
@@ -123,27 +130,38 @@
 	}
 }
 
-// storeConfiguration stores a new configuration version with the constant routes and a
-// number of extra ones.
-func (f *fleet) storeConfiguration(extraRoutes int) {
+// limits are the parts of a configuration that changes alter.
+type limits struct{ idleTimeout, routeTimeout time.Duration }
+
+var defaultLimits = limits{idleTimeout: 15 * time.Second, routeTimeout: 6 * time.Second}
+
+var routeTimeouts = []time.Duration{1500 * time.Millisecond, 3 * time.Second, 6 * time.Second}
+
+// storeConfiguration stores a new configuration version with the constant routes and an
+// extra one for each version.
+func (f *fleet) storeConfiguration(l limits) {
+	f.configMu.Lock()
+	defer f.configMu.Unlock()
 	version := f.configVersion.Add(1)
+	f.idleTimeout.Store(int64(l.idleTimeout))
 	var rules []string
 	for s := range serviceCount {
 		for _, kind := range []string{"safe", "unsafe", "download"} {
-			rules = append(rules, rule(fmt.Sprint(kind, s), fmt.Sprintf("/%s%d/", kind, s), kind, s))
+			rules = append(rules, rule(fmt.Sprint(kind, s), fmt.Sprintf("/%s%d/", kind, s), kind, s, l.routeTimeout))
 		}
 	}
-	for i := range extraRoutes {
-		rules = append(rules, rule(fmt.Sprint("extra", i), fmt.Sprintf("/extra%d/", i), "safe", i%serviceCount))
+	for i := range int(version) {
+		rules = append(rules, rule(fmt.Sprint("extra", i), fmt.Sprintf("/extra%d/", i), "safe", i%serviceCount, l.routeTimeout))
 	}
 	f.store.Put("config", "main", fmt.Sprintf(`{"version":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,`+
-		`"header_timeout":"3000ms","idle_timeout":"15000ms"},"listeners":[{"host":"h.example","rules":[%s]}],`+
-		`"clusters":[{"name":"s0","max_connections":110},{"name":"s1","max_connections":110}]}`, version, strings.Join(rules, ",")))
+		`"header_timeout":"3000ms","idle_timeout":"%dms"},"listeners":[{"host":"h.example","rules":[%s]}],`+
+		`"clusters":[{"name":"s0","max_connections":110},{"name":"s1","max_connections":110}]}`,
+		version, l.idleTimeout.Milliseconds(), strings.Join(rules, ",")))
 }
 
-func rule(name, prefix, kind string, service int) string {
+func rule(name, prefix, kind string, service int, timeout time.Duration) string {
 	return fmt.Sprintf(`{"name":%q,"kind":%q,"target_latency":"300ms","priority":1,"match":{"path_prefix":%q},`+
-		`"action":{"service":"s%d","timeout":"1500ms","max_attempts":3}}`, name, kind, prefix, service)
+		`"action":{"service":"s%d","timeout":"%dms","max_attempts":3}}`, name, kind, prefix, service, timeout.Milliseconds())
 }
 
 func (inst *instance) settings() string {
@@ -202,17 +220,31 @@
 	inst.mu.Unlock()
 }
 
-// isFaultFreeAt reports whether the instance had no unplanned fault in the settleTime
-// before the given time.
-func (inst *instance) isFaultFreeAt(at time.Time) bool {
+func (inst *instance) isFaultFreeAt(at time.Time) bool { return inst.isFaultFreeBetween(at, at) }
+
+// isFaultFreeBetween reports whether the instance had no unplanned fault from settleTime
+// before the first time to the second one.
+func (inst *instance) isFaultFreeBetween(from, to time.Time) bool {
 	inst.mu.Lock()
 	defer inst.mu.Unlock()
 	return !slices.ContainsFunc(inst.faults, func(s *faultSpan) bool {
-		return s.start.Before(at) && (s.end.IsZero() || s.end.After(at.Add(-settleTime)))
+		return s.start.Before(to) && (s.end.IsZero() || s.end.After(from.Add(-settleTime)))
 	})
 }
 
-// newNode starts the node's process.
+// stopAt returns the SIGTERM of the stop that the given time belongs to, if any.
+func (inst *instance) stopAt(at time.Time) (signaledAt time.Time, isStopping bool) {
+	inst.mu.Lock()
+	defer inst.mu.Unlock()
+	for _, signaledAt := range slices.Backward(inst.stops) {
+		if since := at.Sub(signaledAt); since >= 0 {
+			return signaledAt, since <= gracePeriod+time.Second
+		}
+	}
+	return time.Time{}, false
+}
+
+// startNode starts the node's process.
 func (inst *instance) startNode() error {
 	p, err := testcluster.StartProcess(inst.name, inst.fleet.programPath, "sidecar", "-settings", inst.settingsPath)
 	if err != nil {
--- a/test/soak/requestlog_test.go
+++ b/test/soak/requestlog_test.go
@@ -20,13 +20,21 @@
 	path     string
 	caller   string
 	deadline time.Duration
+	// endedAt is zero while the run lasts. brokeOff is set if the endpoint ended the
+	// connection before the response was complete.
+	endedAt  time.Time
+	brokeOff bool
 }
 
 // result is the outcome of one request as its client saw it.
 type result struct {
 	id, path string
 	instance *instance
+	// begun is when the client began to send the request, zero if it could not connect.
+	// sent is when it had sent all of it, if isWhole is set.
+	begun    time.Time
 	sent     time.Time
+	isWhole  bool
 	ended    time.Time
 	status   int
 	signed   bool
@@ -41,7 +49,7 @@
 // requestLog records what clients and endpoints observed of each request.
 type requestLog struct {
 	mu      sync.Mutex
-	runs    map[string][]run
+	runs    map[string][]*run
 	sheds   map[string]int
 	results []result
 	// stalls are the stalls of the test process.
@@ -49,15 +57,21 @@
 }
 
 func newRequestLog() *requestLog {
-	return &requestLog{runs: make(map[string][]run), sheds: make(map[string]int)}
+	return &requestLog{runs: make(map[string][]*run), sheds: make(map[string]int)}
 }
 
-func (l *requestLog) recordRun(id string, r run) {
+func (l *requestLog) recordRun(id string, r *run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id] = append(l.runs[id], r)
 }
 
+func (l *requestLog) recordRunEnd(r *run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.endedAt, r.brokeOff = time.Now(), r.mode == modeTruncating || r.endpoint.isStopped.Load()
+}
+
 // recordShed records that an endpoint shed a request, stating that it did not run.
 func (l *requestLog) recordShed(id string) {
 	l.mu.Lock()
@@ -88,28 +102,51 @@
 }
 
 // Tolerances of the checks. The users' requirements allow half a second for deadlines and
-// three attempts; drainSlack covers the transit of a request on a busy instance.
+// three attempts; drainSlack covers the transit of a request on a busy instance. A request
+// that no endpoint ran may have crossed the close of its connection if it arrived at most
+// closeSlack before.
 const (
 	deadlineSlack = 500 * time.Millisecond
 	drainSlack    = 500 * time.Millisecond
+	closeSlack    = 200 * time.Millisecond
 	maxAttempts   = 3
 )
 
-// isLostWithoutFault reports whether a request without a response was sent only to healthy
-// endpoints, with time left and no unplanned fault at its instances; l.mu is held.
-func (l *requestLog) isLostWithoutFault(r result) bool {
-	runs := l.runs[r.id]
-	if len(runs) == 0 || r.ended.Sub(r.sent) > r.deadline*9/10 || !r.instance.isFaultFreeAt(r.ended) {
+// isLost reports whether the node closed the connection of a request without a complete
+// response, with time left, no unplanned fault and no other excuse; l.mu is held.
+func (l *requestLog) isLost(r result) bool {
+	inst := r.instance
+	if r.err == nil || r.begun.IsZero() || r.ended.Sub(r.begun) > r.deadline*9/10 || !inst.isFaultFreeBetween(r.begun, r.ended) {
 		return false
 	}
-	return !slices.ContainsFunc(runs, func(run run) bool {
-		return run.mode != modeHealthy || !run.endpoint.instance.isFaultFreeAt(r.ended)
+	elapsed := r.ended.Sub(r.sent)
+	isReached := func(timeout time.Duration) bool { return elapsed >= timeout*9/10 && elapsed <= timeout+closeSlack }
+	if r.status != 0 && slices.ContainsFunc(routeTimeouts, isReached) {
+		return false // The timeout of the route ended a response that had begun.
+	}
+	arrivedAt := r.begun // A connection on which a request is arriving is not idle.
+	stoppedAt, isStopping := inst.stopAt(r.ended)
+	if isStopping {
+		if !r.isWhole {
+			return false
+		}
+		arrivedAt = r.sent
+	}
+	runs := l.runs[r.id]
+	crossingTime := closeSlack + l.stalls.between(arrivedAt, r.ended) + inst.stalls.between(arrivedAt, r.ended)
+	if len(runs) == 0 && r.ended.Sub(arrivedAt) <= crossingTime {
+		return false // The request and the close of the connection crossed.
+	}
+	mayOutlastStop := isStopping && r.sent.Sub(stoppedAt) <= gracePeriod/2
+	return !slices.ContainsFunc(runs, func(run *run) bool {
+		isLate := run.endedAt.IsZero() || run.endedAt.Sub(stoppedAt) >= gracePeriod*5/6
+		return run.brokeOff || mayOutlastStop && isLate || !run.endpoint.instance.isFaultFreeBetween(r.begun, r.ended)
 	})
 }
 
 // stallTime returns how long the processes on the path of a request were stalled between
 // a time and its run.
-func (l *requestLog) stallTime(request result, run run, from time.Time) time.Duration {
+func (l *requestLog) stallTime(request result, run *run, from time.Time) time.Duration {
 	total := l.stalls.between(from, run.receivedAt) + request.instance.stalls.between(from, run.receivedAt)
 	if run.endpoint.instance != request.instance {
 		total += run.endpoint.instance.stalls.between(from, run.receivedAt)
@@ -135,8 +172,13 @@
 			report("MIXED: %s got a 2xx response that is not the complete response of its endpoint (signed %v)", r.id, r.signed)
 		case r.err == nil && r.status/100 == 2 && executed == 0:
 			report("MIXED: %s got a 2xx response and no endpoint ran it", r.id)
-		case r.err != nil && l.isLostWithoutFault(r):
-			report("LOST: %s on %s of %s got no response after %v: %v", r.id, r.path, r.instance.name, r.ended.Sub(r.sent), r.err)
+		case l.isLost(r):
+			stage := "while it served"
+			if stoppedAt, isStopping := r.instance.stopAt(r.ended); isStopping {
+				stage = fmt.Sprintf("%v after SIGTERM", r.ended.Sub(stoppedAt))
+			}
+			report("LOST: %s on %s, with a deadline of %v and sent whole: %v, got no response from %s after %v and %d runs, %s: %v",
+				r.id, r.path, r.deadline, r.isWhole, r.instance.name, r.ended.Sub(r.begun), len(l.runs[r.id]), stage, r.err)
 		case executed > maxAttempts:
 			report("BUDGET: %s ran %d times", r.id, executed)
 		case r.status == http.StatusNotFound || r.status == http.StatusBadRequest:
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -14,12 +14,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"gotest.tools/v3/assert"
 
 	"github.com/azurespring/azurespring/internal/faultproxy"
@@ -37,6 +39,7 @@
 // regressionSeeds are seeds that failed before, each with its cause.
 var regressionSeeds = []uint64{
 	13, // A node that was paused while it read a body responded with 400 (DENIED).
+	7,  // A node closed connections on which requests were not answered when it stopped, or were arriving (LOST).
 }
 
 // TestSoak verifies the guarantees to callers and endpoints under random series of faults
@@ -46,18 +49,19 @@
 	program := filepath.Join(t.TempDir(), "azurespring-node")
 	output, err := exec.Command("go", "build", "-o", program, "github.com/azurespring/azurespring/cmd/azurespring-node").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
-	list := regressionSeeds
-	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
-		list = append(list, seed)
-	}
-	for _, seed := range list {
+	list := append(slices.Clone(regressionSeeds), lo.RangeFrom(*firstSeed, int(*seedCount))...)
+	for _, seed := range lo.Uniq(list) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, program, seed) })
 	}
 }
 
+// slowClientCount is the number of slow clients of an instance. All clients together can
+// hold more slots than the endpoints have.
+const slowClientCount = 6
+
 func runSeed(t *testing.T, program string, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 1))
-	f, err := newFleet(program, t.TempDir(), *instanceCount, seed, t.Logf)
+	f, err := newFleet(t, program, *instanceCount, seed)
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		f.close()
@@ -83,13 +87,33 @@
 			clients.Go(func() { inst.runClient(ctx, rand.New(source)) })
 		}
 	}
-	f.injectFaults(r)
+	// Planned changes and slow clients have random numbers of their own, so that the faults
+	// of a regression seed stay the same.
+	planned := rand.New(rand.NewPCG(seed, 2))
+	slowCtx, cancelSlow := context.WithCancel(ctx)
+	var slowClients, changes sync.WaitGroup
+	for _, inst := range f.instances {
+		for range slowClientCount {
+			source := rand.NewPCG(planned.Uint64(), planned.Uint64())
+			slowClients.Go(func() { inst.runSlowClient(slowCtx, rand.New(source)) })
+		}
+	}
+	changes.Go(func() {
+		// The last planned changes come after all faults, which excuse lost requests.
+		time.Sleep(*faultDuration / 3)
+		f.inject(planned, plannedChanges)
+	})
+	f.inject(r, faults)
+	changes.Wait()
+	cancelSlow()
+	f.storeConfiguration(defaultLimits)
 	f.awaitServing(t, "recovery")
-	f.storeConfiguration(int(f.configVersion.Load()) + 1)
+	slowClients.Wait()
+	f.storeConfiguration(defaultLimits)
 	lastPath := fmt.Sprintf("/extra%d/", int(f.configVersion.Load())-1)
 	time.Sleep(maxApplyTime)
 	for _, inst := range f.instances {
-		result := inst.send(t.Context(), http.DefaultClient, "last-"+inst.name, lastPath)
+		result := inst.sendOnNewConnection("last-"+inst.name, lastPath)
 		assert.Equal(t, result.status, http.StatusOK, "CONFIG: %s does not serve a route that was stored %v ago: %v", inst.name, maxApplyTime, result.err)
 	}
 	cancel()
@@ -108,7 +132,7 @@
 	for _, inst := range f.instances {
 		for s := range serviceCount {
 			for n := 0; ; n++ {
-				result := inst.send(t.Context(), http.DefaultClient, fmt.Sprintf("probe-%s-%s-%d-%d", strings.ReplaceAll(after, " ", ""), inst.name, s, n), fmt.Sprintf("/safe%d/probe", s))
+				result := inst.sendOnNewConnection(fmt.Sprintf("probe-%s-%s-%d-%d", strings.ReplaceAll(after, " ", ""), inst.name, s, n), fmt.Sprintf("/safe%d/probe", s))
 				if result.status == http.StatusOK {
 					break
 				}
@@ -121,13 +145,21 @@
 	}
 }
 
-// injectFaults starts random faults for faultDuration and waits until all have ended.
-func (f *fleet) injectFaults(r *rand.Rand) {
-	kinds := []func(inst *instance, r *rand.Rand, duration time.Duration){
+type faultKind func(inst *instance, r *rand.Rand, duration time.Duration)
+
+var (
+	faults = []faultKind{
 		killNode, pauseNode, gracefulRestart, gracefulRestart, storeRejects, storeHangs, storeDropsResponses, storeSlow, storeCompactsHistory,
 		linkBlackholed, linkPartlyBlackholed, linkReset, linkSlow, endpointCrash, endpointReplaced, endpointReplaced,
 		endpointMisbehaves, endpointMisbehaves, configurationChanges,
 	}
+	// plannedChanges must not lose a request.
+	plannedChanges = []faultKind{gracefulRestart, reload, configurationChanges}
+)
+
+// inject starts random faults of the given kinds for faultDuration and waits until all
+// have ended.
+func (f *fleet) inject(r *rand.Rand, kinds []faultKind) {
 	var running sync.WaitGroup
 	end := time.Now().Add(*faultDuration)
 	for time.Now().Before(end) {
@@ -186,6 +218,10 @@
 	if p == nil {
 		return
 	}
+	signaledAt := time.Now()
+	inst.mu.Lock()
+	inst.stops = append(inst.stops, signaledAt)
+	inst.mu.Unlock()
 	for range 1 + r.IntN(3) {
 		for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
 			_ = syscall.Kill(p.PID(), s) // The process may have ended.
@@ -194,13 +230,24 @@
 	}
 	select {
 	case <-p.Exited():
-	case <-time.After(gracePeriod):
-		inst.fleet.logf("%s did not stop within its grace period", inst.name)
+	case <-time.After(time.Until(signaledAt.Add(gracePeriod))):
+		if now := time.Now(); inst.isFaultFreeBetween(signaledAt, now) && inst.stalls.between(signaledAt, now) < maxStopStall {
+			inst.fleet.errorf("STOP: %s got SIGTERM at %v and did not exit in its grace period", inst.name, signaledAt)
+		}
 		inst.runUnplannedFault(p.Kill)
 	}
 	inst.restartNode(p, duration/4)
 }
 
+func reload(inst *instance, r *rand.Rand, duration time.Duration) {
+	for range 1 + r.IntN(6) {
+		if p := inst.runningProcess(); p != nil {
+			_ = syscall.Kill(p.PID(), syscall.SIGHUP) // The process may have ended.
+		}
+		time.Sleep(duration / 10)
+	}
+}
+
 // injectStoreFault makes the store fail for one instance. It is no unplanned fault: calls
 // must not fail because of the store alone.
 func (inst *instance) injectStoreFault(duration time.Duration, fault platformtest.Fault) {
@@ -294,10 +341,13 @@
 	e.mode.Store(modeHealthy)
 }
 
-func configurationChanges(inst *instance, r *rand.Rand, _ time.Duration) {
+func configurationChanges(inst *instance, r *rand.Rand, duration time.Duration) {
 	for range 1 + r.IntN(6) {
-		inst.fleet.storeConfiguration(int(inst.fleet.configVersion.Load()))
-		time.Sleep(50 * time.Millisecond)
+		inst.fleet.storeConfiguration(limits{
+			idleTimeout:  []time.Duration{300 * time.Millisecond, time.Second, 4 * time.Second}[r.IntN(3)],
+			routeTimeout: routeTimeouts[r.IntN(len(routeTimeouts))],
+		})
+		time.Sleep(50*time.Millisecond + time.Duration(r.Int64N(int64(duration/4))))
 	}
 }
 
--- a/test/soak/stall_test.go
+++ b/test/soak/stall_test.go
@@ -14,10 +14,12 @@
 
 // Stalls, times in which a process got no CPU, extend the time bounds of the checks: they
 // delay requests for a reason that no node can know. minStall is the shortest delay of a
-// poll that counts as a stall.
+// poll that counts as a stall. maxStopStall is the time of stalls within a grace period
+// from which a node may exceed it.
 const (
 	stallPollInterval = 50 * time.Millisecond
 	minStall          = 20 * time.Millisecond
+	maxStopStall      = 300 * time.Millisecond
 )
 
 // stalls records the times in which a process got no CPU. It is safe for concurrent use.
