--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -263,6 +263,16 @@
 	return inst.process
 }
 
+// lastProcess returns the process that was started last, also while it is stopping.
+func (inst *instance) lastProcess() *testcluster.Process {
+	inst.mu.Lock()
+	defer inst.mu.Unlock()
+	if len(inst.processes) == 0 {
+		return nil
+	}
+	return inst.processes[len(inst.processes)-1]
+}
+
 // replaceEndpoint starts a new local endpoint and stops the old one, if any.
 func (inst *instance) replaceEndpoint(r *rand.Rand) error {
 	e, err := startEndpoint(inst, fmt.Sprintf("%s-%x", inst.name, r.Uint32()), r.Int64N(4000)-2000)
