--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -131,7 +131,8 @@
 	return x.route.Kind.Idempotent() || !x.mayHaveRun && x.pendingAttempts == 0
 }
 
-// mayRetryAfter reports whether another attempt may follow one that ended with failure.
+// mayRetryAfter reports whether another attempt may follow one that ended with failure. It
+// may not in the time in which gates reject what they have not begun.
 func (x *request) mayRetryAfter(failure *verdict.Error) bool {
 	remaining := x.deadline.Sub(x.entry.deps.now())
 	if x.ctx.Err() != nil || remaining <= rejectionMargin || x.rejections > maxRejections || failure.Code == verdict.BadRequest {
--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -84,8 +84,11 @@
 	}
 }
 
+// pastDeadline is a read deadline that ends a pending read.
+var pastDeadline = time.Unix(1, 0)
+
 // interruptRead lets readAhead call onInterrupted.
-func (c *clientConn) interruptRead() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+func (c *clientConn) interruptRead() { _ = c.Conn.SetReadDeadline(pastDeadline) }
 
 // broadcast wakes all waiting readers; c.mu must be held.
 func (c *clientConn) broadcast() {
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -178,7 +178,7 @@
 	}
 	controller := http.NewResponseController(x.w)
 	_ = controller.SetReadDeadline(x.deadline)
-	stopWatch := context.AfterFunc(x.entry.deps.requestsEnd, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+	stopWatch := context.AfterFunc(x.entry.deps.requestsEnd, func() { _ = controller.SetReadDeadline(pastDeadline) })
 	defer stopWatch()
 	buffer := make([]byte, bufferedRequestBytes)
 	if length := x.r.ContentLength; length > 0 && length < bufferedRequestBytes {
