--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -125,8 +125,8 @@
 }
 
 // Run serves until ctx ends, then shuts down gracefully: the node leaves the
-// fleet, waits at most the drain timeout for calls in flight, and closes its
-// listeners and connections.
+// fleet, waits for calls in flight, ends those that outlast the drain timeout with a
+// response, and closes its listeners and connections.
 func (n *Node) Run(ctx context.Context) error {
 	// Components outlive ctx, because calls in flight need them during the shutdown.
 	componentCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
@@ -284,6 +284,7 @@
 func (n *Node) shutdown(ctx context.Context, stopReports func()) {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
 	defer cancel()
+	n.servers.endCallsBefore(ctx)
 	n.ready.Store(false)
 	n.timeline.Record(timeline.Event{Kind: eventLeaving})
 	n.entryHandler.Drain()
--- a/pkg/node/servers.go
+++ b/pkg/node/servers.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azurespring/azurespring/pkg/config/static"
+	"github.com/azurespring/azurespring/pkg/proxy"
 )
 
 // Limits of connections from callers, targets and operators.
@@ -32,6 +33,9 @@
 	callerTLS                                     static.TLSFiles
 	// callerConnections is the number of open connections from callers.
 	callerConnections atomic.Int64
+	// calls is the parent of the contexts of all calls; endCalls ends it.
+	calls    context.Context
+	endCalls context.CancelCauseFunc
 }
 
 // listen binds the TCP listeners for callers, targets and operators, so that the
@@ -93,6 +97,9 @@
 	targetMux.Handle("/", entryHandler)
 	s.caller, s.target, s.admin = newServer(entryHandler), newServer(targetMux), newServer(admin)
 	s.caller.ConnState = s.countCallerConnection
+	s.calls, s.endCalls = context.WithCancelCause(context.Background())
+	callContext := func(net.Listener) context.Context { return s.calls }
+	s.caller.BaseContext, s.target.BaseContext = callContext, callContext
 	group.Go(func() error {
 		if s.callerTLS.Enabled() {
 			return ignoreServerClosed(s.caller.ServeTLS(s.callerListener, s.callerTLS.CertFile, s.callerTLS.KeyFile))
@@ -121,6 +128,18 @@
 	}
 }
 
+// finalResponseTimeout is the last part of a shutdown, in which the responses to calls
+// that the shutdown ended are sent.
+const finalResponseTimeout = 500 * time.Millisecond
+
+// endCallsBefore ends the calls that are still in flight finalResponseTimeout before the
+// deadline of ctx, so that each gets a response before its connection is closed.
+func (s *servers) endCallsBefore(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		time.AfterFunc(time.Until(deadline)-finalResponseTimeout, func() { s.endCalls(proxy.ErrNodeStopping) })
+	}
+}
+
 // callerCloseTimeout is the longest time for which idle connections from callers
 // stay open during a shutdown. The response to the next request on a connection
 // tells the caller that the connection closes. Without this wait, a request that
--- a/pkg/node/servers_test.go
+++ b/pkg/node/servers_test.go
@@ -10,6 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/proxy"
 )
 
 // Verifies that a graceful shutdown keeps idle connections from callers open until
@@ -55,3 +57,43 @@
 	s.shutdown(ctx)
 	assert.NilError(t, group.Wait())
 }
+
+// Guards against a call that is in flight at the end of the drain timeout and whose
+// connection is closed without a response although its handler can still answer.
+func TestCallInFlightAtTheEndOfTheDrainTimeoutIsAnswered(t *testing.T) {
+	s := &servers{}
+	for _, listener := range []*net.Listener{&s.callerListener, &s.targetListener, &s.adminListener} {
+		var err error
+		*listener, err = net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+	}
+	arrived, cause := make(chan struct{}), make(chan error, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done() // The call ends when its context does, as those of the proxy do.
+		cause <- context.Cause(r.Context())
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	var group errgroup.Group
+	s.serve(&group, handler, handler, handler)
+	result := make(chan error, 1)
+	go func() {
+		response, err := http.Post("http://"+s.callerListener.Addr().String()+"/", "", nil)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		result <- err
+	}()
+	<-arrived
+	const runTime = 300 * time.Millisecond
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout+runTime)
+	defer cancel()
+	s.endCallsBefore(ctx)
+	s.shutdownCaller(ctx)
+	s.shutdown(ctx)
+	assert.NilError(t, <-result, "the connection was closed without a response")
+	assert.ErrorIs(t, <-cause, proxy.ErrNodeStopping)
+	assert.Assert(t, time.Since(started) >= runTime, "the call was ended while it could still run")
+	assert.NilError(t, group.Wait())
+}
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -17,6 +18,11 @@
 	// bufferExceeded is set once bytes were read that did not fit into the buffer.
 	bufferExceeded atomic.Bool
 
+	// deadlineMu guards areReadsEnded and the order of changes of the read deadline.
+	deadlineMu    sync.Mutex
+	controller    *http.ResponseController
+	areReadsEnded bool
+
 	mu        sync.Mutex
 	buffered  []byte
 	totalRead int64
@@ -25,18 +31,57 @@
 
 var errBodyNotReplayable = eris.New("start of the request body is no longer buffered")
 
-func newRequestBody(request *http.Request) *requestBody {
-	b := &requestBody{request: request}
+func newRequestBody(w http.ResponseWriter, request *http.Request) *requestBody {
+	b := &requestBody{request: request, controller: http.NewResponseController(w)}
 	if request.Body == nil || request.Body == http.NoBody || request.ContentLength == 0 {
 		b.readErr = io.EOF
 	}
 	return b
 }
 
+// endReadsOnStop makes reads of the body fail when the stop of the node ends ctx.
+// Otherwise a caller that stops sending would delay the response: net/http returns from
+// a round trip only after it has read the request's body. The caller must call release
+// before the end of its handler, after which the connection is not its own.
+func (b *requestBody) endReadsOnStop(ctx context.Context) (release func()) {
+	if b.readErr != nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		if isEndedByStop(ctx) {
+			b.endReads()
+		}
+	})
+	return func() {
+		if !stop() {
+			<-done
+		}
+	}
+}
+
+func (b *requestBody) endReads() {
+	b.deadlineMu.Lock()
+	defer b.deadlineMu.Unlock()
+	b.areReadsEnded = true
+	_ = b.controller.SetReadDeadline(time.Unix(1, 0))
+}
+
+// setReadDeadline sets the deadline of reads that have not been ended.
+func (b *requestBody) setReadDeadline(deadline time.Time) error {
+	b.deadlineMu.Lock()
+	defer b.deadlineMu.Unlock()
+	if b.areReadsEnded {
+		return nil
+	}
+	return b.controller.SetReadDeadline(deadline)
+}
+
 // prefetch reads a small body completely, and the start of any other body if the
 // fingerprint is needed. The deadline bounds the wait for a caller that stops
 // sending.
-func (b *requestBody) prefetch(w http.ResponseWriter, deadline time.Time, needFingerprint bool) error {
+func (b *requestBody) prefetch(deadline time.Time, needFingerprint bool) error {
 	if b.readErr != nil {
 		return nil
 	}
@@ -48,9 +93,8 @@
 	case (length < 0 || length > maxBufferedBodyBytes) && !needFingerprint:
 		return nil
 	}
-	controller := http.NewResponseController(w)
-	if controller.SetReadDeadline(deadline) == nil {
-		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	if b.setReadDeadline(deadline) == nil {
+		defer func() { _ = b.setReadDeadline(time.Time{}) }()
 	}
 	buffer := make([]byte, min(maxBufferedBodyBytes, length))
 	n, err := io.ReadFull(b.request.Body, buffer)
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -22,6 +22,7 @@
 	ctx             context.Context
 	cancel          context.CancelFunc
 	stopParentWatch func() bool
+	stopBodyWatch   func()
 
 	id        string
 	isSampled bool
@@ -63,6 +64,9 @@
 	if c.stopParentWatch != nil {
 		c.stopParentWatch()
 	}
+	if c.stopBodyWatch != nil {
+		c.stopBodyWatch()
+	}
 	if c.cancel != nil {
 		c.cancel()
 	}
--- a/pkg/proxy/entry.go
+++ b/pkg/proxy/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -193,8 +192,9 @@
 	if c.ctx.Err() != nil {
 		return c.contextError(verdict.NotRun)
 	}
-	c.body = newRequestBody(c.r)
-	if err := c.body.prefetch(c.w, c.deadline, !c.handler.options.Quarantine.Empty()); err != nil {
+	c.body = newRequestBody(c.w, c.r)
+	c.stopBodyWatch = c.body.endReadsOnStop(c.ctx)
+	if err := c.body.prefetch(c.deadline, !c.handler.options.Quarantine.Empty()); err != nil {
 		if c.ctx.Err() != nil {
 			return c.contextError(verdict.NotRun)
 		}
@@ -211,12 +211,7 @@
 }
 
 // contextError returns the error of a call whose context has ended.
-func (c *call) contextError(v verdict.Verdict) *verdict.Error {
-	if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
-		return &verdict.Error{Code: verdict.DeadlineExceeded, Verdict: v, Detail: "the deadline has passed"}
-	}
-	return &verdict.Error{Code: verdict.Canceled, Verdict: v, Detail: "the caller gave up"}
-}
+func (c *call) contextError(v verdict.Verdict) *verdict.Error { return contextError(c.ctx, v) }
 
 // observe reports the finished call as the caller saw it to the observer.
 func (c *call) observe(err *verdict.Error) {
--- a/pkg/proxy/target.go
+++ b/pkg/proxy/target.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/azurespring/azurespring/pkg/membership"
 	"github.com/azurespring/azurespring/pkg/observation"
 	"github.com/azurespring/azurespring/pkg/quarantine"
@@ -337,9 +340,22 @@
 	}
 }
 
+// ErrNodeStopping is the cause with which a node that is stopping ends the contexts of
+// the calls that would outlast it.
+var ErrNodeStopping = eris.New("node is stopping")
+
+// isEndedByStop reports whether ctx was ended with ErrNodeStopping.
+func isEndedByStop(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrNodeStopping) }
+
 // contextError returns the error of a call whose context has ended.
 func contextError(ctx context.Context, v verdict.Verdict) *verdict.Error {
-	if ctx.Err() == context.DeadlineExceeded {
+	switch {
+	case isEndedByStop(ctx) && v == verdict.NotRun:
+		return verdict.NotRunErrorf(verdict.Draining, "node is stopping")
+	case isEndedByStop(ctx):
+		// Draining tells callers that the call did not run.
+		return &verdict.Error{Code: verdict.DeadlineExceeded, Verdict: v, Detail: "node is stopping"}
+	case ctx.Err() == context.DeadlineExceeded:
 		return &verdict.Error{Code: verdict.DeadlineExceeded, Verdict: v, Detail: "the deadline has passed"}
 	}
 	return &verdict.Error{Code: verdict.Canceled, Verdict: v, Detail: "the caller gave up"}
