--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -99,7 +99,7 @@
 // conn is one connection. It is used by one exchange at a time.
 type conn struct {
 	net.Conn
-	input  *limitedReader
+	input  *LimitedReader
 	reader *bufio.Reader
 	// writeMu guards bytesWritten while a request body is written in the background.
 	writeMu      sync.Mutex
@@ -118,7 +118,7 @@
 }
 
 func newConn(c net.Conn) *conn {
-	input := &limitedReader{source: c, remainingBytes: math.MaxInt64}
+	input := &LimitedReader{Source: c, RemainingBytes: math.MaxInt64, Err: errResponseTooLarge}
 	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, bufferBytes), sentIDs: make(map[uint64]struct{})}
 }
 
@@ -135,25 +135,8 @@
 	return id != "" && !isSent
 }
 
-// limitedReader fails once remainingBytes have been read. Unlike the end of an
-// io.LimitedReader, the error differs from that of a connection that was closed.
-type limitedReader struct {
-	source         io.Reader
-	remainingBytes int64
-}
-
 var errResponseTooLarge = errors.New("the response header, or what was sent before it, is too large")
 
-// Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remainingBytes <= 0 {
-		return 0, errResponseTooLarge
-	}
-	n, err := l.source.Read(p[:min(int64(len(p)), l.remainingBytes)])
-	l.remainingBytes -= int64(n)
-	return n, err
-}
-
 // Write counts the bytes written, so that an error can tell whether any byte of
 // the request was sent.
 func (c *conn) Write(p []byte) (int, error) {
@@ -241,8 +224,8 @@
 // readResponse reads the header section of the response to r. On a connection that has
 // carried other requests, only the ID tells the response from a repeated earlier one.
 func (c *conn) readResponse(r Request) (*http.Response, error) {
-	c.input.remainingBytes = maxResponseHeaderBytes
-	defer func() { c.input.remainingBytes = math.MaxInt64 }()
+	c.input.RemainingBytes = maxResponseHeaderBytes
+	defer func() { c.input.RemainingBytes = math.MaxInt64 }()
 	remainingStaleBytes := int64(maxStaleResponseBytes)
 	mayOmitID := c.requestCount == 1
 	for {
@@ -266,10 +249,10 @@
 		}
 		mayOmitID = false
 		// The response belongs to an earlier request; discard it.
-		remainingHeaderBytes := c.input.remainingBytes
-		c.input.remainingBytes = remainingStaleBytes
+		remainingHeaderBytes := c.input.RemainingBytes
+		c.input.RemainingBytes = remainingStaleBytes
 		_, err = io.Copy(io.Discard, response.Body)
-		remainingStaleBytes, c.input.remainingBytes = c.input.remainingBytes, remainingHeaderBytes
+		remainingStaleBytes, c.input.RemainingBytes = c.input.RemainingBytes, remainingHeaderBytes
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -12,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
 )
 
@@ -165,7 +167,7 @@
 type session struct {
 	server       *clientServer
 	conn         *clientConn
-	headerReader *headerLimitReader
+	headerReader *exchange.LimitedReader
 	reader       *bufio.Reader
 	writer       *bufio.Writer
 
@@ -294,26 +296,10 @@
 	return s.isClosing
 }
 
-// headerLimitReader fails once more bytes are read than allowed.
-type headerLimitReader struct {
-	reader         io.Reader
-	remainingBytes int64
-}
-
 var errHeaderTooLarge = errors.New("request header is too large")
 
-// Read implements io.Reader.
-func (h *headerLimitReader) Read(p []byte) (int, error) {
-	if h.remainingBytes <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := h.reader.Read(p)
-	h.remainingBytes -= int64(n)
-	return n, err
-}
-
 func newSession(server *clientServer, conn *clientConn) *session {
-	headerReader := &headerLimitReader{reader: conn, remainingBytes: maxClientHeaderBytes}
+	headerReader := &exchange.LimitedReader{Source: conn, RemainingBytes: maxClientHeaderBytes, Err: errHeaderTooLarge}
 	s := &session{
 		server: server, conn: conn, headerReader: headerReader,
 		reader: bufio.NewReader(headerReader), writer: bufio.NewWriterSize(conn, writeBufferBytes), idleSince: time.Now(),
@@ -382,7 +368,7 @@
 
 // readRequest waits for the next request and reads its header.
 func (s *session) readRequest() (*http.Request, error) {
-	s.headerReader.remainingBytes = maxClientHeaderBytes
+	s.headerReader.RemainingBytes = maxClientHeaderBytes
 	if s.reader.Buffered() == 0 {
 		s.setReading(false)
 		if err := s.conn.awaitData(); err != nil {
@@ -396,7 +382,7 @@
 		return nil, err
 	}
 	_ = s.conn.SetReadDeadline(time.Time{})
-	s.headerReader.remainingBytes = int64(^uint64(0) >> 1)
+	s.headerReader.RemainingBytes = math.MaxInt64
 	if r.ProtoMajor != 1 || r.Host == "" && r.ProtoMinor > 0 {
 		return nil, errMalformed
 	}
