End a request's body before its connection is read on

Cause: an exchange with an endpoint that responds before it has read a large body goes on reading that body in its own goroutine. Besides, what was left of a body of more than 256 KB was taken for the next request, and a connection that the node closed while its buffer was full left its session waiting for ever.

Change: clientServer wraps each body. It ends before the response is completed: a pending read is interrupted, later ones fail. A connection with an unread body begins no further request. A cut response whose end is the end of the connection is reset, because HTTP/1.0 clients took it for complete.

--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -78,6 +78,10 @@
 			select {
 			case <-c.spaceFreed:
 			case <-c.ctx.Done():
+				c.mu.Lock()
+				c.err = net.ErrClosed
+				c.broadcast()
+				c.mu.Unlock()
 				return
 			}
 		}
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -353,7 +353,7 @@
 			<-w.previousDone
 			s.respond(w, end)
 		}
-		if r.Close {
+		if r.Close || w.isBodyLeft {
 			<-earlierDone
 			return
 		}
@@ -387,6 +387,9 @@
 		return nil, errMalformed
 	}
 	r.RemoteAddr = s.conn.RemoteAddr().String()
+	if r.Body != nil && r.Body != http.NoBody {
+		r.Body = &requestBody{source: r.Body, conn: s.conn}
+	}
 	return r.WithContext(s.conn.ctx), nil
 }
 
@@ -423,7 +426,7 @@
 	defer close(w.done)
 	defer func() {
 		if p := recover(); p != nil {
-			_ = s.conn.Close()
+			w.abort()
 			if p != http.ErrAbortHandler {
 				// A panic in one request must not end the process and the requests of
 				// others. The client of this request sees a closed connection.
@@ -435,6 +438,13 @@
 	w.finish()
 }
 
+// setClosing lets no further request start on the connection.
+func (s *session) setClosing() {
+	s.mu.Lock()
+	s.isClosing, s.isLingering = true, true
+	s.mu.Unlock()
+}
+
 func (s *session) setLingering() {
 	s.mu.Lock()
 	s.isLingering = true
--- a/pkg/sidecar/responsewriter.go
+++ b/pkg/sidecar/responsewriter.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,9 +23,12 @@
 	isChunked        bool
 	hasNoBody        bool
 	closesConnection bool
-	contentLength    int64
-	written          int64
-	err              error
+	// isBodyLeft is set if the body of the request was not read to its end. What follows on
+	// the connection is then not a request.
+	isBodyLeft    bool
+	contentLength int64
+	written       int64
+	err           error
 }
 
 // Header implements http.ResponseWriter.
@@ -126,6 +130,11 @@
 	if w.err == nil {
 		w.err = writer.Flush()
 	}
+	body, hasBody := w.request.Body.(*requestBody)
+	if hasBody {
+		body.end()
+		w.isBodyLeft = true
+	}
 	if w.err != nil || !w.hasNoBody && w.contentLength >= 0 && w.written < w.contentLength {
 		_ = w.session.conn.Close()
 		return
@@ -133,14 +142,27 @@
 	if w.closesConnection {
 		w.session.setLingering()
 	}
-	if body := w.request.Body; body != nil && body != http.NoBody {
-		_ = w.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
-		if n, err := io.CopyN(io.Discard, body, maxDrainedBodyBytes); n == maxDrainedBodyBytes || err != io.EOF {
-			w.closesConnection = true
+	if hasBody {
+		w.isBodyLeft = !body.drain()
+		if w.isBodyLeft {
+			w.session.setClosing()
 		}
-		_ = w.SetReadDeadline(time.Time{})
 	}
-	if w.closesConnection {
+	if w.closesConnection || w.isBodyLeft {
 		w.session.linger()
 	}
 }
+
+// abort closes the connection after a response that is not complete. If the end of the
+// connection is the end of the body, only a reset shows that.
+func (w *responseWriter) abort() {
+	if body, ok := w.request.Body.(*requestBody); ok {
+		body.end()
+		w.isBodyLeft = true
+	}
+	isDelimitedByClose := w.isHeaderWritten && !w.isChunked && !w.hasNoBody && w.contentLength < 0
+	if tcp, ok := w.session.conn.Conn.(*net.TCPConn); ok && isDelimitedByClose {
+		_ = tcp.SetLinger(0)
+	}
+	_ = w.session.conn.Close()
+}
