Handle uploads as a kind and let gates reject them before their body is sent

Cause: the platform's kind "upload" was read as an unknown kind. A body of more than 64 KB went to one endpoint only: once an attempt had begun, part of it was no longer in memory, also if the endpoint's node rejected the call before anything ran. Bodies were not scheduled on the narrow links of instances, and max_body_bytes did not hold for bodies in chunks.

Change: mesh.Upload is unsafe and, like downloads, prefers close endpoints. A node sends a large body to another node only when that node asks for it (Expect: 100-continue), which it does once the call has a slot; before that the call counts as not sent, and another endpoint gets the body whole. Large bodies are sent in chunks by the link scheduler and rejected, unsent, if the link would deliver them too late. A request holds at most 64 KB of a body in memory at its entry node and 4 KB at the endpoint's node, besides buffers of at most 100 KB. In-memory bodies go out with their header in one write.

Tests: TestRejectedUploadGoesToAnotherEndpoint failed before with 503.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -72,7 +72,8 @@
 
 // Error is a failed exchange.
 type Error struct {
-	// RequestSent is set if any byte of the request was written to the connection.
+	// RequestSent is set if any byte of the request was written to the connection; with
+	// ExpectContinue, if the peer has asked for the body.
 	RequestSent bool
 	// DialFailed is set if no connection could be established.
 	DialFailed bool
@@ -180,6 +181,11 @@
 	// MaxDialWait is the longest time that the request waits for a new connection; the
 	// pool continues the dial for later requests. 0 means the timeout of the Dialer.
 	MaxDialWait time.Duration
+	// ExpectContinue sends a body that is not in memory only after the peer has asked for
+	// it with the interim response 100. Otherwise the body is left unread, and the request
+	// counts as not sent. The peer must not run a request before it has got a part of the
+	// body.
+	ExpectContinue bool
 }
 
 // id returns the ID of the request.
@@ -194,8 +200,10 @@
 		c.sentIDs[maphash.String(idHashSeed, r.id())] = struct{}{}
 	}
 	stopCancelWatch := context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	var writer *requestWriter
 	fail := func(err error) *Error {
 		stopCancelWatch()
+		writer.abandonBody()
 		_ = c.Conn.Close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
@@ -203,9 +211,9 @@
 		// A write that is still running ends because the connection is closed.
 		c.writeMu.Lock()
 		defer c.writeMu.Unlock()
-		return &Error{RequestSent: c.bytesWritten != bytesBefore, Err: err}
+		return &Error{RequestSent: c.bytesWritten != bytesBefore && writer.mayHaveSentBody(), Err: err}
 	}
-	writer := newRequestWriter(c, r.Request)
+	writer = newRequestWriter(c, r)
 	if writer.isInMemory {
 		if err := writer.run(); err != nil {
 			return nil, fail(err)
@@ -213,7 +221,7 @@
 	} else {
 		go func() { _ = writer.run() }()
 	}
-	response, err := c.readResponse(r)
+	response, err := c.readResponse(r, writer.startBody)
 	if err != nil {
 		return nil, fail(err)
 	}
@@ -223,7 +231,8 @@
 
 // readResponse reads the header section of the response to r. On a connection that has
 // carried other requests, only the ID tells the response from a repeated earlier one.
-func (c *conn) readResponse(r Request) (*http.Response, error) {
+// onContinue is called for each interim response 100.
+func (c *conn) readResponse(r Request, onContinue func()) (*http.Response, error) {
 	c.input.RemainingBytes = maxResponseHeaderBytes
 	defer func() { c.input.RemainingBytes = math.MaxInt64 }()
 	remainingStaleBytes := int64(maxStaleResponseBytes)
@@ -233,6 +242,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode == http.StatusContinue {
+			onContinue()
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -270,14 +282,74 @@
 	conn       *conn
 	request    *http.Request
 	isInMemory bool
-	mu         sync.Mutex
-	isDone     bool
-	err        error
+	// body is set if the peer has to ask for the body.
+	body   *heldBody
+	mu     sync.Mutex
+	isDone bool
+	err    error
+}
+
+func newRequestWriter(c *conn, r Request) *requestWriter {
+	body, inMemory := r.Body.(inMemoryBody)
+	if inMemory {
+		// net/http flushes the header on its own unless it knows that the body is in memory.
+		r.Body = io.NopCloser(body.Reader)
+	}
+	w := &requestWriter{conn: c, request: r.Request, isInMemory: r.Body == nil || r.Body == http.NoBody || inMemory}
+	if r.ExpectContinue && !w.isInMemory {
+		w.body = &heldBody{ReadCloser: r.Body, wanted: make(chan struct{}), abandoned: make(chan struct{})}
+		w.request.Body = w.body
+		w.request.Header.Set("Expect", "100-continue")
+	}
+	return w
+}
+
+// startBody lets the body be written.
+func (w *requestWriter) startBody() {
+	if w.body != nil {
+		w.body.onceWanted.Do(func() { close(w.body.wanted) })
+	}
+}
+
+// abandonBody ends a body that the peer has not asked for.
+func (w *requestWriter) abandonBody() {
+	if w.body != nil {
+		w.body.onceAbandoned.Do(func() { close(w.body.abandoned) })
+	}
+}
+
+// mayHaveSentBody reports whether the peer may have got a part of the body. A peer that
+// asks for the body runs no request without it.
+func (w *requestWriter) mayHaveSentBody() bool {
+	if w.body == nil {
+		return true
+	}
+	select {
+	case <-w.body.wanted:
+		return true
+	default:
+		return false
+	}
 }
 
-func newRequestWriter(c *conn, r *http.Request) *requestWriter {
-	_, inMemory := r.Body.(inMemoryBody)
-	return &requestWriter{conn: c, request: r, isInMemory: r.Body == nil || r.Body == http.NoBody || inMemory}
+// heldBody is a body that is not read before the peer has asked for it.
+type heldBody struct {
+	io.ReadCloser
+	wanted, abandoned         chan struct{}
+	onceWanted, onceAbandoned sync.Once
+}
+
+// errBodyNotWanted is the error of a body that the peer has not asked for.
+var errBodyNotWanted = errors.New("the peer did not ask for the body")
+
+// Read implements io.Reader.
+func (b *heldBody) Read(p []byte) (int, error) {
+	select {
+	case <-b.wanted:
+		return b.ReadCloser.Read(p)
+	case <-b.abandoned:
+		return 0, errBodyNotWanted
+	}
 }
 
 func (w *requestWriter) run() error {
@@ -345,6 +417,7 @@
 		return
 	}
 	b.isFinished = true
+	b.writer.abandonBody()
 	notCanceled := b.stopCancelWatch()
 	b.release(complete && notCanceled && b.writer.isComplete())
 }
--- a/pkg/mesh/configuration.go
+++ b/pkg/mesh/configuration.go
@@ -21,10 +21,15 @@
 	Safe
 	// Download requests are Safe requests with a large response.
 	Download
+	// Upload requests are Unsafe requests with a large body.
+	Upload
 )
 
 // Idempotent reports whether a request may run more than once.
-func (k RequestKind) Idempotent() bool { return k != Unsafe }
+func (k RequestKind) Idempotent() bool { return k == Safe || k == Download }
+
+// Large reports whether the body of the request or of its response is large.
+func (k RequestKind) Large() bool { return k == Download || k == Upload }
 
 // String returns the name of the kind in logs and metrics.
 func (k RequestKind) String() string {
@@ -33,6 +38,8 @@
 		return "safe"
 	case Download:
 		return "download"
+	case Upload:
+		return "upload"
 	}
 	return "unsafe"
 }
--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -11,13 +11,13 @@
 
 // Penalties for the distance of an endpoint, in the unit of latencyCost. Traffic
 // between failure domains and regions is paid by volume, which is large for
-// downloads. Links between regions are also narrow and add a round trip of about
+// downloads and uploads. Links between regions are also narrow and add a round trip of about
 // 16 ms.
 const (
-	penaltySameRegion          = 12 * time.Millisecond
-	penaltyOtherRegion         = 45 * time.Millisecond
-	penaltyDownloadSameRegion  = 150 * time.Millisecond
-	penaltyDownloadOtherRegion = 300 * time.Millisecond
+	penaltySameRegion       = 12 * time.Millisecond
+	penaltyOtherRegion      = 45 * time.Millisecond
+	penaltyLargeSameRegion  = 150 * time.Millisecond
+	penaltyLargeOtherRegion = 300 * time.Millisecond
 )
 
 // roundTripOtherRegion is the latency that another region adds to a response.
@@ -238,14 +238,13 @@
 }
 
 func (e *Endpoint) penalty(kind mesh.RequestKind) time.Duration {
-	download := kind == mesh.Download
 	switch {
-	case e.Distance == SameRegion && download:
-		return penaltyDownloadSameRegion
+	case e.Distance == SameRegion && kind.Large():
+		return penaltyLargeSameRegion
 	case e.Distance == SameRegion:
 		return penaltySameRegion
-	case e.Distance == OtherRegion && download:
-		return penaltyDownloadOtherRegion
+	case e.Distance == OtherRegion && kind.Large():
+		return penaltyLargeOtherRegion
 	case e.Distance == OtherRegion:
 		return penaltyOtherRegion
 	}
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -365,6 +365,9 @@
 // send sends the call to the endpoint and reads the header of its response.
 func (la *localAdmission) send(ctx context.Context, ea *endpointAdmission, c *call) (*endpointResponse, *verdict.Error) {
 	h := la.deps.headers
+	if err := c.prefetchBody(); err != nil {
+		return nil, verdict.NotRunErrorf(verdict.Canceled, "the body was cut: %v", err)
+	}
 	request, err := c.request(ctx)
 	if err != nil {
 		return nil, verdict.NotRunErrorf(verdict.BadRequest, "request: %v", err)
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -124,7 +124,7 @@
 	switch {
 	case x.reachedAttempts+x.pendingAttempts >= x.attemptLimit():
 		return false
-	case x.remainingBody != nil && x.attempts > 0:
+	case x.remainingBody != nil && x.remainingBody.isStarted.Load():
 		// Part of the body is no longer in memory.
 		return false
 	}
@@ -172,7 +172,7 @@
 	x.cancels[x.attempts] = cancel
 	x.attempted = append(x.attempted, choice.Endpoint)
 	choice.Endpoint.BeginAttempt()
-	go x.runAttempt(ctx, attemptResult{number: x.attempts, endpoint: choice.Endpoint, isRetry: isRetry}, x.newCall(now, choice))
+	go x.runAttempt(ctx, attemptResult{number: x.attempts, endpoint: choice.Endpoint, isRetry: isRetry}, x.newCall(now, choice), choice.ExpectedLatency)
 	return choice.ExpectedLatency, nil
 }
 
@@ -215,13 +215,14 @@
 	return c
 }
 
-// runAttempt runs one attempt and reports its result.
-func (x *request) runAttempt(ctx context.Context, result attemptResult, c *call) {
+// runAttempt runs one attempt and reports its result. expected is the expected latency of
+// the response.
+func (x *request) runAttempt(ctx context.Context, result attemptResult, c *call, expected time.Duration) {
 	var load placement.Load
 	if result.endpoint.Distance == placement.SameInstance {
 		result.response, load, result.failure = x.entry.admission.serve(ctx, c)
 	} else {
-		result.response, load, result.failure = x.entry.hops.send(ctx, result.endpoint.NodeAddress, c)
+		result.response, load, result.failure = x.entry.hops.sendOverLink(ctx, result.endpoint.NodeAddress, c, expected)
 	}
 	if result.response != nil {
 		result.failure = result.response.bufferBody(x.r.Method)
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
@@ -25,13 +26,57 @@
 	// and is nil if body is complete. contentLength is the length of both, -1 if
 	// unknown.
 	body          []byte
-	remainingBody io.Reader
+	remainingBody *streamedBody
 	contentLength int64
 
 	hopMetadata
 	deadline time.Time
+	// bodySoftDeadline is the time by which a large body should have been sent, and
+	// onBodyStarted is called when its first bytes are.
+	bodySoftDeadline time.Time
+	onBodyStarted    func()
 }
 
+// streamedBody is the part of a request body that is not in memory, so that it can be
+// sent only once.
+type streamedBody struct {
+	source    io.Reader
+	isStarted atomic.Bool
+	isAtEnd   atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	b.isStarted.Store(true)
+	n, err := b.source.Read(p)
+	if err == io.EOF {
+		b.isAtEnd.Store(true)
+	}
+	return n, err
+}
+
+// prefetchBody reads the first part of a body of which nothing is in memory. The entry
+// node takes the call for not run until it has been asked for the body, so that nothing
+// of the call may reach the endpoint before.
+func (c *call) prefetchBody() error {
+	if c.remainingBody == nil || len(c.body) > 0 {
+		return nil
+	}
+	buffer := make([]byte, prefetchedBodyBytes)
+	n, err := io.ReadAtLeast(c.remainingBody, buffer, 1)
+	c.body = buffer[:n]
+	if err == io.EOF {
+		return nil // The body is empty.
+	}
+	return err
+}
+
+// prefetchedBodyBytes bounds the part of a body that is read before its call is sent.
+const prefetchedBodyBytes = 4 << 10
+
+// bodyBytes is the size of the body as far as it is known.
+func (c *call) bodyBytes() int64 { return max(c.contentLength, int64(len(c.body))) }
+
 // hopMetadata is what an entry node tells the node of the chosen endpoint about a call.
 // It is sent as JSON in the header Azurespring-Hop-Terms.
 type hopMetadata struct {
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -130,6 +130,30 @@
 	h.deps.log.event("node_regained", fields{"address": address, "tries": attempts, "afterMs": h.deps.now().Sub(started).Milliseconds()})
 }
 
+// sendOverLink sends a call to the node at address. A large body is scheduled on the link
+// of this instance and rejected, unsent, if the link would deliver it too late for an
+// endpoint that takes the expected time for its response.
+func (h *hopClient) sendOverLink(
+	ctx context.Context, address string, c *call, expected time.Duration,
+) (*endpointResponse, placement.Load, *verdict.Error) {
+	if c.bodyBytes() < largeResponseBytes {
+		return h.send(ctx, address, c)
+	}
+	softTimeout := time.Duration(c.SoftTimeoutUs) * time.Microsecond
+	c.bodySoftDeadline = h.deps.now().Add(softTimeout - expected)
+	release, lateness := h.deps.uplink.reserve(egress.ExpectedResponse{
+		Bytes: c.bodyBytes(), SoftDeadline: c.bodySoftDeadline, Deadline: c.deadline.Add(-expected),
+	})
+	if lateness > 0 {
+		rejection := verdict.NotRunErrorf(verdict.Overloaded, "the machine's link is full for longer than the body can wait")
+		rejection.RetryAfter = lateness
+		return nil, placement.Load{}, rejection
+	}
+	c.onBodyStarted = sync.OnceFunc(release)
+	defer c.onBodyStarted()
+	return h.send(ctx, address, c)
+}
+
 // send sends a call to the node at address.
 func (h *hopClient) send(ctx context.Context, address string, c *call) (*endpointResponse, placement.Load, *verdict.Error) {
 	request, err := c.request(ctx)
@@ -146,7 +170,12 @@
 		exchangeRequest.MaxIdleTime = maxReuseIdleTime
 	}
 	h.deps.uplink.countHeader(request.Header)
-	h.deps.uplink.countBytes(len(c.body))
+	if c.bodyBytes() < largeResponseBytes {
+		h.deps.uplink.countBytes(len(c.body))
+	} else {
+		request.Body = h.deps.uplink.scheduleBody(ctx, c, request.Body)
+		exchangeRequest.ExpectContinue = c.remainingBody != nil
+	}
 	httpResponse, failure := h.pool(address).Do(ctx, exchangeRequest)
 	if failure != nil {
 		return nil, placement.Load{}, exchangeFailure(ctx, failure, "the endpoint's node")
@@ -265,6 +294,7 @@
 		s.reject(w, placement.Load{}, failure)
 		return
 	}
+	defer c.interruptBody(w)
 	resp, load, failure := s.admission.serve(ctx, c)
 	if failure != nil {
 		if failure.Code != verdict.Overloaded && failure.Code != verdict.Canceled {
@@ -313,8 +343,8 @@
 	return c, nil
 }
 
-// readBody reads a small body completely before the call asks for a slot. Reading any
-// body ends at the deadline of the call.
+// readBody reads a small body completely before the call asks for a slot. A larger one is
+// read after that. Reading any body ends at the deadline of the call.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request) *verdict.Error {
 	controller := http.NewResponseController(w)
 	switch {
@@ -329,12 +359,21 @@
 		_ = controller.SetReadDeadline(time.Time{})
 		return nil
 	}
-	c.remainingBody = r.Body
+	// The first read asks the entry node for the body, if it waits for that.
+	c.remainingBody = &streamedBody{source: r.Body}
 	_ = controller.SetReadDeadline(c.deadline)
 	_ = controller.EnableFullDuplex()
 	return nil
 }
 
+// interruptBody ends a read of the body that outlasts the response. net/http waits for it
+// before it reads the next request of the connection.
+func (c *call) interruptBody(w http.ResponseWriter) {
+	if c.remainingBody != nil && c.remainingBody.isStarted.Load() && !c.remainingBody.isAtEnd.Load() {
+		_ = http.NewResponseController(w).SetReadDeadline(pastDeadline)
+	}
+}
+
 func (s *hopServer) reject(w http.ResponseWriter, load placement.Load, failure *verdict.Error) {
 	header := w.Header()
 	header.Set(hopErrorHeader, encodeHopHeader(newHopError(failure)))
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/verdict"
@@ -57,7 +58,7 @@
 	deadline      time.Time
 	header        http.Header
 	body          []byte
-	remainingBody io.Reader
+	remainingBody *streamedBody
 
 	// attempted holds the endpoints that the request was sent to, without those that
 	// rejected it for lack of capacity; rejectedBy holds these. attempts is the number
@@ -133,11 +134,27 @@
 		return verdict.NotRunErrorf(verdict.UnknownRoute, "no route for %s%s", x.r.Host, x.r.URL.Path)
 	}
 	if limit := x.snapshot.Limits().MaxBodyBytes; limit > 0 && x.r.ContentLength > limit {
-		return verdict.NotRunErrorf(verdict.BadRequest, "the body is larger than %d bytes", limit)
+		return bodyTooLarge(limit)
 	}
 	return nil
 }
 
+func bodyTooLarge(limit int64) *verdict.Error {
+	return verdict.NotRunErrorf(verdict.BadRequest, "the body is larger than %d bytes", limit)
+}
+
+var errBodyTooLarge = errors.New("the body is larger than the configuration allows")
+
+// limitBody returns the rest of a body of which n bytes have been read. A body in chunks
+// fails at the limit of the configuration.
+func (x *request) limitBody(n int64) io.Reader {
+	limit := x.snapshot.Limits().MaxBodyBytes
+	if limit <= 0 {
+		return x.r.Body
+	}
+	return &exchange.LimitedReader{Source: x.r.Body, RemainingBytes: max(limit-n, 0), Err: errBodyTooLarge}
+}
+
 // startRetryAfter is the usual time until a node that has just started has read its
 // configuration.
 const startRetryAfter = 200 * time.Millisecond
@@ -198,9 +215,12 @@
 		}
 		return verdict.NotRunErrorf(verdict.BadRequest, "the body was cut: %v", err)
 	case x.r.ContentLength < 0 || x.r.ContentLength > int64(n):
-		x.remainingBody = x.r.Body
+		x.remainingBody = &streamedBody{source: x.limitBody(int64(n))}
 		_ = controller.EnableFullDuplex()
 	}
+	if limit := x.snapshot.Limits().MaxBodyBytes; limit > 0 && int64(n) > limit {
+		return bodyTooLarge(limit)
+	}
 	_ = controller.SetReadDeadline(time.Time{})
 	return nil
 }
--- a/pkg/sidecar/uplink.go
+++ b/pkg/sidecar/uplink.go
@@ -144,6 +144,44 @@
 	}
 }
 
+// scheduledBody is the body of a call whose chunks are scheduled on the link.
+type scheduledBody struct {
+	ctx    context.Context
+	uplink *uplink
+	source io.ReadCloser
+	call   *call
+	chunk  egress.Chunk
+}
+
+// scheduleBody schedules the body of a call like a large response.
+func (u *uplink) scheduleBody(ctx context.Context, c *call, body io.ReadCloser) io.ReadCloser {
+	u.mu.Lock()
+	u.nextID++
+	id := u.nextID
+	u.mu.Unlock()
+	return &scheduledBody{ctx: ctx, uplink: u, source: body, call: c, chunk: egress.Chunk{
+		ResponseID: id, RemainingBytes: c.bodyBytes(), SoftDeadline: c.bodySoftDeadline, Urgent: c.Stopping,
+	}}
+}
+
+// Read implements io.Reader.
+func (b *scheduledBody) Read(p []byte) (int, error) {
+	b.call.onBodyStarted()
+	n, err := b.source.Read(p[:min(len(p), egress.ChunkBytes)])
+	if n == 0 {
+		return 0, err
+	}
+	b.chunk.Bytes, b.chunk.RemainingBytes = n, max(b.chunk.RemainingBytes, int64(n))
+	if err := b.uplink.awaitRelease(b.ctx, b.chunk); err != nil {
+		return 0, err
+	}
+	b.chunk.RemainingBytes -= int64(n)
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *scheduledBody) Close() error { return b.source.Close() }
+
 // fill reads until the buffer is full or the source ends. Unlike io.ReadFull it returns
 // the error of the source, which tells a truncated response from a complete one.
 func fill(source io.Reader, buffer []byte) (n int, err error) {
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -40,6 +40,8 @@
 	server  *httptest.Server
 	nodes   []*testNode
 	version int
+	// maxBodyBytes is the limit in the configurations.
+	maxBodyBytes int
 }
 
 type testNode struct {
@@ -80,7 +82,7 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	t.Parallel()
-	f := &fleet{t: t, store: platformtest.NewStore()}
+	f := &fleet{t: t, store: platformtest.NewStore(), maxBodyBytes: 64 << 20}
 	f.server = httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		for _, n := range f.nodes {
@@ -110,9 +112,9 @@
 // storeConfiguration stores the next configuration version.
 func (f *fleet) storeConfiguration(rules ...string) {
 	f.version++
-	f.store.Put("config", "main", fmt.Sprintf(`{"version":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":67108864,`+
+	f.store.Put("config", "main", fmt.Sprintf(`{"version":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":%d,`+
 		`"header_timeout":"3000ms","idle_timeout":"15000ms"},"listeners":[{"host":"h.example","rules":[%s]}],`+
-		`"clusters":[{"name":"s","max_connections":110},{"name":"t","max_connections":110}]}`, f.version, strings.Join(rules, ",")))
+		`"clusters":[{"name":"s","max_connections":110},{"name":"t","max_connections":110}]}`, f.version, f.maxBodyBytes, strings.Join(rules, ",")))
 }
 
 // Nodes listen on ports below the range of ephemeral ports, because a connection
