Count slow responses of a new version that its callers cancel

Cause: a request is hedged after half of its time at the latest. A response counts as slow after four times the baseline, which is later when the baseline is above an eighth of the timeout: the slow responses were canceled before they counted, and the version passed its canary analysis. Under load they also waited for a slot at the one canary endpoint, which shortened the time that was measured.

Change: a response counts as slow at the latest after 70% of the request's time, and a request at a version under analysis is not hedged before that. Canary requests do not wait for a slot. A version passes only if results outnumber the requests that ended without showing anything.

Test: TestSlowVersionIsSeenBeforeItsRequestsAreHedged failed before (timeout 400 ms, baseline 60 ms: hedged after 200 ms), passes now.

--- a/pkg/mesh/rollout/analyzer.go
+++ b/pkg/mesh/rollout/analyzer.go
@@ -23,12 +23,23 @@
 const (
 	slowFactor    = 4
 	minSlowExcess = 20 * time.Millisecond
+	// maxTimeoutFraction is the part of a request's time after which its response counts
+	// as slow in any case: its caller cannot wait much longer, so that a slower response
+	// is never seen. minSlowFactor is the least multiple of the baseline.
+	maxTimeoutFraction = 0.7
+	minSlowFactor      = 2
 )
 
 // SlowThreshold returns the latency above which a result of a new version counts as
-// slow. baseline is the old version's latency on the same route.
-func SlowThreshold(baseline time.Duration) time.Duration {
-	return max(slowFactor*baseline, baseline+minSlowExcess)
+// slow. baseline is the old version's latency on the same route, timeout the time that
+// the request has; 0 means that it has no deadline.
+func SlowThreshold(baseline, timeout time.Duration) time.Duration {
+	threshold := max(slowFactor*baseline, baseline+minSlowExcess)
+	if timeout <= 0 {
+		return threshold
+	}
+	latest := max(time.Duration(maxTimeoutFraction*float64(timeout)), minSlowFactor*baseline)
+	return min(threshold, latest)
 }
 
 // Result is the result of one request to an endpoint of the new version.
@@ -40,6 +51,8 @@
 	// this route; either is 0 if unknown or not comparable.
 	Latency  time.Duration
 	Baseline time.Duration
+	// Timeout is the time that the request had; 0 if it had no deadline.
+	Timeout time.Duration
 	// Unfinished is set if the caller canceled the request after Latency without a
 	// response: its deadline had passed, or another endpoint had responded.
 	Unfinished bool
@@ -50,7 +63,7 @@
 // slow reports whether the latency, even of an unfinished request, exceeds the slow
 // threshold.
 func (r Result) slow() bool {
-	return r.Latency > 0 && r.Baseline > 0 && r.Latency > SlowThreshold(r.Baseline)
+	return r.Latency > 0 && r.Baseline > 0 && r.Latency > SlowThreshold(r.Baseline, r.Timeout)
 }
 
 // Analyzer counts the results of one version by route, so that a version that fails on
@@ -58,6 +71,8 @@
 type Analyzer struct {
 	routes      map[string]*routeResults
 	resultCount int
+	// unknownCount is the number of unfinished requests that may have been good or bad.
+	unknownCount int
 }
 
 type routeResults struct {
@@ -89,14 +104,16 @@
 // NewAnalyzer returns an analyzer without results.
 func NewAnalyzer() *Analyzer { return &Analyzer{routes: make(map[string]*routeResults)} }
 
-// ResultCount returns the number of results.
-func (a *Analyzer) ResultCount() int { return a.resultCount }
+// ResultCount returns the number of results by which the others, whose requests ended
+// without showing whether the version is good, are outnumbered.
+func (a *Analyzer) ResultCount() int { return max(a.resultCount-a.unknownCount, 0) }
 
 // Add applies a result and reports whether the version has failed its analysis. An
 // unfinished request counts if it was slow already: callers cancel slow requests first,
 // and without these a slow version would show only its fast results.
 func (a *Analyzer) Add(result Result) (failed bool) {
 	if result.Unfinished && !result.slow() {
+		a.unknownCount++
 		return false
 	}
 	a.resultCount++
--- a/pkg/mesh/rollout/rollout_test.go
+++ b/pkg/mesh/rollout/rollout_test.go
@@ -92,6 +92,20 @@
 	}
 }
 
+// A version whose requests mostly end without showing anything must not pass its analysis
+// for want of failures.
+func TestUnknownResultsAreNoEvidence(t *testing.T) {
+	analyzer := NewAnalyzer()
+	for i := range 30 {
+		analyzer.Add(Result{Route: "a", Latency: time.Millisecond, Baseline: time.Second, Unfinished: i%3 != 0})
+	}
+	assert.Equal(t, analyzer.ResultCount(), 0)
+	for range minResults + 10 {
+		analyzer.Add(Result{Route: "a", Latency: time.Millisecond, Baseline: time.Second})
+	}
+	assert.Equal(t, analyzer.ResultCount(), minResults)
+}
+
 // Requests that callers cancel must not count as successes, which would hide the
 // failures between them.
 func TestUnfinishedResultsDoNotCountAsSuccesses(t *testing.T) {
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -462,6 +462,7 @@
 func (la *localAdmission) withLatency(result rollout.Result, ea *endpointAdmission, c *call, took time.Duration) rollout.Result {
 	if la.deps.now().After(ea.endpoint.WarmUntil) {
 		result.Latency, result.Baseline = took, time.Duration(c.BaselineUs)*time.Microsecond
+		result.Timeout = time.Duration(c.TimeoutUs) * time.Microsecond
 	}
 	return result
 }
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -105,11 +105,11 @@
 	if !x.route.Kind.Idempotent() || x.remainingBody != nil {
 		return time.Until(x.deadline) + time.Second
 	}
-	delay := max(hedgeFactor*expected, minHedgeDelay, x.canaryHedgeDelay)
+	delay := max(hedgeFactor*expected, minHedgeDelay)
 	if maxDelay := time.Duration(maxHedgeFraction * float64(x.deadline.Sub(x.started))); delay > maxDelay {
 		delay = maxDelay
 	}
-	return delay
+	return max(delay, x.canaryHedgeDelay)
 }
 
 // maxAttempts bounds the attempts of a request whatever its route allows, because the
@@ -205,11 +205,16 @@
 			MaxQueueWaitUs: choice.MaxQueueWait.Microseconds(),
 		},
 	}
-	if analyzed, _ := x.entry.deps.rollouts.isAnalyzed(e.Service, e.Version); analyzed {
+	if analyzed, shifted := x.entry.deps.rollouts.isAnalyzed(e.Service, e.Version); analyzed {
 		baseline := x.entry.baseline(x.route.Name)
 		c.BaselineUs = baseline.Microseconds()
 		if baseline > 0 {
-			x.canaryHedgeDelay = rollout.SlowThreshold(baseline)
+			x.canaryHedgeDelay = rollout.SlowThreshold(baseline, x.deadline.Sub(now))
+		}
+		if !shifted {
+			// A request that waits for a slot is canceled before its response counts as slow.
+			// The old version can run it at once.
+			c.MaxQueueWaitUs = 0
 		}
 	}
 	return c
--- a/pkg/sidecar/attempts_test.go
+++ b/pkg/sidecar/attempts_test.go
@@ -12,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -51,3 +53,32 @@
 	assert.Equal(t, failure.Code, verdict.DeadlineExceeded)
 	assert.Equal(t, statusOf(failure), http.StatusServiceUnavailable)
 }
+
+// Verifies that a request that waits for a slow new version is hedged only after its
+// response would count as slow. Hedged earlier, the slow responses are canceled before
+// they can be counted, and the version passes its analysis (EXPOSURE on trouble-2 of grown
+// priecka, seed 442675553950: stock checks have 2 s, their baseline was above 250 ms).
+func TestSlowVersionIsSeenBeforeItsRequestsAreHedged(t *testing.T) {
+	for _, timeout := range []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
+		for baseline := timeout / 20; baseline <= timeout/3; baseline += timeout / 100 {
+			started := time.Now()
+			x := &request{
+				started: started, deadline: started.Add(timeout), route: &mesh.Route{Kind: mesh.Safe},
+				canaryHedgeDelay: rollout.SlowThreshold(baseline, timeout),
+			}
+			hedgedAfter := x.hedgeDelay(baseline)
+			assert.Assert(t, hedgedAfter <= timeout*7/10, "timeout %v, baseline %v: no time is left after %v", timeout, baseline, hedgedAfter)
+			analyzer, failed := rollout.NewAnalyzer(), false
+			for i := range 40 {
+				// Half of the responses are slow; the old version answers hedged requests after the
+				// baseline at the earliest.
+				result := rollout.Result{Latency: baseline, Baseline: baseline, Timeout: timeout}
+				if i%2 == 0 {
+					result.Latency, result.Unfinished = hedgedAfter+baseline/2, true
+				}
+				failed = failed || analyzer.Add(result)
+			}
+			assert.Assert(t, failed, "timeout %v, baseline %v: hedged after %v", timeout, baseline, hedgedAfter)
+		}
+	}
+}
