Let joining nodes start when the fleet that they found is gone

Cause: a joining node that had once got a reply of a started member never started standalone. The harness of the test had no standalone start at all.

Change: StandaloneTimer starts anew with each reply of a started member and applies when none has replied for the standalone timeout. The service and the harness use the same one.

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -48,6 +48,8 @@
 	epoch     int // incremented by CrashNode, so that events scheduled before are dropped
 	isStopped bool
 	isPaused  bool
+	// standalone decides when the joining node gives up to find a fleet.
+	standalone *membership.StandaloneTimer
 }
 
 // Self returns the static fields of the node's member record.
@@ -143,10 +145,17 @@
 
 // Join makes n a member through seed, or starts it standalone if seed is n itself. It
 // retries through seed or an alternative until n is admitted.
-func (f *Fleet) Join(n, seed *Node) { f.join(n, seed, seed) }
+func (f *Fleet) Join(n, seed *Node) {
+	n.standalone = membership.NewStandaloneTimer(f.now, standaloneTimeout)
+	f.join(n, seed, seed)
+}
+
+// standaloneTimeout is after how long without a reply of a fleet a joining node starts
+// standalone.
+const standaloneTimeout = 12 * time.Second
 
 func (f *Fleet) join(n, seed, bootstrap *Node) {
-	if n == seed {
+	if n == seed || n.standalone.IsExpired(f.now) {
 		f.stepMembership(n, membership.Started{})
 		return
 	}
@@ -174,6 +183,9 @@
 		f.stepMembership(n, membership.Started{})
 		return
 	}
+	if decision.Started {
+		n.standalone.FleetReplied(f.now)
+	}
 	next := seed
 	if len(decision.Alternatives) != 0 {
 		if alternative := f.nodeAt(decision.Alternatives[f.random.IntN(len(decision.Alternatives))]); alternative != nil {
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -167,6 +167,29 @@
 	t.Logf("converged after %v", assertConverges(t, f, time.Minute))
 }
 
+// Joining nodes that have found a fleet whose last started member then dies must not wait
+// for each other for ever: nobody would find out that it is gone (seed
+// 5789381175252132393 of TestViewsConvergeAfterRandomFaults).
+func TestJoiningNodesStartWhenTheirFleetIsGone(t *testing.T) {
+	for seed := range uint64(20) {
+		f := fleettest.New(seed)
+		f.Seeds = []string{fleettest.Address("0"), fleettest.Address("1")}
+		f.AddNodes(3, 1)
+		f.Advance(5 * time.Second)
+		nodes := f.RunningNodes()
+		f.CrashNode(nodes[1])
+		f.CrashNode(nodes[2])
+		for i, n := range nodes[1:] {
+			replacement := f.StartNode(fmt.Sprint("x", i), fmt.Sprint(i+1), n.Self().Region, n.Self().FailureDomain)
+			f.Join(replacement, n)
+		}
+		f.Advance(time.Duration(seed) * 100 * time.Millisecond)
+		f.CrashNode(nodes[0])
+		_, ok := f.AdvanceUntil(time.Second, 3*time.Minute, func() bool { return viewsMatchRunningNodes(f) })
+		assert.Assert(t, ok, "seed %d: views still hold a node that is gone", seed)
+	}
+}
+
 // Views must converge within 3 minutes after any random sequence of crashes,
 // pauses, replacements, partitions and message loss.
 func TestViewsConvergeAfterRandomFaults(t *testing.T) {
--- a/pkg/membership/join.go
+++ b/pkg/membership/join.go
@@ -52,13 +52,31 @@
 	return mode
 }()
 
+// StandaloneTimer decides when a joining node starts standalone: when no started member
+// of a fleet has replied for the timeout. A fleet that has replied may have ended since:
+// joining nodes that wait for it would only ever reach each other.
+type StandaloneTimer struct {
+	timeout  time.Duration
+	deadline time.Time
+}
+
+// NewStandaloneTimer returns the timer of a node that begins to join at now.
+func NewStandaloneTimer(now time.Time, timeout time.Duration) *StandaloneTimer {
+	return &StandaloneTimer{timeout: timeout, deadline: now.Add(timeout)}
+}
+
+// FleetReplied records that a started member has replied.
+func (t *StandaloneTimer) FleetReplied(now time.Time) { t.deadline = now.Add(t.timeout) }
+
+// IsExpired reports whether the node starts standalone.
+func (t *StandaloneTimer) IsExpired(now time.Time) bool { return !now.Before(t.deadline) }
+
 // Join makes the node a member of the fleet that one of the seeds belongs to.
 // If no member replies within Options.StandaloneTimeout, the node starts
 // standalone and merges with the fleet when it reaches a seed later. Join returns
 // an error only if ctx ends first. Run must be running.
 func (s *Service) Join(ctx context.Context, seeds []string) error {
-	j := &joiner{service: s, candidates: s.otherSeeds(seeds)}
-	deadline := s.options.Now().Add(s.standaloneTimeout(seeds))
+	j := &joiner{service: s, candidates: s.otherSeeds(seeds), standalone: NewStandaloneTimer(s.options.Now(), s.standaloneTimeout(seeds))}
 	for len(j.candidates) != 0 {
 		if j.tryCandidates(ctx) {
 			break
@@ -66,7 +84,7 @@
 		if ctx.Err() != nil {
 			return eris.Wrap(ctx.Err(), "join")
 		}
-		if !j.isFleetFound && !s.options.Now().Before(deadline) {
+		if j.standalone.IsExpired(s.options.Now()) {
 			s.options.Logger.Warn("no fleet member replied within the standalone timeout, starting standalone")
 			break
 		}
@@ -102,10 +120,8 @@
 type joiner struct {
 	service    *Service
 	candidates []string
-	// isFleetFound is set once a started member has replied. From then on the node
-	// does not start standalone, even if all members reject it for now.
-	isFleetFound bool
-	retryDelay   time.Duration
+	standalone *StandaloneTimer
+	retryDelay time.Duration
 }
 
 // tryCandidates sends a join request to each candidate in turn and reports
@@ -128,7 +144,9 @@
 			j.service.options.Gossip.SyncWith(address)
 			return true
 		}
-		j.isFleetFound = j.isFleetFound || reply.Decision.Started
+		if reply.Decision.Started {
+			j.standalone.FleetReplied(j.service.options.Now())
+		}
 		j.retryDelay = min(max(reply.Decision.RetryAfter, minRetryDelay), maxRetryDelay)
 		alternatives = append(alternatives, reply.Decision.Alternatives...)
 	}
