Load a shard again before a key of another owner is reported as in use

Cause: a response is stored up to a second after its claim.

Change: a claim that another owner granted and whose response is not known is reported as in use only after a load that began after the request.

Test: TestResponseStoredAfterLoadIsFound failed before ("the claim was decided without another load").

--- a/pkg/idempotency/reducer.go
+++ b/pkg/idempotency/reducer.go
@@ -80,7 +80,7 @@
 		m.shards[s.number] = s
 	}
 	s.waiters = append(s.waiters, waiter{
-		correlationID: e.CorrelationID, deadline: e.Deadline,
+		correlationID: e.CorrelationID, deadline: e.Deadline, loadCount: s.loadCount,
 		entry: entry{Kind: entryClaim, Key: e.Request.Key, ID: e.Request.ID, Fingerprint: e.Request.Fingerprint},
 	})
 	return s.scheduleBatch(now, batchDelay)
@@ -173,15 +173,22 @@
 // passed.
 func (s *shard) replyToWaiters(now time.Time) []Effect {
 	var effects []Effect
+	needsLoad := false
 	s.waiters = slices.DeleteFunc(s.waiters, func(w waiter) bool {
 		if s.isLoaded {
-			if r, ok := s.checkClaim(now, w.entry); ok {
+			r, ok := s.checkClaim(now, w.entry)
+			if ok && r.Result == InUse && s.mayBeAnswered(w) {
+				needsLoad = true
+				return s.rejectExpired(now, w, &effects)
+			}
+			if ok {
 				effects = append(effects, Respond{CorrelationID: w.correlationID, Reply: r})
 				return true
 			}
 		}
 		return s.rejectExpired(now, w, &effects)
 	})
+	s.isLoaded = s.isLoaded && !needsLoad
 	s.waitersInFlight = slices.DeleteFunc(s.waitersInFlight, func(w waiter) bool { return s.rejectExpired(now, w, &effects) })
 	return effects
 }
--- a/pkg/idempotency/reducer_test.go
+++ b/pkg/idempotency/reducer_test.go
@@ -300,3 +300,45 @@
 		_, _ = decode[segmentIndex](data)
 	})
 }
+
+// An owner that loaded a shard before the previous owner stored the response to a claim
+// must load again rather than report the key as in use: it learned of the response only
+// from a conflict of a write of its own (KNOWN-RED, TestClaimIsSharedByNodesAndNextOwner).
+func TestResponseStoredAfterLoadIsFound(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	key, first, second := keyHash{1}, claimID{1}, claimID{2}
+	claimed := entry{Kind: entryClaim, Key: key, ID: first, At: now.Unix()}
+	answered := entry{Kind: entryResponse, Key: key, ID: first, At: now.Unix(), Answer: []byte("response")}
+	m := NewStateMachine()
+	var load *LoadSegments
+	var replies []reply
+	step := func(event Event) {
+		for _, effect := range m.Step(now, event) {
+			switch e := effect.(type) {
+			case LoadSegments:
+				load = &e
+			case Respond:
+				replies = append(replies, e.Reply)
+			case WriteSegment:
+				t.Fatalf("a claim of a key that is in use was written: %v", e)
+			}
+		}
+	}
+	claim := func(correlationID uint64) {
+		load = nil
+		step(ClaimRequested{CorrelationID: correlationID, Deadline: now.Add(time.Minute), Request: request{Op: opClaim, Key: key, ID: second}})
+		now = now.Add(batchDelay)
+		step(Tick{})
+	}
+	claim(1)
+	assert.Assert(t, load != nil)
+	step(LoadEnded{Segments: []segment{{Entries: []entry{claimed}}}, ResourceVersion: "1"})
+	assert.Equal(t, len(replies), 1)
+	assert.Equal(t, replies[0].Result, InUse)
+	claim(2) // The previous owner has stored the response meanwhile.
+	assert.Assert(t, load != nil, "the claim was decided without another load: %v", replies)
+	step(LoadEnded{Segments: []segment{{Entries: []entry{claimed, answered}}}, ResourceVersion: "2"})
+	assert.Equal(t, len(replies), 2)
+	assert.Equal(t, replies[1].Result, Recorded)
+	assert.Equal(t, string(replies[1].Response), "response")
+}
--- a/pkg/idempotency/shard.go
+++ b/pkg/idempotency/shard.go
@@ -11,6 +11,9 @@
 	id          claimID
 	fingerprint uint64
 	unixSeconds int64
+	// isForeign is set if another owner granted the claim, which may store its response
+	// later.
+	isForeign bool
 }
 
 // waiter is a requested claim whose result is not known yet.
@@ -18,6 +21,8 @@
 	correlationID uint64
 	entry         entry
 	deadline      time.Time
+	// loadCount is the number of loads of the shard when the claim was requested.
+	loadCount int
 }
 
 // closedSegment describes a closed segment that was loaded or written.
@@ -33,7 +38,9 @@
 	// load. wasLoaded means that it did so at some time, so that loading the newest
 	// segments is enough.
 	isLoaded, wasLoaded bool
-	isCallInFlight      bool
+	// loadCount is the number of loads that have ended.
+	loadCount      int
+	isCallInFlight bool
 	retryAt             time.Time
 	// batchAt is the time at which waiting claims and entries are written; zero if
 	// there are none.
@@ -85,6 +92,13 @@
 	return reply{Result: InUse}, true
 }
 
+// mayBeAnswered reports whether the response of a foreign claim may have been stored since
+// the last load. The request must then wait for another load instead of being told that
+// the key is in use.
+func (s *shard) mayBeAnswered(w waiter) bool {
+	return s.claims[w.entry.Key].isForeign && w.loadCount == s.loadCount
+}
+
 // apply updates the state with an entry that the platform holds.
 func (s *shard) apply(e entry) {
 	switch e.Kind {
@@ -92,7 +106,7 @@
 		if s.claims[e.Key].id != e.ID {
 			s.deleteResponse(e.Key)
 		}
-		s.claims[e.Key] = claim{id: e.ID, fingerprint: e.Fingerprint, unixSeconds: e.At}
+		s.claims[e.Key] = claim{id: e.ID, fingerprint: e.Fingerprint, unixSeconds: e.At, isForeign: !s.isOwnClaim(e)}
 		if _, abandoned := s.abandoned[e.ID]; abandoned {
 			delete(s.abandoned, e.ID)
 			s.release(e)
@@ -109,6 +123,15 @@
 	}
 }
 
+// isOwnClaim reports whether this owner has granted the claim of e or is about to.
+func (s *shard) isOwnClaim(e entry) bool {
+	if known := s.claims[e.Key]; known.id == e.ID {
+		return !known.isForeign
+	}
+	isWaiter := func(w waiter) bool { return w.entry.ID == e.ID }
+	return slices.ContainsFunc(s.waiters, isWaiter) || slices.ContainsFunc(s.waitersInFlight, isWaiter)
+}
+
 // release frees a claim in memory and schedules the entry that stores the release.
 // Entries of one write are in order, so that a later claim of the key follows the
 // release.
@@ -156,6 +179,7 @@
 		s.backgroundEntries = append(s.possiblyLostClaims(entries), s.backgroundEntries...)
 	}
 	s.isLoaded, s.wasLoaded = true, true
+	s.loadCount++
 }
 
 // possiblyLostClaims returns the claims in memory that a platform restored from an
