Answer calls whose body stalls at their deadline; take ports without trying them

Change: reads of a body end with the deadline of the call, as they do with the stop of the node. The harness takes addresses of its own range untried.

--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -39,18 +40,18 @@
 	return b
 }
 
-// endReadsOnStop makes reads of the body fail when the stop of the node ends ctx.
-// Otherwise a caller that stops sending would delay the response: net/http returns from
-// a round trip only after it has read the request's body. The caller must call release
-// before the end of its handler, after which the connection is not its own.
-func (b *requestBody) endReadsOnStop(ctx context.Context) (release func()) {
+// endReadsWith makes reads of the body fail when the stop of the node or the deadline ends
+// ctx. Otherwise a caller that stops sending would delay the response: net/http returns
+// from a round trip only after it has read the request's body. The caller must call
+// release before the end of its handler, after which the connection is not its own.
+func (b *requestBody) endReadsWith(ctx context.Context) (release func()) {
 	if b.readErr != nil {
 		return func() {}
 	}
 	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(done)
-		if isEndedByStop(ctx) {
+		if isEndedByStop(ctx) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			b.endReads()
 		}
 	})
@@ -101,6 +102,8 @@
 	b.buffered, b.totalRead = buffer[:n], int64(n)
 	switch {
 	case err != nil:
+		// net/http would read on before it sends the response.
+		b.endReads()
 		return eris.Wrap(err, "read")
 	case int64(n) == length:
 		b.readErr = io.EOF
--- a/pkg/proxy/entry.go
+++ b/pkg/proxy/entry.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -193,8 +195,12 @@
 		return c.contextError(verdict.NotRun)
 	}
 	c.body = newRequestBody(c.w, c.r)
-	c.stopBodyWatch = c.body.endReadsOnStop(c.ctx)
+	c.stopBodyWatch = c.body.endReadsWith(c.ctx)
 	if err := c.body.prefetch(c.deadline, !c.handler.options.Quarantine.Empty()); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) && !isEndedByStop(c.ctx) {
+			// net/http cancels the context when a read times out.
+			return verdict.NotRunErrorf(verdict.DeadlineExceeded, "the body did not arrive in time")
+		}
 		if c.ctx.Err() != nil {
 			return c.contextError(verdict.NotRun)
 		}
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -134,17 +134,14 @@
 // that run at the same time could use the same port and reach each other's nodes.
 var nodeIP = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8%250, os.Getpid()%256)
 
+// freeAddress returns an address that no other test of this process uses. It is not
+// tried: a process that another test starts meanwhile would inherit the socket until it
+// executes its program, and the node would find its address in use.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		address := fmt.Sprintf("%s:%d", nodeIP, minPort+nextPort.Add(1)%portCount)
-		if l, err := net.Listen("tcp", address); err == nil {
-			assert.NilError(t, l.Close())
-			return address
-		}
-	}
-	t.Fatal("no port of the test range is free")
-	return ""
+	used := nextPort.Add(1)
+	assert.Assert(t, used < 2*portCount, "the tests use all ports of their range")
+	return fmt.Sprintf("%s:%d", nodeIP, minPort+used%portCount)
 }
 
 // addNode starts a node in a failure domain together with its co-located endpoint.
