Reuse the buffers of bodies and keep read-ahead within its limit

Cause: found by profiling uploads of 200 KB (two nodes in one process, 8 clients): 62% of all allocated bytes were buffers of clientConn. A stale signal let it read on although its buffer was full, so that the limit of 64 KB did not hold, and each refill allocated anew. Each exchange allocated its write buffer.

Change: clientConn waits until its buffer is below the limit, reads large bodies in pieces of 32 KB, and takes their storage from a pool, as exchanges do with write buffers. Of a body of more than 64 KB with a known length, only 4 KB are read before an endpoint is chosen.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -352,8 +352,26 @@
 	}
 }
 
+// Buffers of requests that are being written. A body that is not in memory is written in
+// larger pieces, to save system calls.
+const bodyBufferBytes = 32 << 10
+
+var (
+	smallWriters = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
+	bodyWriters  = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bodyBufferBytes) }}
+)
+
 func (w *requestWriter) run() error {
-	writer := bufio.NewWriterSize(w.conn, bufferBytes)
+	writers := &smallWriters
+	if !w.isInMemory {
+		writers = &bodyWriters
+	}
+	writer := writers.Get().(*bufio.Writer)
+	writer.Reset(w.conn)
+	defer func() {
+		writer.Reset(nil)
+		writers.Put(writer)
+	}()
 	err := w.request.Write(writer)
 	if err == nil {
 		err = writer.Flush()
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -425,7 +425,8 @@
 	request.URL = &url.URL{Opaque: c.uri, Host: c.host, Scheme: ""}
 	switch {
 	case c.remainingBody != nil:
-		request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(c.body), c.remainingBody))
+		// The struct hides io.WriterTo, which would allocate a buffer for each body.
+		request.Body = io.NopCloser(struct{ io.Reader }{io.MultiReader(bytes.NewReader(c.body), c.remainingBody)})
 	case len(c.body) > 0:
 		request.Body, request.ContentLength = exchange.InMemoryBody(bytes.NewReader(c.body)), int64(len(c.body))
 	default:
--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -28,8 +28,13 @@
 	// taken from the socket are in the buffer.
 	onInterrupted func()
 
-	mu       sync.Mutex
-	buffer   []byte
+	// mu guards the fields below. buffer holds the bytes that have arrived; the first taken
+	// of them were returned by Read.
+	mu     sync.Mutex
+	buffer []byte
+	taken  int
+	// storage is the storage of buffer if it is taken from bufferStorage.
+	storage  *[]byte
 	err      error
 	deadline time.Time
 	// changed is closed and replaced whenever bytes arrive, the connection ends or the
@@ -52,9 +57,17 @@
 	}
 }
 
+// Sizes of one read from the connection: the first suffices for requests without a large
+// body, the second saves system calls where more arrives.
+const (
+	smallReadBytes = 4 << 10
+	largeReadBytes = 32 << 10
+)
+
 // readAhead copies bytes from the connection to the buffer until the connection ends.
 func (c *clientConn) readAhead() {
-	chunk := make([]byte, 4<<10)
+	small := make([]byte, smallReadBytes)
+	chunk := small
 	for {
 		n, err := c.Conn.Read(chunk)
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -63,18 +76,24 @@
 			continue
 		}
 		c.mu.Lock()
-		c.buffer = append(c.buffer, chunk[:n]...)
+		c.put(chunk[:n])
 		if err != nil {
 			c.err = err
 		}
-		isFull := len(c.buffer) >= maxReadAheadRequestBytes
+		isFull := len(c.buffer)-c.taken >= maxReadAheadRequestBytes
 		c.broadcast()
 		c.mu.Unlock()
+		switch {
+		case n == len(small) && len(chunk) == len(small):
+			chunk = make([]byte, largeReadBytes)
+		case n < len(small):
+			chunk = small
+		}
 		if err != nil {
 			c.cancel(errClosedByClient)
 			return
 		}
-		if isFull {
+		for isFull {
 			select {
 			case <-c.spaceFreed:
 			case <-c.ctx.Done():
@@ -84,10 +103,41 @@
 				c.mu.Unlock()
 				return
 			}
+			isFull = c.unreadBytes() >= maxReadAheadRequestBytes
 		}
 	}
 }
 
+// bufferStorage holds storage for buffers of connections on which a large body arrives.
+var bufferStorage = sync.Pool{New: func() any {
+	storage := make([]byte, 0, maxReadAheadRequestBytes+largeReadBytes)
+	return &storage
+}}
+
+// put appends bytes to the buffer; c.mu must be held.
+func (c *clientConn) put(p []byte) {
+	unread := c.buffer[c.taken:]
+	if len(c.buffer)+len(p) > cap(c.buffer) {
+		if len(unread)+len(p) > smallReadBytes && c.storage == nil {
+			c.storage = bufferStorage.Get().(*[]byte)
+			c.buffer = append((*c.storage)[:0], unread...)
+		} else {
+			c.buffer = append(c.buffer[:0], unread...)
+		}
+		c.taken = 0
+	}
+	c.buffer = append(c.buffer, p...)
+}
+
+// releaseStorage releases the storage of an empty buffer; c.mu must be held.
+func (c *clientConn) releaseStorage() {
+	c.buffer, c.taken = nil, 0
+	if c.storage != nil {
+		bufferStorage.Put(c.storage)
+		c.storage = nil
+	}
+}
+
 // pastDeadline is a read deadline that ends a pending read.
 var pastDeadline = time.Unix(1, 0)
 
@@ -108,11 +158,11 @@
 			c.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		}
-		if len(c.buffer) > 0 {
-			n := copy(p, c.buffer)
-			c.buffer = c.buffer[n:]
-			if len(c.buffer) == 0 {
-				c.buffer = nil
+		if len(c.buffer) > c.taken {
+			n := copy(p, c.buffer[c.taken:])
+			c.taken += n
+			if c.taken == len(c.buffer) {
+				c.buffer, c.taken = c.buffer[:0], 0
 			}
 			c.mu.Unlock()
 			select {
@@ -140,11 +190,14 @@
 }
 
 // awaitData waits until Read has bytes to return. It takes none, so that they stay visible
-// to hasUnread.
+// to hasUnread. The storage of an empty buffer is released.
 func (c *clientConn) awaitData() error {
 	for {
 		c.mu.Lock()
-		hasData, err, changed := len(c.buffer) > 0, c.endError(), c.changed
+		hasData, err, changed := len(c.buffer) > c.taken, c.endError(), c.changed
+		if !hasData {
+			c.releaseStorage()
+		}
 		c.mu.Unlock()
 		switch {
 		case hasData:
@@ -191,7 +244,7 @@
 func (c *clientConn) unreadBytes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.buffer)
+	return len(c.buffer) - c.taken
 }
 
 // hasUnread reports whether bytes have arrived that Read has not returned, in the buffer
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -21,6 +21,9 @@
 const (
 	bufferedRequestBytes  = 64 << 10
 	bufferedResponseBytes = 64 << 10
+	// streamedPrefixBytes is the part of a longer body that is read before an endpoint is
+	// chosen, so that a caller that sends no body at all takes no slot.
+	streamedPrefixBytes = 4 << 10
 )
 
 // defaultRequestTimeout bounds requests without a deadline on routes without a timeout.
@@ -197,10 +200,13 @@
 	_ = controller.SetReadDeadline(x.deadline)
 	stopWatch := context.AfterFunc(x.entry.deps.requestsEnd, func() { _ = controller.SetReadDeadline(pastDeadline) })
 	defer stopWatch()
-	buffer := make([]byte, bufferedRequestBytes)
-	if length := x.r.ContentLength; length > 0 && length < bufferedRequestBytes {
-		buffer = buffer[:length]
+	size := int64(bufferedRequestBytes)
+	if length := x.r.ContentLength; length > bufferedRequestBytes {
+		size = streamedPrefixBytes
+	} else if length > 0 {
+		size = length
 	}
+	buffer := make([]byte, size)
 	n, err := io.ReadFull(x.r.Body, buffer)
 	x.body = buffer[:n]
 	switch {
