Let one node of each failure domain read the store and the others follow it

Change: pkg/mesh/upstream orders the nodes of a failure domain by a hash of their names. The first reads the store, the others follow a node of a lower rank, eight on each, and get deltas by version with a checksum over one open request. A peer that is silent for 1.5 s, unreachable, not loaded, or that reports that it has lost the store is passed over; without a peer a node reads the store itself. A node that hears of something newer asks the node that told it, then the store. A node reads its own entry itself, because it says what an earlier process acknowledged. Views are rebuilt once for each batch of events instead of once for each event.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -31,6 +31,9 @@
 	maxWatchTimeout = 30 * time.Second
 	// defaultWatchDebounce combines changes that follow each other quickly.
 	defaultWatchDebounce = 150 * time.Millisecond
+	// meshStateWatchDebounce is longer, because the entries of all nodes change when they
+	// start. Until an entry is read, the gates correct its readers.
+	meshStateWatchDebounce = 400 * time.Millisecond
 )
 
 // configurationDebounceRatio is the debounce time of the configuration watch as a
@@ -39,7 +42,7 @@
 const configurationDebounceRatio = 0.25
 
 // configurationPollRatio and rolloutPollRatio are the mean times between two polls of
-// the store by any node of the fleet, as fractions of the time within which a
+// the store by any of the nodes that read it, as fractions of the time within which a
 // configuration must be applied. With 0.06, no node polls within two fifths of that
 // time in 1 of 800 cases; the remaining time is needed for the update to spread. A node
 // that has not yet read a rollout is corrected by the rejections of the endpoints' local
@@ -53,13 +56,16 @@
 // changes, which may come without a signal.
 const settingsPollInterval = 2 * time.Second
 
+// minMeanWatchTimeout bounds the rate at which the only reader of a small fleet polls.
+const minMeanWatchTimeout = 250 * time.Millisecond
+
 // watchTimeout returns the timeout of a watch call for a kind. applyTimeout is the time
-// within which a configuration must be applied, instances the number of nodes. For
-// configurations and rollouts the timeout grows with the number of nodes, so that the
-// fleet's call rate does not grow with its size. A change ends all watches at the same
-// moment; with exponentially distributed timeouts, some node nevertheless polls again
-// soon. The others learn of the change from that node with their calls.
-func watchTimeout(kind store.Kind, applyTimeout time.Duration, instances int) time.Duration {
+// within which a configuration must be applied, readers the number of nodes that read
+// the store. For configurations and rollouts the timeout grows with that number, so that
+// the fleet's call rate does not grow with its size. A change ends all watches at the
+// same moment; with exponentially distributed timeouts, some node nevertheless polls
+// again soon. The others learn of the change from that node with their calls.
+func watchTimeout(kind store.Kind, applyTimeout time.Duration, readers int) time.Duration {
 	ratio := configurationPollRatio
 	switch kind {
 	case store.KindMeshState:
@@ -67,14 +73,17 @@
 	case store.KindRollout:
 		ratio = rolloutPollRatio
 	}
-	mean := max(ratio*float64(applyTimeout)*float64(instances), float64(applyTimeout))
+	mean := max(ratio*float64(applyTimeout)*float64(readers), float64(minMeanWatchTimeout))
 	return min(time.Duration(mean*rand.ExpFloat64()), maxWatchTimeout)
 }
 
 // watchDebounce returns the time that a watch of a kind waits for further changes.
 func watchDebounce(kind store.Kind, applyTimeout time.Duration) time.Duration {
-	if kind == store.KindConfiguration {
+	switch kind {
+	case store.KindConfiguration:
 		return time.Duration(configurationDebounceRatio * float64(applyTimeout))
+	case store.KindMeshState:
+		return meshStateWatchDebounce
 	}
 	return defaultWatchDebounce
 }
@@ -120,10 +129,10 @@
 		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
 		CallTimeout: storeCallTimeout,
 		WatchTimeout: func(kind store.Kind) time.Duration {
-			return watchTimeout(kind, settings.ConfigurationApplyTimeout, node.InstanceCount())
+			return watchTimeout(kind, settings.ConfigurationApplyTimeout, node.ReaderCount())
 		},
 		WatchDebounce: func(kind store.Kind) time.Duration { return watchDebounce(kind, settings.ConfigurationApplyTimeout) },
-		StaleWatches:  map[store.Kind]bool{store.KindMeshState: true},
+		StaleReads:    map[store.Kind]bool{store.KindMeshState: true},
 	})
 	defer client.Close()
 	node, err = sidecar.New(sidecar.Deps{
--- a/cmd/azurespring-node/sidecar_test.go
+++ b/cmd/azurespring-node/sidecar_test.go
@@ -9,8 +9,8 @@
 	store "github.com/azurespring/azurespring/pkg/platform"
 )
 
-// Verifies that the watches of idle nodes leave room in the store's rate limit of 2,000
-// reads/s for the whole fleet, whatever the size of the fleet.
+// Verifies that the watches of idle readers leave room in the store's rate limit of 2,000
+// reads/s for the whole fleet, however many nodes read the store.
 func TestIdleFleetStaysWithinStoreReadRate(t *testing.T) {
 	const applyTimeout = 2 * time.Second
 	for _, instances := range []int{0, 1, 24, 63, 88, 300, 3800} {
--- a/pkg/idempotency/shard.go
+++ b/pkg/idempotency/shard.go
@@ -41,7 +41,7 @@
 	// loadCount is the number of loads that have ended.
 	loadCount      int
 	isCallInFlight bool
-	retryAt             time.Time
+	retryAt        time.Time
 	// batchAt is the time at which waiting claims and entries are written; zero if
 	// there are none.
 	batchAt time.Time
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -72,6 +72,11 @@
 type Event struct {
 	Type   EventType
 	Object Object
+	// AsOf is the version up to which the store had reported all changes at the end of the
+	// batch that the event belongs to; "" if the store does not tell. MoreFollow is set for
+	// all events of a batch but the last.
+	AsOf       string
+	MoreFollow bool
 }
 
 // Store is the platform's object service. Implementations are safe for
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -181,7 +181,7 @@
 		return nil, placement.Load{}, exchangeFailure(ctx, failure, "the endpoint's node")
 	}
 	load := parseLoad(httpResponse.Header.Get(hopLoadHeader))
-	h.deps.recordRemoteRevisions(parseRevision(httpResponse.Header.Get(hopConfigVersionHeader)), parseRevision(httpResponse.Header.Get(hopRolloutRevisionHeader)))
+	h.deps.recordRemoteRevisions(parseRevision(httpResponse.Header.Get(hopConfigVersionHeader)), parseRevision(httpResponse.Header.Get(hopRolloutRevisionHeader)), address)
 	if httpResponse.Header.Get(hopLacksStateHeader) != "" {
 		h.sendStateIfDue(address)
 	}
@@ -262,11 +262,16 @@
 type hopServer struct {
 	deps      *shared
 	admission *localAdmission
+	tracker   *tracker
 	inFlight  atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
 func (s *hopServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost && r.RequestURI == followPath {
+		s.serveFollower(w, r) // Not in flight: a shutdown does not wait for followers.
+		return
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	if r.Method == http.MethodPost && r.RequestURI == statePath {
@@ -283,7 +288,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.deps.recordRemoteRevisions(c.ConfigurationVersion, c.RolloutRevision)
+	s.deps.recordRemoteRevisions(c.ConfigurationVersion, c.RolloutRevision, s.deps.callerAddress(r))
 	if s.deps.isInboundClosed.Load() {
 		s.reject(w, placement.Load{}, verdict.NotRunErrorf(verdict.NoTarget, "the endpoint's node is stopping"))
 		return
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -115,8 +115,10 @@
 	n.hopClient = do.MustInvoke[*hopClient](n.injector)
 	n.entry = do.MustInvoke[*EntryHandler](n.injector)
 	n.tracker = do.MustInvoke[*tracker](n.injector)
-	n.hopServer = &hopServer{deps: n.shared, admission: n.admission}
+	n.tracker.peers = n.hopClient
+	n.hopServer = &hopServer{deps: n.shared, admission: n.admission, tracker: n.tracker}
 	n.shared.onEndpointsChanged = n.tracker.endpointsChanged
+	n.shared.hasNodeAt = n.tracker.hasNodeAt
 	n.shared.isLoaded, n.shared.encodeState, n.shared.applyState = n.tracker.isLoaded, n.tracker.encodeState, n.tracker.applyState
 	n.shared.awaitPublished = n.tracker.awaitPublished
 	n.shared.onNewerRevision = func() { notify(n.tracker.fetchWake) }
@@ -232,13 +234,8 @@
 	}
 }
 
-// InstanceCount returns the number of instances that the node knows.
-func (n *Node) InstanceCount() int {
-	if table := n.shared.table.Load(); table != nil {
-		return len(table.Instances())
-	}
-	return 0
-}
+// ReaderCount returns the number of nodes that are expected to read the store.
+func (n *Node) ReaderCount() int { return n.tracker.readerCount() }
 
 // listen opens a listener on each address of the node.
 func (n *Node) listen() ([]server, error) {
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +46,11 @@
 	// if there is none.
 	rolloutRevision atomic.Uint64
 	// onNewerRevision is called if another node reported a newer configuration or newer
-	// rollouts.
+	// rollouts. newerAt is the address of a node that did; it is nil if none is known.
 	onNewerRevision func()
+	newerAt         atomic.Pointer[string]
+	// hasNodeAt reports whether a node has the given inbound address.
+	hasNodeAt func(address string) bool
 	// onEndpointsChanged is called after the local endpoints have changed.
 	onEndpointsChanged func()
 	// isLoaded reports whether everything that requests depend on is known. encodeState
@@ -69,15 +74,36 @@
 }
 
 // recordRemoteRevisions records the configuration version and the revision of the
-// newest rollout that another node reported. A node whose own watch is idle, or pauses
-// for long, learns of a change from the nodes that it calls and from those that call
-// it.
-func (s *shared) recordRemoteRevisions(configVersion, rolloutRevision uint64) {
+// newest rollout that the node at address reported; "" if its address is not known. A
+// node whose own source is silent, or pauses for long, learns of a change from the nodes
+// that it calls and from those that call it.
+func (s *shared) recordRemoteRevisions(configVersion, rolloutRevision uint64, address string) {
 	storeMax(&s.newestConfigVersion, configVersion)
 	storeMax(&s.newestRolloutRevision, rolloutRevision)
-	if configVersion > s.configVersion() || rolloutRevision > s.rolloutRevision.Load() {
-		s.onNewerRevision()
+	if configVersion <= s.configVersion() && rolloutRevision <= s.rolloutRevision.Load() {
+		return
 	}
+	if address != "" {
+		s.newerAt.Store(&address)
+	}
+	s.onNewerRevision()
+}
+
+// callerAddress returns the inbound address of the node that sent r, "" if it is not
+// known. All nodes of a deployment listen on the same ports.
+func (s *shared) callerAddress(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(s.settings.InboundAddress)
+	if err != nil {
+		return ""
+	}
+	if address := net.JoinHostPort(host, port); s.hasNodeAt != nil && s.hasNodeAt(address) {
+		return address
+	}
+	return ""
 }
 
 // storeMax sets value to candidate unless it is already as high.
--- a/pkg/sidecar/statetransfer.go
+++ b/pkg/sidecar/statetransfer.go
@@ -75,7 +75,7 @@
 		if isLoaded || kind == platform.KindConfiguration && len(objects) == 0 {
 			continue
 		}
-		t.replaceView(kind, objects)
+		t.replaceView(kind, objects, 0)
 		t.refresh(kind)
 		t.deps.log.event("offer_adopted", fields{"kind": string(kind), "objects": len(objects)})
 	}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
+	"github.com/azurespring/azurespring/pkg/mesh/upstream"
 	"github.com/azurespring/azurespring/pkg/platform"
 )
 
@@ -50,6 +52,9 @@
 	codec     DocumentCodec
 	admission *localAdmission
 	builder   *placement.Builder
+	// peers reaches the nodes that this node follows; upstream chooses among them.
+	peers    *hopClient
+	upstream *upstream.Selector
 
 	// instances, rollouts and progress hold the decoded objects by object name. An object
 	// that cannot be decoded leaves the last one in place that could.
@@ -64,6 +69,19 @@
 	// start while they cannot reach the store.
 	objects     map[platform.Kind]map[string]platform.Object
 	loadedKinds map[platform.Kind]bool
+	// asOf holds the store's version up to which all changes of a kind are known; 0 if
+	// unknown. removals holds the objects that were removed since removalsFrom, with the
+	// versions at which that was known.
+	asOf         map[platform.Kind]uint64
+	removals     map[platform.Kind]map[string]uint64
+	removalsFrom map[platform.Kind]uint64
+	// viewChanged is closed and replaced whenever the view of a kind has changed.
+	viewChanged chan struct{}
+	frames      frameCache
+	// lostKinds holds since when this node, as a reader, cannot read a kind. isSourceStale
+	// is set if the node that it follows has lost the store.
+	lostKinds     map[platform.Kind]time.Time
+	isSourceStale bool
 	// loggedEndpoints and loggedNodes are the counts that were logged last.
 	loggedEndpoints, loggedNodes int
 	// publishWake wakes publish, rolloutWake advanceRollouts, and fetchWake fetchNewer.
@@ -87,10 +105,14 @@
 		progress: make(map[string]rollout.Progress), resourceVersions: make(map[platform.Kind]map[string]string),
 		objects:     make(map[platform.Kind]map[string]platform.Object),
 		loadedKinds: make(map[platform.Kind]bool),
+		asOf:        make(map[platform.Kind]uint64), removals: make(map[platform.Kind]map[string]uint64),
+		removalsFrom: make(map[platform.Kind]uint64), viewChanged: make(chan struct{}), lostKinds: make(map[platform.Kind]time.Time),
+		upstream:    upstream.NewSelector(deps.settings.Instance),
 		publishWake: make(chan struct{}, 1), rolloutWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), published: make(chan struct{}),
 	}
 	for _, kind := range trackedKinds {
 		t.resourceVersions[kind], t.objects[kind] = make(map[string]string), make(map[string]platform.Object)
+		t.removals[kind] = make(map[string]uint64)
 	}
 	return t
 }
@@ -106,9 +128,8 @@
 // run follows the store until ctx ends.
 func (t *tracker) run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, kind := range trackedKinds {
-		running.Go(func() { t.followKind(ctx, kind) })
-	}
+	running.Go(func() { t.restoreOwnEntry(ctx) })
+	running.Go(func() { t.followSources(ctx) })
 	running.Go(func() { t.publish(ctx) })
 	running.Go(func() { t.advanceRollouts(ctx) })
 	running.Go(func() { t.fetchNewer(ctx) })
@@ -128,78 +149,133 @@
 	}
 }
 
-// followKind keeps the view of one kind up to date: it lists the objects, then watches
-// for changes.
+// followKind keeps the view of one kind up to date from the store: it lists the objects,
+// unless a view is known from which it can go on, then watches for changes.
 func (t *tracker) followKind(ctx context.Context, kind platform.Kind) {
 	retry := newBackoff()
-	unreachable := false
 	for ctx.Err() == nil {
-		objects, version, err := t.store.List(ctx, kind)
+		version, err := t.versionToWatch(ctx, kind)
 		if err == nil {
-			if unreachable {
+			if t.recordStoreReached(kind) {
 				t.deps.log.event("store_regained", fields{"kind": string(kind)})
-				unreachable = false
 			}
 			retry.Reset()
-			t.replace(kind, objects)
 			err = t.store.Watch(ctx, kind, version, func(event platform.Event) error {
 				t.apply(kind, event)
 				return nil
 			})
 			if errors.Is(err, platform.ErrWatchExpired) {
+				t.forgetVersion(kind)
 				continue
 			}
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if !unreachable {
+		if t.recordStoreLost(kind) {
 			t.deps.log.event("store_lost", fields{"kind": string(kind), "error": err.Error()})
-			unreachable = true
 		}
 		sleep(ctx, retry.NextBackOff())
 	}
 }
 
-// replace applies the complete list of a kind that was read from the store.
-func (t *tracker) replace(kind platform.Kind, objects []platform.Object) {
-	t.replaceView(kind, objects)
+// versionToWatch returns the version from which a kind is watched. Without a view of the
+// kind, it reads the list first.
+func (t *tracker) versionToWatch(ctx context.Context, kind platform.Kind) (string, error) {
 	t.mu.Lock()
-	own := t.instances[t.entryName()]
+	asOf := t.asOf[kind]
 	t.mu.Unlock()
+	if asOf > 0 {
+		return strconv.FormatUint(asOf, 10), nil
+	}
+	objects, version, err := t.store.List(ctx, kind)
+	if err != nil {
+		return "", err
+	}
+	t.replaceView(kind, objects, parseRevision(version))
 	t.refresh(kind)
-	if kind == platform.KindMeshState {
-		t.admission.restore(own)
+	return version, nil
+}
+
+// forgetVersion lets the next versionToWatch read the list.
+func (t *tracker) forgetVersion(kind platform.Kind) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asOf[kind] = 0
+}
+
+// recordStoreLost records that a kind cannot be read and reports whether it could before.
+func (t *tracker) recordStoreLost(kind platform.Kind) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.lostKinds[kind].IsZero() {
+		return false
 	}
+	t.lostKinds[kind] = t.deps.now()
+	return true
+}
+
+// recordStoreReached records that a kind can be read and reports whether it could not
+// before.
+func (t *tracker) recordStoreReached(kind platform.Kind) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wasLost := !t.lostKinds[kind].IsZero()
+	delete(t.lostKinds, kind)
+	return wasLost
+}
+
+// replace applies the complete list of a kind that was read from the store.
+func (t *tracker) replace(kind platform.Kind, objects []platform.Object) {
+	t.replaceView(kind, objects, 0)
+	t.refresh(kind)
 }
 
-// replaceView replaces the view of a kind.
-func (t *tracker) replaceView(kind platform.Kind, objects []platform.Object) {
+// replaceView replaces the view of a kind by a complete list. asOf is the version of the
+// list, 0 if it is not known. A list that is older than the view changes nothing.
+func (t *tracker) replaceView(kind platform.Kind, objects []platform.Object, asOf uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if asOf > 0 && asOf < t.asOf[kind] {
+		return
+	}
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
 		t.put(kind, o)
 	}
-	for name := range t.resourceVersions[kind] {
-		if !listed[name] {
+	for name, version := range t.resourceVersions[kind] {
+		// An object that this node wrote after the list was made is not in it.
+		if !listed[name] && (asOf == 0 || parseRevision(version) <= asOf) {
 			t.remove(kind, name)
+			t.recordRemoval(kind, name, asOf)
 		}
 	}
+	if !t.loadedKinds[kind] {
+		t.removalsFrom[kind] = asOf
+	}
 	t.loadedKinds[kind] = true
+	t.asOf[kind] = max(t.asOf[kind], asOf)
 }
 
-// apply applies one change of an object.
+// apply applies one change of an object that the store reported.
 func (t *tracker) apply(kind platform.Kind, event platform.Event) {
+	asOf := parseRevision(event.AsOf)
 	t.mu.Lock()
-	if event.Type == platform.EventDeleted {
-		t.remove(kind, event.Object.Name)
-	} else {
+	switch {
+	case event.Type != platform.EventDeleted:
 		t.put(kind, event.Object)
+	case asOf == 0 || asOf > t.asOf[kind]:
+		t.remove(kind, event.Object.Name)
+		t.recordRemoval(kind, event.Object.Name, asOf)
+	}
+	if !event.MoreFollow {
+		t.asOf[kind] = max(t.asOf[kind], asOf)
 	}
 	t.mu.Unlock()
-	t.refresh(kind)
+	if !event.MoreFollow {
+		t.refresh(kind)
+	}
 }
 
 // put applies one object; t.mu must be held. An object that cannot be decoded is logged
@@ -329,21 +405,34 @@
 	return nil
 }
 
-// fetchDelayFraction is the fraction of ConfigurationApplyTimeout that a node waits
-// before it reads a newer configuration that another node reported. Its own watch,
-// which pauses for less after a change, usually delivers it first and saves the call.
-const fetchDelayFraction = 0.4
+// Fractions of ConfigurationApplyTimeout that a node waits after another node has reported
+// something newer: before it asks that node, and then before it reads the store. Its own
+// source, which pauses for less after a change, usually delivers it first.
+const (
+	pullDelayFraction  = 0.33
+	fetchDelayFraction = 0.12
+)
 
-// fetchNewer reads the configuration and the rollouts after another node reported newer
+// fetchNewer gets the configuration and the rollouts after another node reported newer
 // ones.
 func (t *tracker) fetchNewer(ctx context.Context) {
+	wait := func(fraction float64) {
+		sleep(ctx, time.Duration(fraction*float64(t.deps.settings.ConfigurationApplyTimeout)))
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.fetchWake:
 		}
-		sleep(ctx, time.Duration(fetchDelayFraction*float64(t.deps.settings.ConfigurationApplyTimeout)))
+		wait(pullDelayFraction)
+		if !t.isBehind() || ctx.Err() != nil {
+			continue
+		}
+		if address := t.deps.newerAt.Load(); address != nil && t.pull(ctx, *address) == nil && !t.isBehind() {
+			continue
+		}
+		wait(fetchDelayFraction)
 		if newest := t.deps.newestConfigVersion.Load(); newest > t.deps.configVersion() && ctx.Err() == nil {
 			t.fetchConfiguration(ctx, newest)
 		}
@@ -353,6 +442,11 @@
 	}
 }
 
+// isBehind reports whether another node has reported something that is not known here.
+func (t *tracker) isBehind() bool {
+	return t.deps.newestConfigVersion.Load() > t.deps.configVersion() || t.deps.newestRolloutRevision.Load() > t.deps.rolloutRevision.Load()
+}
+
 func (t *tracker) fetchConfiguration(ctx context.Context, newest uint64) {
 	o, err := t.store.Get(ctx, platform.KindConfiguration, t.codec.ConfigurationName())
 	if err != nil {
@@ -398,6 +492,10 @@
 	if kind == platform.KindMeshState {
 		t.rebuildTable()
 	}
+	t.mu.Lock()
+	close(t.viewChanged)
+	t.viewChanged = make(chan struct{})
+	t.mu.Unlock()
 }
 
 // rebuildTable builds the endpoint table from the entries of all instances. This node's
