Tell senders what an endpoint's node knows of its failures

Change: the node of an endpoint keeps the failure rate of all its calls and sends it with its load. A sender uses the higher one of this and its own.

--- a/pkg/mesh/placement/placement_test.go
+++ b/pkg/mesh/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -252,3 +253,52 @@
 	b.Refund(epoch.Add(25 * time.Second))
 	assert.Assert(t, b.TryWithdraw(epoch.Add(25*time.Second), nodes))
 }
+
+// Replays the load of scale-1 of large priecka: 71 of 91 endpoints of a service turn away
+// 55% of what reaches them, and each of 200 senders sends them 4 requests a second. What
+// the endpoints' own nodes know must keep requests off them sooner than what a sender
+// learns alone: each request that is turned away counts toward the retry budget.
+func TestSharedFailureRatesSaveAttempts(t *testing.T) {
+	const (
+		senders, endpoints, turningAway = 200, 91, 71
+		perSecond, seconds              = 4, 8
+	)
+	turnedAway := func(isShared bool) int {
+		random := rand.New(rand.NewPCG(1, 2))
+		gateRates := make(map[string]float64)
+		var instances []mesh.Instance
+		for i := range endpoints {
+			instances = append(instances, instance(fmt.Sprint("i", i), fmt.Sprint("d", i%9), fmt.Sprint("r", i%3), mesh.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Version: "v1", Slots: 16}))
+		}
+		var tables []*Table
+		for i := range senders {
+			builder := NewBuilder(Locality{Instance: fmt.Sprint("s", i), FailureDomain: fmt.Sprint("d", i%9), Region: fmt.Sprint("r", i%3)})
+			tables = append(tables, builder.Build(epoch, instances))
+		}
+		count := 0
+		for round := range perSecond * seconds {
+			now := epoch.Add(time.Duration(round) * time.Second / perSecond)
+			for _, table := range tables {
+				c, ok := Choose(now, table.EndpointsByVersion("s")["v1"], Request{Kind: mesh.Unsafe, Timeout: 6 * time.Second, SoftTimeout: 2500 * time.Millisecond})
+				assert.Assert(t, ok)
+				var number int
+				_, err := fmt.Sscanf(c.Endpoint.ID, "e%d", &number)
+				assert.NilError(t, err)
+				success := number >= turningAway || random.Float64() >= 0.55
+				if !success {
+					count++
+				}
+				load := Load{Slots: 16, MeanServiceTime: 900 * time.Millisecond, MeanRouteLatency: 900 * time.Millisecond}
+				if gateRates[c.Endpoint.ID] = UpdateFailureRate(gateRates[c.Endpoint.ID], success); isShared {
+					load.FailureRate = gateRates[c.Endpoint.ID]
+				}
+				c.Endpoint.RecordLoad(now, "", load)
+				c.Endpoint.RecordOutcome(now, success)
+			}
+		}
+		return count
+	}
+	alone, shared := turnedAway(false), turnedAway(true)
+	t.Logf("turned away: %d alone, %d with shared rates, of %d", alone, shared, senders*perSecond*seconds)
+	assert.Assert(t, shared < alone, "%d, %d alone", shared, alone)
+}
--- a/pkg/mesh/placement/stats.go
+++ b/pkg/mesh/placement/stats.go
@@ -37,6 +37,9 @@
 	// mean time until the response on the route of the request; 0 if unknown.
 	MeanServiceTime  time.Duration
 	MeanRouteLatency time.Duration
+	// FailureRate is the fraction of the latest requests of all nodes that the endpoint
+	// failed or turned away.
+	FailureRate float64
 }
 
 // Stats holds this node's observations of one endpoint. They are kept when tables are
@@ -50,10 +53,12 @@
 	routeLatencies map[string]sample
 	failureRate    float64
 	failureRateAt  time.Time
-	ejections      int
-	ejectedUntil   time.Time
-	unreachable    bool
-	lastSeen       time.Time
+	// reportedFailureRate is what the endpoint's node has seen of all senders, at reportedAt.
+	reportedFailureRate float64
+	ejections           int
+	ejectedUntil        time.Time
+	unreachable         bool
+	lastSeen            time.Time
 }
 
 // sample is a duration and the time of its measurement.
@@ -94,7 +99,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.otherNodesLoad = math.Max(float64(load.Running+load.Waiting-s.outstanding), 0)
-	s.reportedAt = now
+	s.reportedAt, s.reportedFailureRate = now, load.FailureRate
 	if load.MeanServiceTime > 0 {
 		s.serviceTime = sample{load.MeanServiceTime, now}
 	}
@@ -113,13 +118,16 @@
 func (s *Stats) RecordOutcome(now time.Time, success bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failureRate = s.decayedFailureRate(now)
+	s.failureRate = UpdateFailureRate(s.decayedFailureRate(now), success)
 	s.failureRateAt = now
+}
+
+// UpdateFailureRate returns a failure rate (EWMA) after one more outcome.
+func UpdateFailureRate(rate float64, success bool) float64 {
 	if success {
-		s.failureRate -= failureWeight * s.failureRate
-		return
+		return rate - failureWeight*rate
 	}
-	s.failureRate += failureWeight * (1 - s.failureRate)
+	return rate + failureWeight*(1-rate)
 }
 
 // Eject keeps requests away for a time that doubles with each call until the next
@@ -154,10 +162,14 @@
 }
 
 func (s *Stats) decayedFailureRate(now time.Time) float64 {
-	if s.failureRate == 0 {
+	return decayed(s.failureRate, now.Sub(s.failureRateAt))
+}
+
+func decayed(failureRate float64, age time.Duration) float64 {
+	if failureRate == 0 {
 		return 0
 	}
-	return s.failureRate * math.Exp2(-float64(now.Sub(s.failureRateAt))/float64(failureHalfLife))
+	return failureRate * math.Exp2(-float64(age)/float64(failureHalfLife))
 }
 
 // view is a consistent copy of the values that the selection uses. The weights give
@@ -180,7 +192,8 @@
 	v := view{
 		load: float64(s.outstanding), serviceTime: s.serviceTime.value, serviceTimeWeight: s.serviceTime.weight(now),
 		route: latency.value, routeWeight: latency.weight(now),
-		failureRate: s.decayedFailureRate(now), ejected: s.unreachable || now.Before(s.ejectedUntil),
+		failureRate: max(s.decayedFailureRate(now), decayed(s.reportedFailureRate, now.Sub(s.reportedAt))),
+		ejected:     s.unreachable || now.Before(s.ejectedUntil),
 	}
 	if age := now.Sub(s.reportedAt); s.otherNodesLoad > 0 && age < loadLifetime {
 		v.load += s.otherNodesLoad * (1 - float64(age)/float64(loadLifetime))
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -70,6 +70,9 @@
 	// the mean size of the response body in bytes, both by route.
 	routeLatencies map[string]time.Duration
 	responseSizes  map[string]int64
+	// failureRate is the fraction of the latest calls that the endpoint failed or turned
+	// away. Each sender sees too few calls to know it.
+	failureRate float64
 }
 
 func newLocalAdmission(deps *shared) *localAdmission {
@@ -89,10 +92,17 @@
 func (ea *endpointAdmission) load(route string) placement.Load {
 	return placement.Load{
 		Running: ea.queue.Running(), Waiting: ea.queue.Waiting(), Slots: ea.queue.Slots(), MeanServiceTime: ea.queue.MeanServiceTime(),
-		MeanRouteLatency: ea.routeLatencies[route],
+		MeanRouteLatency: ea.routeLatencies[route], FailureRate: ea.failureRate,
 	}
 }
 
+// recordOutcome updates the failure rate of an endpoint.
+func (la *localAdmission) recordOutcome(ea *endpointAdmission, success bool) {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	ea.failureRate = placement.UpdateFailureRate(ea.failureRate, success)
+}
+
 // ewmaWeight is the weight of a new sample in the mean (EWMA) of a route. maxRoutes is
 // the number of routes whose means are kept; a further route discards them all.
 const (
@@ -220,10 +230,14 @@
 			busyTime = la.deps.now().Sub(started)
 		}
 		la.releaseSlot(ea, busyTime)
+		if failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil {
+			la.recordOutcome(ea, false)
+		}
 		la.analyzeFailure(ctx, ea, c, failure, la.deps.now().Sub(started))
 		return nil, la.loadOf(ea, c.Route), failure
 	}
 	resp.headerLatency = la.deps.now().Sub(started)
+	la.recordOutcome(ea, !resp.notRun && resp.status < http.StatusInternalServerError)
 	if !resp.notRun {
 		la.mu.Lock()
 		ea.updateRouteLatency(c.Route, resp.headerLatency)
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -154,6 +154,7 @@
 	hopRolloutRevisionHeader = hopHeaderPrefix + "Orders"
 	hopLacksStateHeader      = hopHeaderPrefix + "Lacks-State"
 	hopNotRunHeader          = hopHeaderPrefix + "Not-Run"
+	hopFailurePercentHeader  = hopHeaderPrefix + "Failure-Percent"
 )
 
 // hopError is a rejection or failure that the node of an endpoint reports to the entry
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -181,6 +181,7 @@
 		return nil, placement.Load{}, exchangeFailure(ctx, failure, "the endpoint's node")
 	}
 	load := parseLoad(httpResponse.Header.Get(hopLoadHeader))
+	load.FailureRate = parseFailurePercent(httpResponse.Header.Get(hopFailurePercentHeader))
 	h.deps.recordRemoteRevisions(parseRevision(httpResponse.Header.Get(hopConfigVersionHeader)), parseRevision(httpResponse.Header.Get(hopRolloutRevisionHeader)), address)
 	if httpResponse.Header.Get(hopLacksStateHeader) != "" {
 		h.sendStateIfDue(address)
@@ -248,6 +249,27 @@
 	}
 }
 
+// setLoad sets the headers that tell the load of an endpoint. The failure rate is not part
+// of the first, whose format older nodes know, and is left out while it is low.
+func setLoad(header http.Header, load placement.Load) {
+	header.Set(hopLoadHeader, formatLoad(load))
+	if percent := int(100 * load.FailureRate); percent >= minFailurePercent {
+		header.Set(hopFailurePercentHeader, strconv.Itoa(percent))
+	}
+}
+
+// minFailurePercent is above the failures of sound endpoints, some in a thousand.
+const minFailurePercent = 5
+
+// parseFailurePercent returns the failure rate in a header, 0 without a valid one.
+func parseFailurePercent(text string) float64 {
+	percent, err := strconv.Atoi(text)
+	if err != nil || percent < 0 || percent > 100 {
+		return 0 // Most responses have no such header.
+	}
+	return float64(percent) / 100
+}
+
 // parseRevision parses a version or revision number; it returns 0 if text is not a
 // number.
 func parseRevision(text string) uint64 {
@@ -319,7 +341,7 @@
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // Prevents net/http from guessing one.
 	}
-	header.Set(hopLoadHeader, formatLoad(load))
+	setLoad(header, load)
 	header.Set(hopLatencyHeader, strconv.FormatInt(resp.headerLatency.Microseconds(), 10))
 	if resp.notRun {
 		header.Set(hopNotRunHeader, "1")
@@ -382,7 +404,7 @@
 func (s *hopServer) reject(w http.ResponseWriter, load placement.Load, failure *verdict.Error) {
 	header := w.Header()
 	header.Set(hopErrorHeader, encodeHopHeader(newHopError(failure)))
-	header.Set(hopLoadHeader, formatLoad(load))
+	setLoad(header, load)
 	header.Set("Content-Length", "0")
 	s.deps.uplink.countHeader(header)
 	w.WriteHeader(http.StatusServiceUnavailable)
