Poll less while a fleet starts; test the reads that a change costs

Change: a process reviews its source after 1.5 s the first time, and until then waits as long as one of 40 readers.

--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -15,10 +15,15 @@
 
 // Times of the choice between the sources of this node's view.
 const (
-	// reviewInterval is the mean time after which a node that reads the store, or follows a
-	// peer, checks whether another source has become the right one.
+	// readerReviewInterval and followerReviewInterval are the mean times after which a node
+	// that reads the store, or follows a peer, checks whether another source has become the
+	// right one. firstReviewInterval is that of the first check of a process: at the start
+	// of a fleet, all nodes read the store until they know each other.
 	readerReviewInterval   = 3 * time.Second
 	followerReviewInterval = 10 * time.Second
+	firstReviewInterval    = 1500 * time.Millisecond
+	// startReaderCount is the number of readers that is assumed until the first check.
+	startReaderCount = 40
 	// storeLostTolerance is how long a reader cannot read the store before it tells its
 	// followers.
 	storeLostTolerance = time.Second
@@ -115,8 +120,11 @@
 }
 
 // readerCount returns the number of nodes that are expected to read the store: one for
-// each failure domain.
+// each failure domain, but more while a fleet starts.
 func (t *tracker) readerCount() int {
+	if !t.isReviewed.Load() {
+		return startReaderCount
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	domains := map[string]bool{t.deps.settings.FailureDomain: true}
@@ -147,7 +155,12 @@
 		t.mu.Unlock()
 	}()
 	for ctx.Err() == nil {
-		sleep(ctx, jittered(readerReviewInterval))
+		interval := readerReviewInterval
+		if !t.isReviewed.Load() {
+			interval = firstReviewInterval
+		}
+		sleep(ctx, jittered(interval))
+		t.isReviewed.Store(true)
 		choice := t.upstream.Choose(t.deps.now(), t.domainPeers())
 		if choice.IsStore || ctx.Err() != nil {
 			continue
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -55,6 +56,8 @@
 	// peers reaches the nodes that this node follows; upstream chooses among them.
 	peers    *hopClient
 	upstream *upstream.Selector
+	// isReviewed is set once a reader has checked for another source.
+	isReviewed atomic.Bool
 
 	// instances, rollouts and progress hold the decoded objects by object name. An object
 	// that cannot be decoded leaves the last one in place that could.
--- /dev/null
+++ b/test/sidecar/distribution_test.go
@@ -0,0 +1,131 @@
+package sidecar_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/platform/platformtest"
+)
+
+// callCounter counts the calls of a fake store by kind and method.
+type callCounter struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (f *fleet) countCalls() *callCounter {
+	c := &callCounter{counts: make(map[string]int)}
+	f.store.SetFault(func(r *http.Request) platformtest.Fault {
+		kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/azurespring/objects/"), "/")
+		c.mu.Lock()
+		c.counts[r.Method+" "+kind]++
+		c.mu.Unlock()
+		return platformtest.Fault{}
+	})
+	return c
+}
+
+func (c *callCounter) take(call string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := c.counts[call]
+	c.counts[call] = 0
+	return count
+}
+
+// readers returns the number of nodes that read the store, by failure domain.
+func (f *fleet) readers() map[string]int {
+	counts := make(map[string]int)
+	for _, n := range f.nodes {
+		if selected := n.log.events("source_selected"); len(selected) > 0 && selected[len(selected)-1]["source"] == "store" {
+			counts[n.settings.FailureDomain]++
+		}
+	}
+	return counts
+}
+
+// activeVersion returns the configuration version that the node activated last, and when.
+func (n *testNode) activeVersion(t *testing.T) (version int, at time.Time) {
+	t.Helper()
+	lines := n.log.events("configuration_activated")
+	if len(lines) == 0 {
+		return 0, time.Time{}
+	}
+	last := lines[len(lines)-1]
+	at, err := time.Parse(time.RFC3339Nano, last["time"].(string))
+	assert.NilError(t, err)
+	return int(last["version"].(float64)), at
+}
+
+// A change of the configuration must cost a number of reads of the store that does not
+// grow with the number of nodes: one for each failure domain, here at most 12.
+func TestChangeCostsFewStoreReads(t *testing.T) {
+	const domains, nodesPerDomain, changes = 3, 5, 4
+	f := newFleet(t)
+	for d := range domains {
+		for range nodesPerDomain {
+			f.addNode(fmt.Sprint("d", d), endpoint(fmt.Sprint("e", len(f.nodes))))
+		}
+	}
+	f.waitUntilReady()
+	f.waitUntil("one node of each domain reads the store", func() bool {
+		counts := f.readers()
+		return counts["d0"] == 1 && counts["d1"] == 1 && counts["d2"] == 1
+	})
+	counter := f.countCalls()
+	var delays []time.Duration
+	for i := range changes {
+		counter.take("GET config")
+		f.storeConfiguration(routeRule("safe", "/safe/", `"kind":"safe"`), routeRule("new", fmt.Sprintf("/new%d/", i), `"kind":"safe"`))
+		stored := time.Now()
+		for _, n := range f.nodes {
+			f.waitUntil("the configuration is active", func() bool {
+				version, _ := n.activeVersion(t)
+				return version == f.version
+			})
+			_, at := n.activeVersion(t)
+			delays = append(delays, at.Sub(stored))
+		}
+		reads := counter.take("GET config")
+		assert.Assert(t, reads <= 12, "%d reads for one change at %d nodes", reads, len(f.nodes))
+		t.Logf("change %d: %d reads of the configuration at %d nodes", i, reads, len(f.nodes))
+	}
+	slices.Sort(delays)
+	t.Logf("active after p50 %v, p99 %v, max %v", delays[len(delays)/2], delays[len(delays)*99/100], delays[len(delays)-1])
+}
+
+// When the node that reads the store for its failure domain stops, another one must read
+// it, and no node may stay on an older configuration.
+func TestReaderIsReplaced(t *testing.T) {
+	f := newFleet(t)
+	for i := range 4 {
+		f.addNode("d", endpoint(fmt.Sprint("e", i)))
+	}
+	f.waitUntilReady()
+	for range 2 {
+		f.waitUntil("one node reads the store", func() bool { return f.readers()["d"] == 1 })
+		i := slices.IndexFunc(f.nodes, func(n *testNode) bool {
+			selected := n.log.events("source_selected")
+			return selected[len(selected)-1]["source"] == "store"
+		})
+		reader := f.nodes[i]
+		reader.stop()
+		<-reader.done
+		reader.endpoint.Close()
+		f.nodes = slices.Delete(f.nodes, i, i+1)
+		f.storeConfiguration(routeRule("safe", "/safe/", `"kind":"safe"`))
+		for _, n := range f.nodes {
+			f.waitUntil("the configuration is active", func() bool {
+				version, _ := n.activeVersion(t)
+				return version == f.version
+			})
+		}
+	}
+}
