Leave a margin before soft deadlines in the order of waiting requests

Cause: the queue of an endpoint puts requests first that can still be in time, the most urgent first, and takes the mean service time for granted.

Change: a request counts as in time while twice its usual service time is left, at most three quarters of the time that it had on arrival. The usual time is that of its route at this endpoint.

--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -34,6 +34,30 @@
 	Deadline     time.Time
 	// MaxWait is the longest wait that the sender prefers to another endpoint.
 	MaxWait time.Duration
+	// ServiceTime is the usual time of such a request at this endpoint; 0 if unknown.
+	ServiceTime time.Duration
+	// startBy is the time until which the request is likely to meet its soft deadline.
+	startBy time.Time
+}
+
+// Service times vary. startMargin is the multiple of the usual one that is left between
+// the start of a request and its soft deadline: with 1, an overloaded endpoint answers
+// most requests just too late, because the most urgent one is always about to miss its
+// deadline. The margin takes at most maxMarginFraction of the time that a request has, so
+// that slow endpoints have requests in time as well.
+const (
+	startMargin       = 2
+	maxMarginFraction = 0.75
+)
+
+// latestStart returns the time until which r is likely to meet its soft deadline.
+func (q *Queue) latestStart(now time.Time, r *Request) time.Time {
+	serviceTime := r.ServiceTime
+	if serviceTime <= 0 {
+		serviceTime = q.expectedServiceTime()
+	}
+	limit := max(serviceTime, time.Duration(maxMarginFraction*float64(r.SoftDeadline.Sub(now))))
+	return r.SoftDeadline.Add(-min(startMargin*serviceTime, limit))
 }
 
 // Decision is the result for a request that waited.
@@ -96,6 +120,7 @@
 // Admit requests a slot. It returns admitted if the request got one at once, a
 // rejection if it was rejected, and neither if it waits for a Decision.
 func (q *Queue) Admit(now time.Time, r Request) (admitted bool, rejection *verdict.Error) {
+	r.startBy = q.latestStart(now, &r)
 	if !now.Before(r.Deadline) {
 		return false, q.reject(verdict.DeadlineUnreachable, "the deadline has passed", 0)
 	}
@@ -173,8 +198,7 @@
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	expectedEnd := now.Add(q.expectedServiceTime())
-	aInTime, bInTime := !expectedEnd.After(a.SoftDeadline), !expectedEnd.After(b.SoftDeadline)
+	aInTime, bInTime := !now.After(a.startBy), !now.After(b.startBy)
 	if aInTime != bInTime {
 		return aInTime
 	}
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -294,6 +294,7 @@
 		ID: id, Nested: c.Nested, Priority: c.Priority, Deadline: c.deadline,
 		SoftDeadline: now.Add(time.Duration(c.SoftTimeoutUs) * time.Microsecond),
 		MaxWait:      time.Duration(c.MaxQueueWaitUs) * time.Microsecond,
+		ServiceTime:  ea.routeLatencies[c.Route],
 	})
 	if admitted || rejection != nil {
 		load := ea.load(c.Route)
