Reject waiting requests as soon as they have no prospect of a slot

Change: the queue keeps the share of its starts that goes to requests which can no longer be in time, and rejects those that would not end before their deadline at that share.

--- a/pkg/mesh/gate/overload_test.go
+++ b/pkg/mesh/gate/overload_test.go
@@ -32,8 +32,9 @@
 // overload replays lookups at one endpoint of pearlwell's scale-2: 13 slots, 61 ms of work
 // that varies, 250 ms until a response is late, 1.5 s until the client leaves. load is the
 // offered load in units of the capacity. It returns the fractions of the offered requests
-// that are answered in time, late, and not at all.
-func overload(seed uint64, load float64) (inTime, late, refused float64) {
+// that are answered in time, late, and not at all, and the mean time that the last ones
+// were held, as a fraction of their timeout.
+func overload(seed uint64, load float64) (inTime, late, refused, held float64) {
 	const (
 		slots       = 13
 		work        = 61 * time.Millisecond
@@ -48,7 +49,11 @@
 	q := NewQueue(slots)
 	var running endings
 	waiting := make(map[uint64]Request)
-	var answered, answeredLate, offered float64
+	var answered, answeredLate, offered, refusedCount, heldSum float64
+	refuse := func(now time.Time, r Request) {
+		refusedCount++
+		heldSum += float64(now.Sub(r.Deadline.Add(-timeout))) / float64(timeout)
+	}
 	start := func(now time.Time, r Request) {
 		took := serviceTime()
 		heap.Push(&running, ending{at: now.Add(took), request: r, took: took})
@@ -65,6 +70,8 @@
 			delete(waiting, d.ID)
 			if d.Rejection == nil {
 				start(e.at, r)
+			} else {
+				refuse(e.at, r)
 			}
 		}
 	}
@@ -82,22 +89,26 @@
 			start(now, r)
 		case rejection == nil:
 			waiting[id] = r
+		default:
+			refuse(now, r)
 		}
 	}
-	return answered / offered, answeredLate / offered, 1 - (answered+answeredLate)/offered
+	return answered / offered, answeredLate / offered, refusedCount / offered, heldSum / max(refusedCount, 1)
 }
 
 // Under lasting overload, slots must go to requests that can be answered in time. Ordered
 // by their deadlines alone, all of them wait until they are just too late.
 func TestOverloadAnswersInTimeRatherThanLate(t *testing.T) {
 	for _, load := range []float64{0.9, 1.3, 1.6, 2.5} {
-		var inTime, late, refused float64
+		var inTime, late, refused, held float64
 		const seeds = 5
 		for seed := range uint64(seeds) {
-			a, b, c := overload(seed, load)
-			inTime, late, refused = inTime+a/seeds, late+b/seeds, refused+c/seeds
+			a, b, c, d := overload(seed, load)
+			inTime, late, refused, held = inTime+a/seeds, late+b/seeds, refused+c/seeds, held+d/seeds
 		}
-		t.Logf("load %.1f: in time %.3f, late %.3f, refused %.3f", load, inTime, late, refused)
+		t.Logf("load %.1f: in time %.3f, late %.3f, refused %.3f after %.3f of their time", load, inTime, late, refused, held)
+		// Later, the caller has no time left to ask another endpoint.
+		assert.Assert(t, held < 0.5, "load %.1f: refused after %.3f of the time", load, held)
 		assert.Assert(t, inTime > 0.85*min(1/load, 1), "load %.1f: in time %.3f of a capacity of %.3f", load, inTime, min(1/load, 1))
 	}
 }
--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -82,6 +82,9 @@
 	running         int
 	meanServiceTime time.Duration
 	waiting         []waiter
+	// lateShare is the share of requests that could no longer be in time among those that
+	// waited and got a slot lately.
+	lateShare float64
 }
 
 type waiter struct {
@@ -90,7 +93,7 @@
 }
 
 // NewQueue returns the admission queue of an endpoint with the given slots.
-func NewQueue(slots int) *Queue { return &Queue{slots: slots, meanServiceTime: 0} }
+func NewQueue(slots int) *Queue { return &Queue{slots: slots, lateShare: 1} }
 
 // Running returns the number of requests that hold a slot.
 func (q *Queue) Running() int { return q.running }
@@ -216,6 +219,7 @@
 		remaining = append(remaining, w)
 	}
 	q.waiting = remaining
+	decisions = append(decisions, q.rejectHopeless(now)...)
 	for q.running < q.slots && len(q.waiting) > 0 {
 		best := 0
 		for i := 1; i < len(q.waiting); i++ {
@@ -224,9 +228,52 @@
 			}
 		}
 		decisions = append(decisions, Decision{ID: q.waiting[best].ID})
+		q.recordStart(now.After(q.waiting[best].startBy))
 		q.waiting = slices.Delete(q.waiting, best, best+1)
 		q.running++
 	}
+	if len(q.waiting) == 0 {
+		q.lateShare = 1
+	}
+	return decisions
+}
+
+// lateShareWeight is the weight of one start in lateShare (EWMA), minLateShare the least
+// share that is assumed.
+const (
+	lateShareWeight = 0.05
+	minLateShare    = 0.02
+)
+
+func (q *Queue) recordStart(isLate bool) {
+	sample := 0.0
+	if isLate {
+		sample = 1
+	}
+	q.lateShare += lateShareWeight * (sample - q.lateShare)
+}
+
+// rejectHopeless rejects the waiting requests that can no longer be in time and would not
+// end before their deadlines either: behind the requests that can be in time, they get
+// only a share of the slots. Their callers learn it at once instead of at the deadline.
+func (q *Queue) rejectHopeless(now time.Time) []Decision {
+	var decisions []Decision
+	serviceTime := q.expectedServiceTime()
+	perStart := float64(serviceTime) / float64(max(q.slots, 1)) / max(q.lateShare, minLateShare)
+	lateAhead := 0
+	remaining := q.waiting[:0]
+	for _, w := range q.waiting {
+		wait := time.Duration(float64(lateAhead+1) * perStart)
+		if now.After(w.startBy) && now.Add(wait+serviceTime).After(w.Deadline) {
+			decisions = append(decisions, Decision{ID: w.ID, Rejection: q.reject(verdict.DeadlineUnreachable, "no slot will be free in time", wait)})
+			continue
+		}
+		if now.After(w.startBy) {
+			lateAhead++
+		}
+		remaining = append(remaining, w)
+	}
+	q.waiting = remaining
 	return decisions
 }
 
