--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -18,7 +18,7 @@
 const (
 	penaltySameRegion       = 0.12
 	penaltyOtherRegion      = 0.25
-	penaltyLargeSameRegion  = 0.5
+	penaltyLargeSameRegion  = 0.55
 	penaltyLargeOtherRegion = 0.8
 )
 
