Check deadline and version again before a call is sent to its endpoint

Cause: reported by other operators ("acted on a permission that had run out") and possible here: the gate decided about a call when it asked for a slot. A call that then waited, or whose process was paused, was sent after its deadline, with 1 ms left, or to a version that had been closed meanwhile.

Change: the gate checks both again once the call has its slot, and rejects it as not run.

--- a/pkg/mesh/placement/placement_test.go
+++ b/pkg/mesh/placement/placement_test.go
@@ -101,9 +101,12 @@
 		closeBy time.Duration
 		want    string
 	}{
-		{mesh.Unsafe, 600 * time.Millisecond, "same-domain"}, {mesh.Unsafe, 1200 * time.Millisecond, "same-region"},
-		{mesh.Upload, 1000 * time.Millisecond, "same-domain"}, {mesh.Upload, 1400 * time.Millisecond, "same-region"},
-		{mesh.Download, 1000 * time.Millisecond, "same-domain"}, {mesh.Download, 1400 * time.Millisecond, "same-region"},
+		{mesh.Unsafe, 600 * time.Millisecond, "same-domain"},
+		{mesh.Unsafe, 1200 * time.Millisecond, "same-region"},
+		{mesh.Upload, 1000 * time.Millisecond, "same-domain"},
+		{mesh.Upload, 1400 * time.Millisecond, "same-region"},
+		{mesh.Download, 1000 * time.Millisecond, "same-domain"},
+		{mesh.Download, 1400 * time.Millisecond, "same-region"},
 	} {
 		b := threeDistances()
 		for id, latency := range map[string]time.Duration{"same-domain": c.closeBy, "same-region": 450 * time.Millisecond, "other-region": 450 * time.Millisecond} {
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -220,6 +220,10 @@
 		return nil, load, rejection
 	}
 	started := la.deps.now()
+	if rejection := la.recheck(c, started); rejection != nil {
+		la.releaseSlot(ea, 0)
+		return nil, la.loadOf(ea, c.Route), rejection
+	}
 	callerCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	resp, failure := la.send(ctx, ea, c)
@@ -259,6 +263,18 @@
 	return resp, resp.load, nil
 }
 
+// recheck rejects a call that may no longer be sent although it has a slot. It may have
+// waited for that, or the process may have been paused.
+func (la *localAdmission) recheck(c *call, now time.Time) *verdict.Error {
+	switch {
+	case !now.Before(c.deadline):
+		return verdict.NotRunErrorf(verdict.DeadlineUnreachable, "the deadline passed before the call was sent")
+	case !la.deps.rollouts.isAllowed(c.Service, c.Version):
+		return verdict.NotRunErrorf(verdict.VersionClosed, "version %q takes no requests any more", c.Version)
+	}
+	return nil
+}
+
 func (la *localAdmission) loadOf(ea *endpointAdmission, route string) placement.Load {
 	la.mu.Lock()
 	defer la.mu.Unlock()
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -200,7 +200,7 @@
 		hopMetadata: hopMetadata{
 			Endpoint: e.ID, Service: e.Service, Version: e.Version, Route: x.route.Name,
 			Caller: *x.entry.deps.service.Load(), Priority: x.route.Priority, Idempotent: x.route.Kind.Idempotent(),
-			Nested: x.entry.deps.settings.isSameInstance(x.r.RemoteAddr),
+			Nested:         x.entry.deps.settings.isSameInstance(x.r.RemoteAddr),
 			TimeoutUs:      x.deadline.Sub(now).Microseconds(),
 			SoftTimeoutUs:  x.started.Add(x.route.TargetLatency).Sub(now).Microseconds(),
 			MaxQueueWaitUs: choice.MaxQueueWait.Microseconds(),
