Ask fewer endpoints for a request that none can serve in time

Cause: with early rejections, requests that one gate had turned away for want of time were sent to up to six others in the same state.

Change: after two rejections for want of time, or past its soft deadline, a request goes to no further endpoint. The estimated wait of a request that can no longer be in time counts the share of slots that such requests get.

--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -190,7 +190,11 @@
 	if q.running < q.slots {
 		ahead = max(0, ahead-(q.slots-q.running))
 	}
-	return time.Duration(float64(ahead+1) / float64(max(q.slots, 1)) * float64(q.expectedServiceTime()))
+	share := 1.0
+	if now.After(r.startBy) {
+		share = max(q.lateShare, minLateShare)
+	}
+	return time.Duration(float64(ahead+1) / float64(max(q.slots, 1)) * float64(q.expectedServiceTime()) / share)
 }
 
 // precedes reports whether a is admitted before b.
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -138,9 +138,19 @@
 	if x.ctx.Err() != nil || remaining <= rejectionMargin || x.rejections > maxRejections || failure.Code == verdict.BadRequest {
 		return false
 	}
+	if failure.Code == verdict.DeadlineUnreachable && (x.rejections >= maxHopelessRejections || x.isLate()) {
+		// Where one endpoint has no slot in time, the others that would be in time are full as
+		// well; asking them all takes the processor time that served requests need.
+		return false
+	}
 	return x.mayRetry()
 }
 
+// isLate reports whether the soft deadline of the request has passed.
+func (x *request) isLate() bool {
+	return x.entry.deps.now().After(x.started.Add(x.route.TargetLatency))
+}
+
 // startAttempt starts an attempt at the best endpoint and returns the expected latency
 // of its response.
 func (x *request) startAttempt() (time.Duration, *verdict.Error) {
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -33,6 +33,9 @@
 // rejection costs a round trip between nodes but no work at an endpoint.
 const maxRejections = 6
 
+// maxHopelessRejections bounds the rejections because no slot will be free in time.
+const maxHopelessRejections = 2
+
 // A request that may run more than once is hedged because its response may be lost:
 // after hedgeFactor times the expected latency, but not before minHedgeDelay.
 const (
