Charge calls of retried requests to the retry budget where they begin

Cause: calls that a retried request makes count as retries at the called service.

Change: calls between nodes say whether they are retries. A node charges a nested request with the share of retries among the calls that its endpoint runs, and takes it for one with that probability. Nodes use 0.5 of the ratio.

--- a/pkg/mesh/placement/retrybudget.go
+++ b/pkg/mesh/placement/retrybudget.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// Fractions of the fleet's retry budget that nodes use. The rest of the ratio covers
-// calls made by retried requests: the called service counts them as retries but its
-// nodes cannot tell them apart. With 0.6, two calls by each retried request of one
-// service used up the budget of another.
+// Fractions of the fleet's retry budget that nodes use. Calls made by retried requests
+// count as retries at the called service. RecordInduced charges them, by estimate, to the
+// node where they begin, which cannot refuse them; the rest of the ratio covers nodes that
+// are charged more than they may use.
 const (
-	ratioFraction = 0.4
+	ratioFraction = 0.5
 	slackFraction = 0.8
 )
 
@@ -54,6 +54,14 @@
 	b.mu.Unlock()
 }
 
+// RecordInduced counts a call that is made, with the given probability, by a retried
+// request.
+func (b *RetryBudget) RecordInduced(now time.Time, probability float64) {
+	b.mu.Lock()
+	b.currentBucket(now).retries += probability
+	b.mu.Unlock()
+}
+
 // TryWithdraw reports whether the budget allows a retry and, if so, counts it. nodes is
 // the number of nodes that share the slack.
 func (b *RetryBudget) TryWithdraw(now time.Time, nodes int) bool {
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -73,6 +73,8 @@
 	// failureRate is the fraction of the latest calls that the endpoint failed or turned
 	// away. Each sender sees too few calls to know it.
 	failureRate float64
+	// runningRetries is the number of running calls that count as retries.
+	runningRetries int
 }
 
 func newLocalAdmission(deps *shared) *localAdmission {
@@ -96,6 +98,27 @@
 	}
 }
 
+// countRetry counts a running call if it is a retry.
+func (la *localAdmission) countRetry(ea *endpointAdmission, c *call, delta int) {
+	if c.Retry {
+		la.mu.Lock()
+		ea.runningRetries += delta
+		la.mu.Unlock()
+	}
+}
+
+// retryShare returns the share of retries among the calls that the local endpoints run.
+func (la *localAdmission) retryShare() float64 {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	running, retries := 0, 0
+	for _, ea := range la.admissions {
+		running += ea.queue.Running()
+		retries += ea.runningRetries
+	}
+	return float64(retries) / float64(max(running, 1))
+}
+
 // recordOutcome updates the failure rate of an endpoint.
 func (la *localAdmission) recordOutcome(ea *endpointAdmission, success bool) {
 	la.mu.Lock()
@@ -224,6 +247,7 @@
 		la.releaseSlot(ea, 0)
 		return nil, la.loadOf(ea, c.Route), rejection
 	}
+	la.countRetry(ea, c, 1)
 	callerCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	resp, failure := la.send(ctx, ea, c)
@@ -234,6 +258,7 @@
 			busyTime = la.deps.now().Sub(started)
 		}
 		la.releaseSlot(ea, busyTime)
+		la.countRetry(ea, c, -1)
 		if failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil {
 			la.recordOutcome(ea, false)
 		}
@@ -252,6 +277,7 @@
 	body := &slotBody{ReadCloser: resp.body, onDone: func(complete bool, bytes int64) {
 		cancel()
 		la.releaseSlot(ea, la.deps.now().Sub(started))
+		la.countRetry(ea, c, -1)
 		if complete && !resp.notRun {
 			la.mu.Lock()
 			ea.updateResponseSize(c.Route, bytes)
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -182,7 +182,7 @@
 	x.cancels[x.attempts] = cancel
 	x.attempted = append(x.attempted, choice.Endpoint)
 	choice.Endpoint.BeginAttempt()
-	go x.runAttempt(ctx, attemptResult{number: x.attempts, endpoint: choice.Endpoint, isRetry: isRetry}, x.newCall(now, choice), choice.ExpectedLatency)
+	go x.runAttempt(ctx, attemptResult{number: x.attempts, endpoint: choice.Endpoint, isRetry: isRetry}, x.newCall(now, choice, isRetry), choice.ExpectedLatency)
 	return choice.ExpectedLatency, nil
 }
 
@@ -201,8 +201,9 @@
 	return allowed
 }
 
-// newCall builds the call for the chosen endpoint.
-func (x *request) newCall(now time.Time, choice placement.Choice) *call {
+// newCall builds the call for the chosen endpoint. isRetry is set if the request was sent
+// to an endpoint before.
+func (x *request) newCall(now time.Time, choice placement.Choice, isRetry bool) *call {
 	e := choice.Endpoint
 	c := &call{
 		id: x.id, method: x.r.Method, uri: x.r.RequestURI, host: x.r.Host, header: x.header,
--- a/pkg/sidecar/attempts_test.go
+++ b/pkg/sidecar/attempts_test.go
@@ -98,7 +98,7 @@
 		r := httptest.NewRequest(http.MethodGet, "/x", nil)
 		r.RemoteAddr = address
 		x := &request{entry: &EntryHandler{deps: deps}, r: r, route: &mesh.Route{Kind: mesh.Safe}}
-		c := x.newCall(time.Now(), placement.Choice{Endpoint: &placement.Endpoint{}})
+		c := x.newCall(time.Now(), placement.Choice{Endpoint: &placement.Endpoint{}}, false)
 		assert.Equal(t, c.Nested, isNested, address)
 	}
 }
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -89,6 +89,9 @@
 	// Nested is set for calls that an endpoint makes while it runs a request.
 	Nested     bool `json:"n,omitempty"`
 	Idempotent bool `json:"i,omitempty"`
+	// Retry is set if the call counts as a retry at its service. Calls that the endpoint
+	// makes meanwhile count as retries as well.
+	Retry bool `json:"q,omitempty"`
 	// Stopping is set if the entry node is shutting down.
 	Stopping bool `json:"x,omitempty"`
 	// TimeoutUs is the time until the deadline, SoftTimeoutUs the time until the soft
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -81,6 +82,8 @@
 	// number.
 	cancels map[int]context.CancelFunc
 	results chan attemptResult
+	// isInduced is set if the request is taken for one that a retried request made.
+	isInduced bool
 	// canaryHedgeDelay is the minimum hedge delay of an attempt at a version under
 	// canary analysis, so that a slow response is noticed; 0 for other attempts.
 	canaryHedgeDelay time.Duration
@@ -122,10 +125,27 @@
 		return nil, err
 	}
 	x.service = x.entry.pickService(x.route)
-	x.entry.retryBudget(x.service).RecordRequest(x.entry.deps.now())
+	x.recordRequest()
 	return x.runAttempts()
 }
 
+// recordRequest counts the request for the retry budget of its service. A nested request
+// may have been made by a retried one; which one is not known.
+func (x *request) recordRequest() {
+	now, budget := x.entry.deps.now(), x.entry.retryBudget(x.service)
+	budget.RecordRequest(now)
+	if !x.isNested() {
+		return
+	}
+	if share := x.entry.admission.retryShare(); share > 0 {
+		budget.RecordInduced(now, share)
+		x.isInduced = rand.Float64() < share
+	}
+}
+
+// isNested reports whether the local endpoint made the request while it runs another.
+func (x *request) isNested() bool { return x.entry.deps.settings.isSameInstance(x.r.RemoteAddr) }
+
 // matchRoute finds the route of the request.
 func (x *request) matchRoute() *verdict.Error {
 	if x.entry.deps.isRejectingNew.Load() {
