Start the nodes of a new fleet one after the other

Change: a node that finds no entry of its failure domain waits for a part of two heartbeat intervals by its rank, and then lists the entries again. The lowest rank reads the store first; the others find it.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -36,6 +36,11 @@
 	meshStateWatchDebounce = 400 * time.Millisecond
 )
 
+// firstReadHeartbeats is the number of heartbeat intervals over which the nodes of a new
+// fleet begin to read the store: endpoints announce themselves within the first, after
+// which the entries of their nodes are stored.
+const firstReadHeartbeats = 2
+
 // configurationDebounceRatio is the debounce time of the configuration watch as a
 // fraction of the time within which a configuration must be applied: operators send
 // bursts of configurations about 200 ms apart.
@@ -120,6 +125,7 @@
 		return exitUsage
 	}
 	settings = settings.WithDefaults()
+	settings.FirstReadSpread = firstReadHeartbeats * settings.HeartbeatInterval
 	if *check {
 		fmt.Println("settings are valid")
 		return 0
--- a/pkg/mesh/upstream/selector.go
+++ b/pkg/mesh/upstream/selector.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -100,6 +101,13 @@
 	return Choice{Peer: parent}
 }
 
+// StartDelay returns how long a node waits for others when it starts and knows no other
+// node of its failure domain. Nodes of lower ranks wait for less, so that those which
+// start together find the node that they are to follow instead of reading the store.
+func StartDelay(self string, spread time.Duration) time.Duration {
+	return time.Duration(float64(xxhash.Sum64String(self)) / math.MaxUint64 * float64(spread))
+}
+
 func (s *Selector) isStale(now time.Time, p Peer) bool { return now.Before(s.staleUntil[p.Name]) }
 
 // rank returns the node and the peers that have not failed, in the order of their ranks.
--- a/pkg/mesh/upstream/selector_test.go
+++ b/pkg/mesh/upstream/selector_test.go
@@ -134,3 +134,16 @@
 	s.RecordSuccess(reader)
 	assert.Assert(t, !s.Choose(now, peers).IsStore)
 }
+
+// Nodes that start together must act in the order of their ranks, so that each finds the
+// node that it is to follow.
+func TestStartDelayFollowsRanks(t *testing.T) {
+	const spread = 3 * time.Second
+	ranked := NewSelector("n0").rank(epoch, peersOf(50))
+	last := time.Duration(-1)
+	for _, p := range ranked {
+		delay := StartDelay(p.Name, spread)
+		assert.Assert(t, delay > last && delay < spread, "%s waits for %v, the rank before for %v", p.Name, delay, last)
+		last = delay
+	}
+}
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -36,6 +36,7 @@
 // this node's turn to read it, otherwise from another node of its failure domain.
 func (t *tracker) followSources(ctx context.Context) {
 	t.loadInstances(ctx)
+	t.awaitFirstPeers(ctx)
 	for ctx.Err() == nil {
 		choice := t.upstream.Choose(t.deps.now(), t.domainPeers())
 		if choice.IsStore {
@@ -66,6 +67,21 @@
 	}
 }
 
+// awaitFirstPeers gives other nodes of the failure domain time to store their entries if
+// none has, as at the first start of a fleet. Otherwise all nodes would read everything
+// from the store at the same moment.
+func (t *tracker) awaitFirstPeers(ctx context.Context) {
+	spread := t.deps.settings.FirstReadSpread
+	if spread == 0 || t.isLoaded() || len(t.domainPeers()) > 0 {
+		return
+	}
+	sleep(ctx, upstream.StartDelay(t.deps.settings.Instance, spread))
+	t.forgetVersion(platform.KindMeshState)
+	if _, err := t.versionToWatch(ctx, platform.KindMeshState); err != nil {
+		t.deps.log.event("store_read_failed", fields{"name": string(platform.KindMeshState), "error": err.Error()})
+	}
+}
+
 func (t *tracker) isKindLoaded(kind platform.Kind) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -38,6 +38,9 @@
 	// ConfigurationApplyTimeout is the time within which a stored configuration must be
 	// active.
 	ConfigurationApplyTimeout time.Duration
+	// FirstReadSpread is the time over which the nodes of a failure domain without any
+	// stored entry begin to read the store; 0 means at once.
+	FirstReadSpread time.Duration
 
 	// RetryBudgetRatio, RetryBudgetWindow and RetryBudgetSlack bound the retries to a
 	// service over all nodes: in each window, RetryBudgetRatio retries per request plus
--- a/test/sidecar/distribution_test.go
+++ b/test/sidecar/distribution_test.go
@@ -129,3 +129,19 @@
 		}
 	}
 }
+
+// Nodes that start together in a fleet without any stored entry must not all read the
+// configuration from the store.
+func TestFirstStartReadsTheConfigurationFewTimes(t *testing.T) {
+	const nodes = 12
+	f := newFleet(t)
+	f.firstReadSpread = 3 * time.Second
+	counter := f.countCalls()
+	for i := range nodes {
+		f.addNode("d", endpoint(fmt.Sprint("e", i)))
+	}
+	f.waitUntilReady()
+	reads := counter.take("GET config")
+	assert.Assert(t, reads < nodes, "%d reads of the configuration by %d nodes", reads, nodes)
+	t.Logf("%d reads of the configuration by %d nodes", reads, nodes)
+}
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -42,6 +42,8 @@
 	version int
 	// maxBodyBytes is the limit in the configurations.
 	maxBodyBytes int
+	// firstReadSpread is a setting of the nodes.
+	firstReadSpread time.Duration
 }
 
 type testNode struct {
@@ -155,6 +157,7 @@
 		ReadinessAddress: freeAddress(f.t), ControlAddress: freeAddress(f.t), StoreAddress: strings.TrimPrefix(f.server.URL, "http://"),
 		MetricsPort: int(metricsPort), HeartbeatInterval: time.Second, GracePeriod: 6 * time.Second, ConfigurationApplyTimeout: 2 * time.Second,
 		RetryBudgetRatio: 0.2, RetryBudgetWindow: 10 * time.Second, RetryBudgetSlack: 1000,
+		FirstReadSpread: f.firstReadSpread,
 	}}
 	f.startNode(n)
 	f.nodes = append(f.nodes, n)
