--- a/pkg/mesh/placement/retrybudget_test.go
+++ b/pkg/mesh/placement/retrybudget_test.go
@@ -135,7 +135,7 @@
 		}
 		return n
 	}
-	for from := epoch.Add(window); from.Before(epoch.Add(50 * time.Second)); from = from.Add(50 * time.Millisecond) {
+	for from := epoch.Add(window / 2); from.Before(epoch.Add(50 * time.Second)); from = from.Add(50 * time.Millisecond) {
 		used, allowed := count(retries, from), ratioFraction*ratio*count(requests, from)
 		assert.Assert(t, used <= allowed, "%v: %.0f retries, %.0f allowed", from.Sub(epoch), used, allowed)
 	}
