Notice that a reader with a view has lost the store

A reader that goes on from a known version makes no call before its watch, but counted the store as reached: each failed watch was followed by "store_regained", and its followers were never told that it had lost the store.

Change: after a failed watch, the list is read first.

--- a/pkg/sidecar/follow_test.go
+++ b/pkg/sidecar/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -197,3 +198,31 @@
 	assert.Assert(t, reader.recordStoreReached(platform.KindMeshState))
 	assert.Assert(t, !reader.isStale())
 }
+
+// downStore is a store that cannot be reached.
+type downStore struct{ platform.Store }
+
+func (downStore) List(context.Context, platform.Kind) ([]platform.Object, string, error) {
+	return nil, "", platform.ErrConnectFailed
+}
+
+func (downStore) Watch(context.Context, platform.Kind, string, func(platform.Event) error) error {
+	return platform.ErrConnectFailed
+}
+
+// A reader with a view must notice that its watches fail. It goes on from the view without
+// a call of the store, which must not count as reaching it.
+func TestReaderNoticesThatTheStoreIsLost(t *testing.T) {
+	reader := newFollower(t)
+	reader.store = downStore{}
+	loadAll(t, reader, 10, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		reader.followKind(ctx, platform.KindConfiguration)
+	}()
+	waitFor(t, "the reader reports that it has lost the store", reader.isStale)
+	cancel()
+	<-done
+}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -183,12 +183,12 @@
 }
 
 // versionToWatch returns the version from which a kind is watched. Without a view of the
-// kind, it reads the list first.
+// kind, and to see whether a store that was lost is back, it reads the list first.
 func (t *tracker) versionToWatch(ctx context.Context, kind platform.Kind) (string, error) {
 	t.mu.Lock()
-	asOf := t.asOf[kind]
+	asOf, isLost := t.asOf[kind], !t.lostKinds[kind].IsZero()
 	t.mu.Unlock()
-	if asOf > 0 {
+	if asOf > 0 && !isLost {
 		return strconv.FormatUint(asOf, 10), nil
 	}
 	objects, version, err := t.store.List(ctx, kind)
