--- a/pkg/sidecar/followstream.go
+++ b/pkg/sidecar/followstream.go
@@ -27,7 +27,7 @@
 
 // Times of a stream of changes.
 const (
-	// keepAliveInterval is the time between two frames without changes. After followTimeout
+	// followKeepAlive is the time between two frames without changes. After followTimeout
 	// without a frame, the follower tries another node: a configuration has to be active
 	// within 2 s, and calls between nodes tell of newer ones in the meantime.
 	followKeepAlive = 400 * time.Millisecond
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -70,6 +70,12 @@
 	return platform.Object{Kind: platform.KindMeshState, Name: name, ResourceVersion: fmt.Sprint(revision), Value: []byte(value)}
 }
 
+// replace applies the complete list of a kind that was read from the store.
+func (t *tracker) replace(kind platform.Kind, objects []platform.Object) {
+	t.replaceView(kind, objects, 0)
+	t.refresh(kind)
+}
+
 func (t *tracker) applyPut(o platform.Object) {
 	t.apply(o.Kind, platform.Event{Type: platform.EventPut, Object: o})
 }
