--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -30,6 +30,8 @@
 type Endpoint struct {
 	// Work is how long a request takes.
 	Work time.Duration
+	// Version is the version of its software; "v1" if it is empty.
+	Version string
 	// Crashes reports whether the endpoint crashes when it begins to work on a request.
 	Crashes func(Run) bool
 	// Downtime is how long the endpoint is away after a crash.
@@ -46,11 +48,17 @@
 	stop     context.CancelFunc
 	starts   int
 	isClosed bool
-	seq      atomic.Int64
-	slots    chan struct{}
+	state    string
+	// drainAcked is closed when the node has acknowledged that the endpoint drains.
+	drainAcked chan struct{}
+	seq        atomic.Int64
+	slots      chan struct{}
+	wake       chan struct{}
 }
 
-func (e *Endpoint) attach(record *Record, node *Node) { e.record, e.node = record, node }
+func (e *Endpoint) attach(record *Record, node *Node) {
+	e.record, e.node, e.wake = record, node, make(chan struct{}, 1)
+}
 
 // Start begins a new incarnation of the endpoint.
 func (e *Endpoint) Start() error {
@@ -65,6 +73,7 @@
 		return nil
 	}
 	e.starts++
+	e.state, e.drainAcked = "ready", make(chan struct{})
 	e.id, e.born = fmt.Sprintf("i-%s-%d", e.node.Name, e.starts), time.Now().UnixMilli()
 	e.seq.Store(0)
 	e.slots = make(chan struct{}, Slots)
@@ -129,11 +138,18 @@
 
 func (e *Endpoint) announce(ctx context.Context, id string, born int64) {
 	client := http.Client{Timeout: time.Second}
+	version := e.Version
+	if version == "" {
+		version = "v1"
+	}
 	for {
+		e.mu.Lock()
+		state, drainAcked := e.state, e.drainAcked
+		e.mu.Unlock()
 		body, _ := json.Marshal(map[string]any{
 			"address": e.node.App, "born": born,
-			"information": map[string]any{"service": e.node.Service, "version": "v1", "zone": e.node.Zone, "slots": Slots},
-			"status":      map[string]any{"state": "ready", "seq": e.seq.Add(1), "cold_remaining": "0ms"},
+			"information": map[string]any{"service": e.node.Service, "version": version, "zone": e.node.Zone, "slots": Slots},
+			"status":      map[string]any{"state": state, "seq": e.seq.Add(1), "cold_remaining": "0ms"},
 		})
 		request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+e.node.Control+"/azurespring/instances/"+id, bytes.NewReader(body))
 		if err != nil {
@@ -145,14 +161,61 @@
 			_ = response.Body.Close()
 			if response.StatusCode < 300 {
 				wait = HeartbeatInterval
+				if state == "draining" {
+					closeOnce(drainAcked)
+				}
 			}
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(wait):
+		case <-e.wake:
+		}
+	}
+}
+
+func closeOnce(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
+// Leave ends the endpoint as planned: it drains, serves on for the drain time after the
+// acknowledgement, says that it is gone and ends.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	e.state = "draining"
+	id, born, acked := e.id, e.born, e.drainAcked
+	e.mu.Unlock()
+	e.record.Printf("endpoint %s drains", id)
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-acked:
+		e.record.Printf("endpoint %s: draining is acknowledged", id)
+	case <-time.After(4 * time.Second):
+		e.record.Printf("endpoint %s: draining is not acknowledged", id)
+	}
+	time.Sleep(Drain + 500*time.Millisecond)
+	e.mu.Lock()
+	stop := e.stop
+	e.mu.Unlock()
+	stop()
+	body, _ := json.Marshal(map[string]any{"born": born})
+	request, err := http.NewRequest(http.MethodDelete, "http://"+e.node.Control+"/azurespring/instances/"+id, bytes.NewReader(body))
+	if err == nil {
+		client := http.Client{Timeout: time.Second}
+		if response, err := client.Do(request); err == nil {
+			_ = response.Body.Close()
 		}
 	}
+	e.Stop()
+	e.record.Printf("endpoint %s is gone", id)
 }
 
 func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request, id string, slots chan struct{}) {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -25,6 +25,7 @@
 	ConfigApply       = 2 * time.Second
 	HeartbeatInterval = 1500 * time.Millisecond
 	GracePeriod       = 6 * time.Second
+	Drain             = 2 * time.Second
 	Slots             = 18
 )
 
@@ -295,10 +296,13 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Start starts all endpoints and processes and waits until all machines are ready and
-// have seen an undisturbed settle window.
-func (f *Fleet) Start() error {
-	for _, n := range f.Nodes {
+// Start starts all machines and waits until traffic may start.
+func (f *Fleet) Start() error { return f.StartNodes(f.Nodes) }
+
+// StartNodes starts the endpoints and processes of machines, waits until they are ready,
+// and then for 8 s: so much earlier than the traffic do machines start.
+func (f *Fleet) StartNodes(nodes []*Node) error {
+	for _, n := range nodes {
 		if n.Endpoint != nil {
 			n.Endpoint.attach(f.Record, n)
 			if err := n.Endpoint.Start(); err != nil {
@@ -310,7 +314,7 @@
 		}
 	}
 	deadline := time.Now().Add(15 * time.Second)
-	for _, n := range f.Nodes {
+	for _, n := range nodes {
 		for !n.IsReady() {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s is not ready", n.Name)
@@ -318,7 +322,6 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	// Traffic starts 8 s after the machines do.
 	time.Sleep(8 * time.Second)
 	return nil
 }
@@ -333,7 +336,7 @@
 		if exited := n.Exited(); exited != nil {
 			<-exited
 		}
-		if n.Endpoint != nil {
+		if n.Endpoint != nil && n.Endpoint.node != nil {
 			n.Endpoint.Stop()
 		}
 	}
