--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -9,11 +9,31 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// breakOff sends a part of an answer without a length and resets the connection. It leaves
+// the node time to read that part, because a reset discards what has not been read.
+func breakOff(w http.ResponseWriter, part string) {
+	header := w.Header()
+	header.Del("Content-Length")
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	_ = header.Write(buffered)
+	_, _ = buffered.WriteString("\r\n" + part)
+	_ = buffered.Flush()
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+	panic(http.ErrAbortHandler)
+}
+
 // Run is one request that an endpoint began to work on.
 type Run struct {
 	At                   time.Duration
@@ -34,6 +54,11 @@
 	Version string
 	// Crashes reports whether the endpoint crashes when it begins to work on a request.
 	Crashes func(Run) bool
+	// AnswerBytes is the size of an answer; 0 means a short one.
+	AnswerBytes int
+	// CutAt returns the number of bytes after which the endpoint resets the connection of an
+	// answer without a length, -1 for a whole answer.
+	CutAt func(Run) int
 	// Downtime is how long the endpoint is away after a crash.
 	Downtime time.Duration
 
@@ -264,8 +289,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := "answer to " + requestID
+	if e.AnswerBytes > 0 {
+		answer = strings.Repeat(answer+"\n", e.AnswerBytes/(len(answer)+1)+1)[:e.AnswerBytes]
+	}
 	header.Set("X-Response-Signature", "sig."+id+"."+requestID)
 	header.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", len(slots), Slots))
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
+	if e.CutAt != nil {
+		if length := e.CutAt(run); length >= 0 && length < len(answer) {
+			e.record.Printf("endpoint %s breaks off its answer to %s after %d of %d bytes", id, requestID, length, len(answer))
+			breakOff(w, answer[:length])
+		}
+	}
 	_, _ = io.WriteString(w, answer)
 }
