Review case 2: zones stop reading the store once a machine's address is used again

The fault: nodes follow the entry of a dead machine to whatever node has its address now, and that one follows itself or them. No node of the zone reads the store any more, and an acknowledged configuration is never applied (CONFIG).

What shows it: review/2/run.sh, a script with eight machines in two zones, of which one in each is replaced by another one at its address.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,5 +1,4 @@
-// Command 2 is the script of case 2: a request that crashes each endpoint that begins to run
-// it, and that its caller sends again.
+// Command 2 is the script of case 2: machines end for good and their addresses go to new ones.
 package main
 
 import (
@@ -7,25 +6,29 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/azurespring/azurespring/review/standin"
 )
 
-// The load. The caller of the crashing request sends it again every repeatPause, at any
-// machine. The other clients send bookings, which may run once only.
+// The deployment, the load and the times of the script.
 const (
-	duration          = 40 * time.Second
-	repeatPause       = 2 * time.Second
-	downtime          = 3 * time.Second
-	clientsPerMachine = 4
-	bookingDeadline   = time.Second
-	crashingPath      = "/orders/state?order=17"
-	// allowedRetries is the number of retries that the rule allows.
-	allowedRetries = 3
+	machinesPerZone   = 4
+	clientsPerMachine = 3
+	deadline          = time.Second
+	// addressReuse is the time after which the address of a machine that has ended is used
+	// again.
+	addressReuse = 2 * time.Second
+	// calm is the time between the replacement and the change of the configuration, observed
+	// the time for which requests are judged after that. Calls of the new route begin once
+	// configuration_apply has passed.
+	calm     = 45 * time.Second
+	observed = 8 * time.Second
+	// margin is added to configuration_apply for the way of a request on this machine.
+	margin = 500 * time.Millisecond
 )
 
 func main() { os.Exit(run()) }
@@ -37,127 +40,169 @@
 		return standin.ExitNotRun
 	}
 	defer record.Close()
-	f, err := standin.NewFleet(record, []string{"orders", "orders", "orders", "orders", "orders", "orders"})
+	services := make([]string, 2*machinesPerZone)
+	for i := range services {
+		services[i] = []string{"orders", "stock"}[i/2%2]
+	}
+	f, err := standin.NewFleet(record, services)
 	if err != nil {
 		record.Both("cannot run: %v", err)
 		return standin.ExitNotRun
 	}
 	defer f.Close()
-	trouble := os.Getenv("TROUBLE") != "0"
 	for _, n := range f.Nodes {
-		n.Endpoint = &standin.Endpoint{Work: 120 * time.Millisecond, Downtime: downtime, Crashes: func(r standin.Run) bool { return trouble && r.Path == crashingPath }}
+		n.Endpoint = &standin.Endpoint{Work: 40 * time.Millisecond}
 	}
-	f.Configure([]standin.Rule{
-		{Name: "state", Prefix: "/orders/", Kind: "safe", Service: "orders", Timeout: 800 * time.Millisecond, MaxAttempts: 2},
+	rules := []standin.Rule{
 		{Name: "hire", Prefix: "/hire/", Kind: "unsafe", Service: "orders", Timeout: time.Second, MaxAttempts: 2},
-	})
+		{Name: "count", Prefix: "/count/", Kind: "unsafe", Service: "stock", Timeout: time.Second, MaxAttempts: 2},
+	}
+	f.Configure(rules)
 	if err := f.Start(); err != nil {
 		record.Both("cannot run: %v", err)
 		return standin.ExitNotRun
 	}
-	b := &bookings{}
-	end := time.Now().Add(duration)
-	var clients sync.WaitGroup
+	t := &traffic{record: record, stop: make(chan struct{})}
 	for _, n := range f.Nodes {
-		for c := range clientsPerMachine {
-			clients.Go(func() {
-				for i := 0; time.Now().Before(end); i++ {
-					b.send(record, n, fmt.Sprintf("booking-%s-%d-%d", n.Name, c, i))
-					time.Sleep(time.Duration(100+rand.IntN(100)) * time.Millisecond)
-				}
-			})
+		t.start(n)
+	}
+	if os.Getenv("TROUBLE") != "0" {
+		if err := replaceReaders(record, f, t); err != nil {
+			record.Both("cannot run: %v", err)
+			return standin.ExitNotRun
 		}
 	}
-	for i := 0; time.Now().Before(end); i++ {
-		n := f.Nodes[rand.IntN(len(f.Nodes))]
-		id := fmt.Sprintf("state-%d", i)
-		record.Printf("client sends %s at %s: GET %s", id, n.Name, crashingPath)
-		answer := n.Send(http.MethodGet, crashingPath, id, "", 800*time.Millisecond)
-		record.Printf("client %s is answered with %d %v", id, answer.Status, answer.Err)
-		time.Sleep(repeatPause)
-	}
-	clients.Wait()
-	return judge(record, f, b, trouble)
+	time.Sleep(calm)
+	rules = append(rules, standin.Rule{Name: "added", Prefix: "/added/", Kind: "safe", Service: "orders", Timeout: time.Second, MaxAttempts: 2})
+	f.Configure(rules)
+	time.Sleep(standin.ConfigApply + margin)
+	code := judge(record, f)
+	close(t.stop)
+	t.clients.Wait()
+	record.Both("%d other requests served, %d not", t.served, t.failed)
+	return code
 }
 
-// bookings counts the answers to unsafe requests.
-type bookings struct {
-	mu                 sync.Mutex
-	served, lost, told int
-	lostIDs            []string
+// replaceReaders ends, in each zone, the machine that reads the store for the others, with
+// its endpoint, and adds a machine with another name and service at its address.
+func replaceReaders(record *standin.Record, f *standin.Fleet, t *traffic) error {
+	var ended []*standin.Node
+	for _, zone := range []string{"z1", "z2"} {
+		for _, n := range f.Nodes {
+			if n.Zone == zone && isReader(n) {
+				ended = append(ended, n)
+				break
+			}
+		}
+	}
+	for _, n := range ended {
+		record.Printf("%s ends for good, with its endpoint", n.Name)
+		n.Endpoint.Stop()
+		n.Signal(syscall.SIGKILL)
+	}
+	time.Sleep(addressReuse + 500*time.Millisecond)
+	var added []*standin.Node
+	for _, n := range ended {
+		service := "orders"
+		if n.Service == "orders" {
+			service = "stock"
+		}
+		replacement := f.Replace(n, service)
+		replacement.Endpoint = &standin.Endpoint{Work: 40 * time.Millisecond}
+		record.Printf("%s (%s) is added at the address of %s", replacement.Name, service, n.Name)
+		added = append(added, replacement)
+	}
+	if err := f.StartNodes(added); err != nil {
+		return err
+	}
+	for _, n := range added {
+		t.start(n)
+	}
+	return nil
 }
 
-func (b *bookings) send(record *standin.Record, n *standin.Node, id string) {
-	answer := n.Send(http.MethodPost, "/hire/confirm", id, `{"booking":"`+id+`"}`, bookingDeadline)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch {
-	case answer.Err == nil && answer.Status == http.StatusOK:
-		b.served++
-		return
-	case answer.Promises():
-		b.told++
-	default:
-		b.lost++
-		b.lostIDs = append(b.lostIDs, id)
-	}
-	record.Printf("client %s is answered with %d %v", id, answer.Status, answer.Err)
+// isReader reports whether the source that the node has selected last is the store.
+func isReader(n *standin.Node) bool {
+	log := n.Log()
+	last := log[max(strings.LastIndex(log, `"event":"source_selected"`), 0):]
+	line, _, _ := strings.Cut(last, "\n")
+	return strings.Contains(line, `"source":"store"`)
 }
 
-// judge checks BUDGET: a request that crashes the endpoints that run it reaches endpoints in
-// no more than three retries later than the settle window after it has crashed the third.
-func judge(record *standin.Record, f *standin.Fleet, b *bookings, trouble bool) int {
-	var arrivals []standin.Run
-	begun := make(map[string]bool)
-	for _, n := range f.Nodes {
-		for _, r := range n.Endpoint.Runs() {
-			if r.Path == crashingPath {
-				arrivals = append(arrivals, r)
+// traffic holds the clients and counts what they get.
+type traffic struct {
+	record  *standin.Record
+	stop    chan struct{}
+	clients sync.WaitGroup
+
+	mu             sync.Mutex
+	served, failed int
+}
+
+func (t *traffic) start(n *standin.Node) {
+	for c := range clientsPerMachine {
+		t.clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-t.stop:
+					return
+				case <-n.Exited():
+					return
+				default:
+				}
+				path := []string{"/hire/confirm", "/count/panel"}[rand.IntN(2)]
+				answer := n.Send(http.MethodPost, path, fmt.Sprintf("%s-%d-%d", n.Name, c, i), "a booking", deadline)
+				t.mu.Lock()
+				if answer.Err == nil && answer.Status == http.StatusOK {
+					t.served++
+				} else {
+					t.failed++
+				}
+				t.mu.Unlock()
+				time.Sleep(time.Duration(100+rand.IntN(100)) * time.Millisecond)
 			}
-			begun[r.ID] = true
-		}
+		})
 	}
-	slices.SortFunc(arrivals, func(a, b standin.Run) int { return int(a.At - b.At) })
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	runAndLost := 0
-	for _, id := range b.lostIDs {
-		if begun[id] {
-			runAndLost++
+}
+
+// judge checks CONFIG: requests that are sent later than configuration_apply after the
+// acknowledgement of a version aren't refused with 404 although their route is there. All
+// machines that run have been in touch for the whole settle window.
+func judge(record *standin.Record, f *standin.Fleet) int {
+	stale, fresh := make(map[string]int), make(map[string]int)
+	end := time.Now().Add(observed)
+	for i := 0; time.Now().Before(end); i++ {
+		for _, n := range f.Nodes {
+			if n.IsGone() {
+				continue
+			}
+			answer := n.Send(http.MethodGet, "/added/state", fmt.Sprintf("added-%s-%d", n.Name, i), "", deadline)
+			record.Printf("client added-%s-%d is answered with %d %v", n.Name, i, answer.Status, answer.Err)
+			switch {
+			case answer.Err == nil && answer.Status == http.StatusNotFound:
+				stale[n.Name]++
+			case answer.Err == nil && answer.Status == http.StatusOK:
+				fresh[n.Name]++
+			}
 		}
+		time.Sleep(500 * time.Millisecond)
 	}
-	record.Both("bookings: %d served, %d told that they have not run, %d without a definite answer, of which %d had been begun by an endpoint", b.served, b.told, b.lost, runAndLost)
-	if b.served == 0 {
-		record.Both("cannot judge: no booking was served")
-		return standin.ExitNotRun
-	}
-	if !trouble {
-		record.Both("%d arrivals of the request; it crashes no endpoint; BUDGET held", len(arrivals))
-		return standin.ExitHeld
-	}
-	if len(arrivals) < 3 {
-		record.Both("the request has crashed %d endpoints; BUDGET held", len(arrivals))
-		return standin.ExitHeld
-	}
-	third := arrivals[2].At
-	retries := make(map[string]bool)
-	var order []string
-	crashes := 0
-	for _, r := range arrivals {
-		if r.At > third+standin.SettleWindow {
-			crashes++
-			if !retries[r.ID] {
-				order = append(order, r.ID)
-			}
-			retries[r.ID] = true
+	staleCount, freshCount := 0, 0
+	for _, n := range f.Nodes {
+		if !n.IsGone() {
+			record.Both("%s (%s): %d requests for the added route served, %d refused with 404", n.Name, n.Zone, fresh[n.Name], stale[n.Name])
+			staleCount += stale[n.Name]
+			freshCount += fresh[n.Name]
 		}
 	}
-	record.Both("the request crashed the third endpoint at %.1f s; later than %v after that, %d retries reached endpoints and crashed %d more", third.Seconds(), standin.SettleWindow, len(retries), crashes)
-	record.Printf("retries that reached endpoints: %s", strings.Join(order, " "))
-	if len(retries) > allowedRetries {
-		record.Both("BUDGET is broken")
+	switch {
+	case staleCount > 0:
+		record.Both("CONFIG is broken: %d requests later than configuration_apply were refused with 404", staleCount)
 		return standin.ExitBroken
+	case freshCount == 0:
+		record.Both("cannot judge: nothing was served")
+		return standin.ExitNotRun
 	}
-	record.Both("BUDGET held")
+	record.Both("CONFIG held")
 	return standin.ExitHeld
 }
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,5 +1,5 @@
-// Command 3 is the script of case 3: a new version's endpoints run beside the old ones and
-// wait for the operator's order, and one of the old endpoints leaves as planned.
+// Command 3 is the script of case 3: a request that crashes each endpoint that begins to run
+// it, and that its caller sends again.
 package main
 
 import (
@@ -7,22 +7,25 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/azurespring/azurespring/review/standin"
 )
 
-// The deployment and the load.
+// The load. The caller of the crashing request sends it again every repeatPause, at any
+// machine. The other clients send bookings, which may run once only.
 const (
-	endpointsPerVersion = 6
-	clientsPerMachine   = 4
-	// calm is the time with both versions before an endpoint leaves, duration the time
-	// after that.
-	calm     = 5 * time.Second
-	duration = 15 * time.Second
-	deadline = time.Second
+	duration          = 40 * time.Second
+	repeatPause       = 2 * time.Second
+	downtime          = 3 * time.Second
+	clientsPerMachine = 4
+	bookingDeadline   = time.Second
+	crashingPath      = "/orders/state?order=17"
+	// allowedRetries is the number of retries that the rule allows.
+	allowedRetries = 3
 )
 
 func main() { os.Exit(run()) }
@@ -34,123 +37,127 @@
 		return standin.ExitNotRun
 	}
 	defer record.Close()
-	services := make([]string, 2*endpointsPerVersion)
-	for i := range services {
-		services[i] = "orders"
-	}
-	f, err := standin.NewFleet(record, services)
+	f, err := standin.NewFleet(record, []string{"orders", "orders", "orders", "orders", "orders", "orders"})
 	if err != nil {
 		record.Both("cannot run: %v", err)
 		return standin.ExitNotRun
 	}
 	defer f.Close()
-	for i, n := range f.Nodes {
-		n.Endpoint = &standin.Endpoint{Work: 60 * time.Millisecond, Version: "v1"}
-		if i >= endpointsPerVersion {
-			n.Endpoint.Version = "v2"
-		}
+	trouble := os.Getenv("TROUBLE") != "0"
+	for _, n := range f.Nodes {
+		n.Endpoint = &standin.Endpoint{Work: 120 * time.Millisecond, Downtime: downtime, Crashes: func(r standin.Run) bool { return trouble && r.Path == crashingPath }}
 	}
 	f.Configure([]standin.Rule{
 		{Name: "state", Prefix: "/orders/", Kind: "safe", Service: "orders", Timeout: 800 * time.Millisecond, MaxAttempts: 2},
 		{Name: "hire", Prefix: "/hire/", Kind: "unsafe", Service: "orders", Timeout: time.Second, MaxAttempts: 2},
 	})
-	old, added := f.Nodes[:endpointsPerVersion], f.Nodes[endpointsPerVersion:]
-	if err := f.StartNodes(old); err != nil {
+	if err := f.Start(); err != nil {
 		record.Both("cannot run: %v", err)
 		return standin.ExitNotRun
 	}
-	t := &traffic{record: record, stop: make(chan struct{})}
-	for _, n := range old {
-		t.start(n)
-	}
-	record.Printf("the operator starts the endpoints of v2; there is no order to move traffic to them")
-	if err := f.StartNodes(added); err != nil {
-		record.Both("cannot run: %v", err)
-		return standin.ExitNotRun
+	b := &bookings{}
+	end := time.Now().Add(duration)
+	var clients sync.WaitGroup
+	for _, n := range f.Nodes {
+		for c := range clientsPerMachine {
+			clients.Go(func() {
+				for i := 0; time.Now().Before(end); i++ {
+					b.send(record, n, fmt.Sprintf("booking-%s-%d-%d", n.Name, c, i))
+					time.Sleep(time.Duration(100+rand.IntN(100)) * time.Millisecond)
+				}
+			})
+		}
 	}
-	time.Sleep(calm)
-	if os.Getenv("TROUBLE") != "0" {
-		leaving := old[0]
-		leaving.Endpoint.Leave()
-		// The machine leaves with its endpoint.
-		record.Printf("%s gets SIGTERM", leaving.Name)
-		leaving.Signal(syscall.SIGTERM)
+	for i := 0; time.Now().Before(end); i++ {
+		n := f.Nodes[rand.IntN(len(f.Nodes))]
+		id := fmt.Sprintf("state-%d", i)
+		record.Printf("client sends %s at %s: GET %s", id, n.Name, crashingPath)
+		answer := n.Send(http.MethodGet, crashingPath, id, "", 800*time.Millisecond)
+		record.Printf("client %s is answered with %d %v", id, answer.Status, answer.Err)
+		time.Sleep(repeatPause)
 	}
-	time.Sleep(duration)
-	close(t.stop)
-	t.clients.Wait()
-	return judge(record, f, t)
-}
-
-// traffic holds the clients and counts what they get.
-type traffic struct {
-	record  *standin.Record
-	stop    chan struct{}
-	clients sync.WaitGroup
-
-	mu             sync.Mutex
-	served, failed int
+	clients.Wait()
+	return judge(record, f, b, trouble)
 }
 
-func (t *traffic) start(n *standin.Node) {
-	for c := range clientsPerMachine {
-		t.clients.Go(func() {
-			for i := 0; ; i++ {
-				select {
-				case <-t.stop:
-					return
-				case <-n.Exited():
-					return
-				default:
-				}
-				t.send(n, fmt.Sprintf("%s-%d-%d", n.Name, c, i))
-				time.Sleep(time.Duration(100+rand.IntN(100)) * time.Millisecond)
-			}
-		})
-	}
+// bookings counts the answers to unsafe requests.
+type bookings struct {
+	mu                 sync.Mutex
+	served, lost, told int
+	lostIDs            []string
 }
 
-func (t *traffic) send(n *standin.Node, id string) {
-	var answer standin.Answer
-	if rand.IntN(2) == 0 {
-		answer = n.Send(http.MethodPost, "/hire/confirm", id, `{"booking":"`+id+`"}`, deadline)
-	} else {
-		answer = n.Send(http.MethodGet, "/orders/state", id, "", deadline)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if answer.Err == nil && answer.Status == http.StatusOK {
-		t.served++
+func (b *bookings) send(record *standin.Record, n *standin.Node, id string) {
+	answer := n.Send(http.MethodPost, "/hire/confirm", id, `{"booking":"`+id+`"}`, bookingDeadline)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case answer.Err == nil && answer.Status == http.StatusOK:
+		b.served++
 		return
+	case answer.Promises():
+		b.told++
+	default:
+		b.lost++
+		b.lostIDs = append(b.lostIDs, id)
 	}
-	t.failed++
-	t.record.Printf("client %s is answered with %d %v", id, answer.Status, answer.Err)
+	record.Printf("client %s is answered with %d %v", id, answer.Status, answer.Err)
 }
 
-// judge checks ROUTE: no request is run by a version to which no configuration or order ever
-// sent allows it to go.
-func judge(record *standin.Record, f *standin.Fleet, t *traffic) int {
-	runs := make(map[string]int)
-	var first standin.Run
+// judge checks BUDGET: a request that crashes the endpoints that run it reaches endpoints in
+// no more than three retries later than the settle window after it has crashed the third.
+func judge(record *standin.Record, f *standin.Fleet, b *bookings, trouble bool) int {
+	var arrivals []standin.Run
+	begun := make(map[string]bool)
 	for _, n := range f.Nodes {
 		for _, r := range n.Endpoint.Runs() {
-			if n.Endpoint.Version == "v2" && (runs["v2"] == 0 || r.At < first.At) {
-				first = r
+			if r.Path == crashingPath {
+				arrivals = append(arrivals, r)
 			}
-			runs[n.Endpoint.Version]++
+			begun[r.ID] = true
 		}
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	record.Both("%d requests served, %d not; v1 ran %d, v2 ran %d; no order for v2 was ever stored", t.served, t.failed, runs["v1"], runs["v2"])
-	switch {
-	case t.served == 0:
-		record.Both("cannot judge: nothing was served")
+	slices.SortFunc(arrivals, func(a, b standin.Run) int { return int(a.At - b.At) })
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	runAndLost := 0
+	for _, id := range b.lostIDs {
+		if begun[id] {
+			runAndLost++
+		}
+	}
+	record.Both("bookings: %d served, %d told that they have not run, %d without a definite answer, of which %d had been begun by an endpoint", b.served, b.told, b.lost, runAndLost)
+	if b.served == 0 {
+		record.Both("cannot judge: no booking was served")
 		return standin.ExitNotRun
-	case runs["v2"] > 0:
-		record.Both("ROUTE is broken: from %.1f s on, requests run at a version that nobody has ordered (first %s at %s)", first.At.Seconds(), first.ID, first.Instance)
+	}
+	if !trouble {
+		record.Both("%d arrivals of the request; it crashes no endpoint; BUDGET held", len(arrivals))
+		return standin.ExitHeld
+	}
+	if len(arrivals) < 3 {
+		record.Both("the request has crashed %d endpoints; BUDGET held", len(arrivals))
+		return standin.ExitHeld
+	}
+	third := arrivals[2].At
+	retries := make(map[string]bool)
+	var order []string
+	crashes := 0
+	for _, r := range arrivals {
+		if r.At > third+standin.SettleWindow {
+			crashes++
+			if !retries[r.ID] {
+				order = append(order, r.ID)
+			}
+			retries[r.ID] = true
+		}
+	}
+	record.Both("the request crashed the third endpoint at %.1f s; later than %v after that, %d retries reached endpoints and crashed %d more", third.Seconds(), standin.SettleWindow, len(retries), crashes)
+	record.Printf("retries that reached endpoints: %s", strings.Join(order, " "))
+	if len(retries) > allowedRetries {
+		record.Both("BUDGET is broken")
 		return standin.ExitBroken
 	}
-	record.Both("ROUTE held")
+	record.Both("BUDGET held")
 	return standin.ExitHeld
 }
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -179,6 +179,26 @@
 	return n
 }
 
+// Replace adds a machine with a new name, and another service, at the address of one that has
+// ended for good.
+func (f *Fleet) Replace(ended *Node, service string) *Node {
+	n := f.newNode(len(f.Nodes), service)
+	n.Zone, n.Region, n.IP = ended.Zone, ended.Region, ended.IP
+	n.Inbound, n.Outbound, n.Readiness, n.Control, n.App = ended.Inbound, ended.Outbound, ended.Readiness, ended.Control, ended.App
+	f.Nodes = append(f.Nodes, n)
+	return n
+}
+
+// IsGone reports whether the process of the machine has ended.
+func (n *Node) IsGone() bool {
+	select {
+	case <-n.Exited():
+		return true
+	default:
+		return false
+	}
+}
+
 // Configure stores the next version of the configuration.
 func (f *Fleet) Configure(rules []Rule) {
 	f.version++
