Follow a node only if it bears the name of the peer

Cause: a peer was a name and an address from a stored entry, and whoever answered at the address was taken for it. The lost node's entry stays in the store, so that the nodes of the domain followed the new node under the old name, and the new node followed one of them or itself. Frames without changes counted as success, and nobody read the store.

Change: the request of a follower names its peer. A node with another name answers 421, and the peer is passed over as one that cannot be reached, so that the next rank reads the store. The order by names, which rules out circles, holds again since each node is known under its own name only.

Ruled out: the store's watches (no node reads it), and calls between nodes (none of them knew more).

--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -181,7 +181,7 @@
 		if choice.IsStore || ctx.Err() != nil {
 			continue
 		}
-		if err := t.pull(ctx, choice.Peer.Address); err == nil {
+		if err := t.pull(ctx, choice.Peer); err == nil {
 			return
 		}
 		t.upstream.RecordFailure(t.deps.now(), choice.Peer.Name)
@@ -202,7 +202,7 @@
 	loadBy := t.deps.now().Add(maxLoadWait)
 	reviewAt := t.deps.now().Add(jittered(followerReviewInterval))
 	var next error
-	err := t.peers.follow(ctx, peer.Address, followRequest{Since: t.versions()}, func(f followFrame) error {
+	err := t.peers.follow(ctx, peer.Address, followRequest{Peer: peer.Name, Since: t.versions()}, func(f followFrame) error {
 		now := t.deps.now()
 		if err := t.applyChanges(f.changes); err != nil {
 			return err
@@ -257,19 +257,19 @@
 // a second for it and the waits before and after made a configuration 3.5 s late.
 const pullTimeout = 400 * time.Millisecond
 
-// pull gets the changes that the node at address knows.
-func (t *tracker) pull(ctx context.Context, address string) error {
+// pull gets the changes that a node knows. Without a name, any node at the address will do.
+func (t *tracker) pull(ctx context.Context, peer upstream.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	received := false
-	err := t.peers.follow(ctx, address, followRequest{Since: t.versions(), Once: true}, func(f followFrame) error {
+	err := t.peers.follow(ctx, peer.Address, followRequest{Peer: peer.Name, Since: t.versions(), Once: true}, func(f followFrame) error {
 		received = true
 		return t.applyChanges(f.changes)
 	})
 	if received {
 		return nil
 	}
-	return eris.Wrapf(err, "pull from %s", address)
+	return eris.Wrapf(err, "pull from %s", peer.Address)
 }
 
 // versions returns the versions up to which the kinds are known.
--- a/pkg/sidecar/follow_test.go
+++ b/pkg/sidecar/follow_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/upstream"
 	"github.com/azurespring/azurespring/pkg/platform"
 )
 
@@ -178,6 +179,22 @@
 	}
 }
 
+// The address of a node that is gone may be used again. A node that is asked under the name
+// of its predecessor must be left, or nodes could follow each other in a circle.
+func TestOtherNodeAtThePeersAddressIsLeft(t *testing.T) {
+	other, follower := newFollower(t), newFollower(t)
+	loadAll(t, other, 10, 1)
+	address := peerServer(t, other)
+	peer := upstream.Peer{Name: "predecessor", Address: address}
+	loadAll(t, follower, 5, 1)
+	assert.ErrorIs(t, follower.followPeer(t.Context(), peer), errOtherPeer)
+	assert.ErrorContains(t, follower.pull(t.Context(), peer), errOtherPeer.Error())
+	assert.Equal(t, follower.versions()[platform.KindConfiguration], uint64(5))
+
+	assert.NilError(t, follower.pull(t.Context(), upstream.Peer{Name: other.deps.settings.Instance, Address: address}))
+	assert.Equal(t, follower.versions()[platform.KindConfiguration], uint64(10))
+}
+
 // A reader that cannot read the store must tell its followers, and a follower must tell
 // its own, so that another node reads the store for them.
 func TestLossOfTheStoreIsPassedOn(t *testing.T) {
--- a/pkg/sidecar/followstream.go
+++ b/pkg/sidecar/followstream.go
@@ -40,6 +40,9 @@
 
 // followRequest is the body of a follower's request.
 type followRequest struct {
+	// Peer is the name of the node that is asked, "" for any. The address of a node that is
+	// gone may belong to another one, whose own source may be the follower.
+	Peer string `json:"peer,omitempty"`
 	// Since holds the versions of the store that the follower knows, by kind.
 	Since map[platform.Kind]uint64 `json:"since"`
 	// Once ends the response after the first frame.
@@ -103,6 +106,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if request.Peer != "" && request.Peer != s.deps.settings.Instance {
+		http.Error(w, "this node has another name: "+s.deps.settings.Instance, http.StatusMisdirectedRequest)
+		return
+	}
 	controller := http.NewResponseController(w)
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	keepAlive := time.NewTicker(followKeepAlive)
@@ -139,8 +146,12 @@
 	return t.viewChanged
 }
 
-// errFollowTimeout is the error of a peer that sends no frames.
-var errFollowTimeout = errors.New("the peer is silent")
+var (
+	// errFollowTimeout is the error of a peer that sends no frames.
+	errFollowTimeout = errors.New("the peer is silent")
+	// errOtherPeer is the error of an address that belongs to another node by now.
+	errOtherPeer = errors.New("another node has the peer's address")
+)
 
 // follow asks the node at address for changes and calls handle for each frame until that
 // fails or the response ends. It returns an error if the peer is silent for
@@ -163,6 +174,9 @@
 		return failure
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return errOtherPeer
+	}
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("the peer responded with status %d", response.StatusCode)
 	}
--- a/pkg/sidecar/storereader.go
+++ b/pkg/sidecar/storereader.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/mesh/upstream"
 	"github.com/azurespring/azurespring/pkg/platform"
 )
 
@@ -109,7 +110,7 @@
 		if !t.isBehind() || ctx.Err() != nil {
 			continue
 		}
-		if address := t.deps.newerAt.Load(); address != nil && t.pull(ctx, *address) == nil && !t.isBehind() {
+		if address := t.deps.newerAt.Load(); address != nil && t.pull(ctx, upstream.Peer{Address: *address}) == nil && !t.isBehind() {
 			continue
 		}
 		wait(fetchDelayFraction)
--- a/test/sidecar/distribution_test.go
+++ b/test/sidecar/distribution_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/azurespring/azurespring/pkg/mesh/upstream"
 	"github.com/azurespring/azurespring/platform/platformtest"
 )
 
@@ -130,6 +131,58 @@
 	}
 }
 
+// The address of a reader that is gone for good may be used by a node with another name
+// while the entry of the reader is still stored. The other nodes must not take the new node
+// for the reader, or none of them reads the store any more.
+func TestAddressOfLostReaderIsUsedAgain(t *testing.T) {
+	const kind, domain = "azurespring-mesh", "d"
+	f := newFleet(t)
+	for i := range 4 {
+		f.addNode(domain, endpoint(fmt.Sprint("e", i)))
+	}
+	f.waitUntilReady()
+	f.waitUntil("one node reads the store", func() bool { return f.readers()[domain] == 1 })
+	i := slices.IndexFunc(f.nodes, func(n *testNode) bool {
+		selected := n.log.events("source_selected")
+		return selected[len(selected)-1]["source"] == "store"
+	})
+	reader := f.nodes[i]
+	entryName := "instance-" + reader.settings.Instance
+	entry, ok := f.store.Get(kind, entryName)
+	assert.Assert(t, ok)
+	reader.stop()
+	<-reader.done
+	reader.endpoint.Close()
+	f.nodes = slices.Delete(f.nodes, i, i+1)
+	// A node that is killed cannot mark its entry.
+	f.store.Put(kind, entryName, string(entry.Specification))
+
+	successor := f.prepareNode(domain, endpoint("successor"))
+	successor.settings.InboundAddress = reader.settings.InboundAddress
+	successor.settings.Instance = followerName(reader)
+	f.startNode(successor)
+	f.nodes = append(f.nodes, successor)
+	f.waitUntil("the new node serves requests", func() bool { return successor.get("/safe/x", "id").status == http.StatusOK })
+	f.storeConfiguration(routeRule("safe", "/safe/", `"kind":"safe"`))
+	for _, n := range f.nodes {
+		f.waitUntil("the configuration is active", func() bool {
+			version, _ := n.activeVersion(t)
+			return version == f.version
+		})
+	}
+}
+
+// followerName returns the name of a node that follows the node n where it knows of it.
+func followerName(n *testNode) string {
+	peers := []upstream.Peer{{Name: n.settings.Instance, Address: n.settings.InboundAddress}}
+	for i := 0; ; i++ {
+		name := fmt.Sprint("successor-", i)
+		if !upstream.NewSelector(name).Choose(time.Now(), peers).IsStore {
+			return name
+		}
+	}
+}
+
 // Nodes that start together in a fleet without any stored entry must not all read the
 // configuration from the store.
 func TestFirstStartReadsTheConfigurationFewTimes(t *testing.T) {
