Quarantine requests that crash the endpoints which begin them

Cause: no node of the sidecar remembered what an endpoint was running when it ended.

Change: when a connection to its endpoint breaks, a node looks whether the endpoint still listens. If not, it stores in its entry which requests the endpoint was running, by fingerprint. All nodes judge by all entries (pkg/mesh/quarantine, without I/O) and answer 503 to a request that three endpoints crashed with soon after its start.

A sound request that was running when endpoints died for other reasons is told apart: a run to its end anywhere acquits it, endpoints that end together count once, a crash long after the start counts half, and most crashes of the service must not have happened without it. What always runs together with the cause leaves the quarantine by a trial, which runs once, at one endpoint of the fleet: at once, then 20 s, 2 min and 10 min after the last crash.

Why it works: the report is stored within milliseconds of the crash, reaches the nodes as any change of an entry does, and the next process of the node restores it.

--- a/pkg/mesh/instance.go
+++ b/pkg/mesh/instance.go
@@ -71,6 +71,10 @@
 	Stopping       bool            `json:"stopping,omitempty"`
 	Endpoints      []Endpoint      `json:"endpoints"`
 	EndedEndpoints []EndedEndpoint `json:"ended,omitempty"`
+	// Crashes are the latest crashes of local endpoints, oldest first, and Acquittals the
+	// latest suspects that a local endpoint has run to their end.
+	Crashes    []Crash     `json:"crashes,omitempty"`
+	Acquittals []Acquittal `json:"acquittals,omitempty"`
 }
 
 // Encode returns the stored form of the instance entry.
@@ -95,6 +99,7 @@
 		seen[e.ID] = true
 		return isUnusable
 	})
+	i.limitCrashes()
 	return i, nil
 }
 
--- a/pkg/mesh/placement/table.go
+++ b/pkg/mesh/placement/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
 )
@@ -98,6 +99,18 @@
 // result must not be changed.
 func (t *Table) EndpointsByVersion(service string) map[string][]*Endpoint { return t.services[service] }
 
+// InstanceEndpoints returns the endpoints of a service on one instance, also of one that is
+// not among the candidates.
+func (t *Table) InstanceEndpoints(service, instance string) []*Endpoint {
+	var endpoints []*Endpoint
+	for key, ranked := range t.ranks {
+		if key.service == service {
+			endpoints = append(endpoints, lo.Filter(ranked, func(e *Endpoint, _ int) bool { return e.Instance == instance })...)
+		}
+	}
+	return endpoints
+}
+
 // Instances returns the sorted names of the instances with endpoints.
 func (t *Table) Instances() []string { return t.instances }
 
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -43,6 +43,7 @@
 	restored           bool
 	announcementCounts map[string]announcementCount
 	readAhead          *readAheadPool
+	crashes            *crashRecorder
 }
 
 // announcementCount counts the announcements of one process of an endpoint, which its
@@ -78,7 +79,7 @@
 }
 
 func newLocalAdmission(deps *shared) *localAdmission {
-	return &localAdmission{deps: deps, registry: mesh.NewEndpointRegistry(deps.settings.HeartbeatInterval), admissions: make(map[string]*endpointAdmission), announcementCounts: make(map[string]announcementCount), readAhead: newReadAheadPool()}
+	return &localAdmission{deps: deps, registry: mesh.NewEndpointRegistry(deps.settings.HeartbeatInterval), admissions: make(map[string]*endpointAdmission), announcementCounts: make(map[string]announcementCount), readAhead: newReadAheadPool(), crashes: newCrashRecorder(deps)}
 }
 
 // deliverDecisions passes decisions of the queue to the calls that wait for them.
@@ -243,7 +244,8 @@
 		return nil, load, rejection
 	}
 	started := la.deps.now()
-	if rejection := la.recheck(c, started); rejection != nil {
+	running, rejection := la.recheck(ea, c, started)
+	if rejection != nil {
 		la.releaseSlot(ea, 0)
 		return nil, la.loadOf(ea, c.Route), rejection
 	}
@@ -261,6 +263,9 @@
 		la.countRetry(ea, c, -1)
 		if failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil {
 			la.recordOutcome(ea, false)
+			la.crashes.connectionBroke(ea, running, func() bool { return la.isInUse(ea) })
+		} else {
+			la.crashes.end(ea, running, false)
 		}
 		la.analyzeFailure(ctx, ea, c, failure, la.deps.now().Sub(started))
 		return nil, la.loadOf(ea, c.Route), failure
@@ -274,7 +279,13 @@
 	}
 	la.analyzeResponse(ea, c, resp)
 	resp.load = la.loadOf(ea, c.Route)
-	body := &slotBody{ReadCloser: resp.body, onDone: func(complete bool, bytes int64) {
+	body := &slotBody{ReadCloser: resp.body}
+	body.onDone = func(complete bool, bytes int64) {
+		if body.isCut && callerCtx.Err() == nil {
+			la.crashes.connectionBroke(ea, running, func() bool { return la.isInUse(ea) })
+		} else {
+			la.crashes.end(ea, running, complete && !resp.notRun)
+		}
 		cancel()
 		la.releaseSlot(ea, la.deps.now().Sub(started))
 		la.countRetry(ea, c, -1)
@@ -283,22 +294,34 @@
 			ea.updateResponseSize(c.Route, bytes)
 			la.mu.Unlock()
 		}
-	}}
+	}
 	context.AfterFunc(callerCtx, body.abort)
 	resp.body = la.readAhead.wrap(body, resp.contentLength, cancel)
 	return resp, resp.load, nil
 }
 
 // recheck rejects a call that may no longer be sent although it has a slot. It may have
-// waited for that, or the process may have been paused.
-func (la *localAdmission) recheck(c *call, now time.Time) *verdict.Error {
+// waited for that, or the process may have been paused. Otherwise the call counts as sent.
+func (la *localAdmission) recheck(ea *endpointAdmission, c *call, now time.Time) (*endpointCall, *verdict.Error) {
 	switch {
 	case !now.Before(c.deadline):
-		return verdict.NotRunErrorf(verdict.DeadlineUnreachable, "the deadline passed before the call was sent")
+		return nil, verdict.NotRunErrorf(verdict.DeadlineUnreachable, "the deadline passed before the call was sent")
 	case !la.deps.rollouts.isAllowed(c.Service, c.Version):
-		return verdict.NotRunErrorf(verdict.VersionClosed, "version %q takes no requests any more", c.Version)
+		return nil, verdict.NotRunErrorf(verdict.VersionClosed, "version %q takes no requests any more", c.Version)
 	}
-	return nil
+	la.mu.Lock()
+	load := float64(ea.queue.Running()-1) / float64(max(ea.queue.Slots(), 1))
+	la.mu.Unlock()
+	return la.crashes.begin(ea, c.Fingerprint, load)
+}
+
+// isInUse reports whether the endpoint has neither drained nor deregistered, and its version
+// takes requests.
+func (la *localAdmission) isInUse(ea *endpointAdmission) bool {
+	la.mu.Lock()
+	isCurrent := la.admissions[ea.endpoint.ID] == ea
+	la.mu.Unlock()
+	return isCurrent && la.deps.rollouts.isAllowed(ea.endpoint.Service, ea.endpoint.Version)
 }
 
 func (la *localAdmission) loadOf(ea *endpointAdmission, route string) placement.Load {
@@ -388,37 +411,6 @@
 	la.mu.Unlock()
 }
 
-// slotBody is a response body that releases the slot of its call when the body ends.
-type slotBody struct {
-	io.ReadCloser
-	once sync.Once
-	// onDone is called once, when the body has ended or is closed. complete is set if it
-	// was read to its end; bytes is then the size of the body.
-	onDone func(complete bool, bytes int64)
-	bytes  int64
-}
-
-// Read implements io.Reader.
-func (b *slotBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.bytes += int64(n)
-	if err != nil {
-		b.once.Do(func() { b.onDone(err == io.EOF, b.bytes) })
-	}
-	return n, err
-}
-
-// abort releases the slot without waiting for the reader, which may be blocked by a
-// client that does not read. The end of the call's context closes the connection.
-func (b *slotBody) abort() { b.once.Do(func() { b.onDone(false, 0) }) }
-
-// Close implements io.Closer.
-func (b *slotBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.abort()
-	return err
-}
-
 // send sends the call to the endpoint and reads the header of its response.
 func (la *localAdmission) send(ctx context.Context, ea *endpointAdmission, c *call) (*endpointResponse, *verdict.Error) {
 	h := la.deps.headers
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -118,6 +118,7 @@
 		}
 		la.restored = true
 		la.registry.Restore(now, entry)
+		la.crashes.restore(entry)
 		return true
 	})
 }
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -135,7 +135,7 @@
 // may not in the time in which gates reject what they have not begun.
 func (x *request) mayRetryAfter(failure *verdict.Error) bool {
 	remaining := x.deadline.Sub(x.entry.deps.now())
-	if x.ctx.Err() != nil || remaining <= rejectionMargin || x.rejections > maxRejections || failure.Code == verdict.BadRequest {
+	if x.ctx.Err() != nil || remaining <= rejectionMargin || x.rejections > maxRejections || failure.Code == verdict.BadRequest || failure.Code == verdict.Quarantined {
 		return false
 	}
 	if failure.Code == verdict.DeadlineUnreachable && (x.rejections >= maxHopelessRejections || x.isLate()) {
@@ -159,6 +159,12 @@
 	table := x.entry.deps.table.Load()
 	isFurtherAttempt := x.attempts > 0
 	candidates := x.entry.deps.rollouts.candidates(table, x.service, isFurtherAttempt)
+	if s := x.entry.admission.crashes.suspicion(x.fingerprint); s.IsQuarantined {
+		if now.Before(s.TrialDueAt()) {
+			return 0, quarantined(s, s.TrialDueAt().Sub(now))
+		}
+		candidates = table.InstanceEndpoints(x.service, s.TrialInstance)
+	}
 	choice, ok := placement.Choose(now, candidates, placement.Request{
 		Route: x.route.Name, Kind: x.route.Kind, Timeout: remaining, SoftTimeout: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.attempted, Rejections: x.rejectedBy,
 	})
@@ -210,7 +216,8 @@
 		body: x.body, remainingBody: x.remainingBody, contentLength: x.r.ContentLength, deadline: x.deadline,
 		hopMetadata: hopMetadata{
 			Endpoint: e.ID, Service: e.Service, Version: e.Version, Route: x.route.Name,
-			Caller: *x.entry.deps.service.Load(), Priority: x.route.Priority, Idempotent: x.route.Kind.Idempotent(),
+			Fingerprint: x.fingerprint,
+			Caller:      *x.entry.deps.service.Load(), Priority: x.route.Priority, Idempotent: x.route.Kind.Idempotent(),
 			Nested:         x.entry.deps.settings.isSameInstance(x.r.RemoteAddr),
 			TimeoutUs:      x.deadline.Sub(now).Microseconds(),
 			SoftTimeoutUs:  x.started.Add(x.route.TargetLatency).Sub(now).Microseconds(),
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
@@ -81,6 +82,8 @@
 	Route    string `json:"r"`
 	Caller   string `json:"c"`
 	Priority int    `json:"p,omitempty"`
+	// Fingerprint identifies equal requests.
+	Fingerprint mesh.Fingerprint `json:"h,omitempty"`
 	// Nested is set for calls that an endpoint makes while it runs a request.
 	Nested     bool `json:"n,omitempty"`
 	Idempotent bool `json:"i,omitempty"`
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -20,8 +20,10 @@
 	s := t.deps.settings
 	endpoints, ended := t.admission.endpointsToPublish()
 	slices.SortFunc(endpoints, func(a, b mesh.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	crashes, acquittals := t.admission.crashes.toPublish()
 	return mesh.Instance{
 		Name: s.Instance, Address: s.InboundAddress, FailureDomain: s.FailureDomain, Region: s.Region, Endpoints: endpoints, EndedEndpoints: ended,
+		Crashes: crashes, Acquittals: acquittals,
 	}
 }
 
@@ -162,7 +164,7 @@
 	return slices.EqualFunc(a.Endpoints, b.Endpoints, func(x, y mesh.Endpoint) bool {
 		x.WarmupMs, y.WarmupMs = 0, 0
 		return x == y
-	}) && slices.Equal(a.EndedEndpoints, b.EndedEndpoints)
+	}) && slices.Equal(a.EndedEndpoints, b.EndedEndpoints) && mesh.SameCrashes(a, b)
 }
 
 // markStopping publishes this node's entry as stopping. Its endpoints stay stored for
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -64,6 +64,7 @@
 	// down before.
 	deadline      time.Time
 	header        http.Header
+	fingerprint   mesh.Fingerprint
 	body          []byte
 	remainingBody *streamedBody
 
@@ -124,11 +125,22 @@
 	if err := x.readBody(); err != nil {
 		return nil, err
 	}
+	x.fingerprint = x.fingerprintOf()
 	x.service = x.entry.pickService(x.route)
 	x.recordRequest()
 	return x.runAttempts()
 }
 
+// fingerprintOf returns the fingerprint of the request. Of a body that is not in memory it
+// covers the start only, as far as it is read however the body is sent.
+func (x *request) fingerprintOf() mesh.Fingerprint {
+	bodyBytes, start := int64(len(x.body)), x.body
+	if x.remainingBody != nil {
+		bodyBytes, start = -1, x.body[:min(len(x.body), streamedPrefixBytes)]
+	}
+	return mesh.FingerprintOf(*x.entry.deps.service.Load(), x.r.Host, x.r.Method, x.r.RequestURI, bodyBytes, start)
+}
+
 // recordRequest counts the request for the retry budget of its service. A nested request
 // may have been made by a retried one; which one is not known.
 func (x *request) recordRequest() {
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -356,6 +356,7 @@
 // rebuildTable builds the endpoint table from the entries of all instances. This node's
 // own endpoints are taken from localAdmission, which learns of changes first.
 func (t *tracker) rebuildTable() {
+	defer t.admission.crashes.acquitCompleted()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.loadedKinds[platform.KindMeshState] {
@@ -372,6 +373,7 @@
 		list = append(list, i)
 	}
 	list = append(list, t.ownEntry())
+	t.admission.crashes.evaluate(list)
 	t.deps.table.Store(t.builder.Build(t.deps.now(), list))
 	endpoints := 0
 	for _, i := range list {
