Reject a chunked body that its client breaks off

Cause: readBody used io.ReadFull, whose io.ErrUnexpectedEOF for a short body is also the error with which net/http reports a cut body in chunks. Both were taken for its end. The canceled context did not help, since an exchange on an idle connection began to write without looking at it.

Change: the start of the body is read with fill, which returns the error of the body itself, and an exchange whose context has ended is not begun. Bodies with a length and streamed ones were not affected; pkg/proxy reads ahead bodies of a known length only.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -193,6 +193,11 @@
 
 // exchange sends the request and reads the header section of its response.
 func (c *conn) exchange(ctx context.Context, r Request) (*http.Response, *Error) {
+	if ctx.Err() != nil {
+		// The cancellation would close the connection only after the first bytes.
+		_ = c.Conn.Close()
+		return nil, &Error{Err: ctx.Err()}
+	}
 	bytesBefore := c.bytesWritten
 	c.requestCount++
 	c.carriedHead = c.carriedHead || r.Method == http.MethodHead
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -242,10 +242,10 @@
 		size = length
 	}
 	buffer := make([]byte, size)
-	n, err := io.ReadFull(x.r.Body, buffer)
+	n, err := fill(x.r.Body, buffer)
 	x.body = buffer[:n]
 	switch {
-	case err == io.EOF, err == io.ErrUnexpectedEOF && (x.r.ContentLength < 0 || int64(n) == x.r.ContentLength):
+	case err == io.EOF:
 	case err != nil:
 		switch {
 		case x.ctx.Err() != nil:
--- a/pkg/sidecar/uplink.go
+++ b/pkg/sidecar/uplink.go
@@ -183,7 +183,7 @@
 func (b *scheduledBody) Close() error { return b.source.Close() }
 
 // fill reads until the buffer is full or the source ends. Unlike io.ReadFull it returns
-// the error of the source, which tells a truncated response from a complete one.
+// the error of the source, which tells a truncated body from a complete one.
 func fill(source io.Reader, buffer []byte) (n int, err error) {
 	for n < len(buffer) && err == nil {
 		var m int
--- a/test/sidecar/upload_test.go
+++ b/test/sidecar/upload_test.go
@@ -158,6 +158,38 @@
 	}
 }
 
+// A small body in chunks whose client leaves before its end must not run as if the part that
+// arrived were the whole. net/http reports such an end and io.ReadFull a short body alike.
+func TestCutBodyInChunksIsNotRun(t *testing.T) {
+	const requests = 20
+	for _, remote := range []bool{false, true} {
+		t.Run(fmt.Sprint("remote ", remote), func(t *testing.T) {
+			e, truncated := uploadEndpoint("e")
+			f, entryNode := startRemoteEndpoint(t, e)
+			if !remote {
+				entryNode = f.nodes[1]
+			}
+			send := func(id, rest string) *rawConn {
+				conn := entryNode.dial(t)
+				_, err := fmt.Fprintf(conn, "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: 2000\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n%s",
+					platformtest.HeaderRequestID, id, platformtest.HeaderDeadline, rest)
+				assert.NilError(t, err)
+				return conn
+			}
+			assert.Equal(t, send("whole", "0\r\n\r\n").read(t).body, digest([]byte("first")))
+			for i := range requests {
+				conn := send(fmt.Sprint("cut", i), []string{"", "7\r\nsec", "0\r\n"}[i%3])
+				assert.NilError(t, conn.Conn.(*net.TCPConn).CloseWrite())
+			}
+			f.waitUntil("the node has ended all requests", func() bool {
+				return len(entryNode.log.events("request_failed"))+len(entryNode.log.events("request_served")) >= requests+1
+			})
+			assert.Equal(t, e.RunCount(), 1, "a cut body was run")
+			assert.Equal(t, len(truncated()), 0)
+		})
+	}
+}
+
 // The limit on bodies must hold for a body in chunks as well: the endpoint must not take
 // the part below the limit for the whole.
 func TestBodyInChunksBeyondLimitIsRejected(t *testing.T) {
