Keep requests from being lost behind a large response that is cut

Cause: requests without a body are started at once, and a response of more than 64 KB is sent while it arrives. When it is cut, the node has to close the connection under all that were started behind it.

Change: a response is sent while it arrives only if no request behind it has been started, and none is started until it has ended.

--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -249,7 +248,7 @@
 		result.response, load, result.failure = x.entry.hops.sendOverLink(ctx, result.endpoint.NodeAddress, c, expected)
 	}
 	if result.response != nil {
-		result.failure = result.response.bufferBody(x.r.Method)
+		result.failure = x.bufferBody(result.response)
 		if result.failure != nil {
 			result.response = nil
 		}
@@ -262,47 +261,6 @@
 	x.deliverResult(result)
 }
 
-// bufferBody reads the start of the response body, or all of a short one, so that a
-// truncated response can be retried or replaced.
-func (resp *endpointResponse) bufferBody(method string) *verdict.Error {
-	if method == http.MethodHead || resp.contentLength == 0 {
-		_ = resp.body.Close()
-		resp.isComplete = true
-		return nil
-	}
-	size := int64(bufferedResponseBytes)
-	if resp.contentLength > 0 && resp.contentLength < size {
-		size = resp.contentLength
-	}
-	buffered := make([]byte, 0, size)
-	chunk := make([]byte, min(size, 16<<10))
-	for int64(len(buffered)) < size {
-		n, err := resp.body.Read(chunk[:min(int64(len(chunk)), size-int64(len(buffered)))])
-		buffered = append(buffered, chunk[:n]...)
-		if err == io.EOF {
-			resp.buffered, resp.isComplete = buffered, true
-			if resp.contentLength > int64(len(buffered)) {
-				return verdict.MayHaveRunErrorf(verdict.AnswerCut, io.ErrUnexpectedEOF, "the answer was cut")
-			}
-			return nil
-		}
-		if err != nil {
-			_ = resp.body.Close()
-			return verdict.MayHaveRunErrorf(verdict.AnswerCut, err, "the answer was cut")
-		}
-	}
-	resp.buffered = buffered
-	if resp.contentLength == int64(len(buffered)) {
-		// Reads the end of the body, which frees the connection.
-		n, err := resp.body.Read(chunk[:1])
-		if n > 0 || err != io.EOF {
-			_ = resp.body.Close()
-		}
-		resp.isComplete = true
-	}
-	return nil
-}
-
 // applyResult applies the result of an attempt and reports whether its response is
 // final.
 func (x *request) applyResult(result attemptResult) bool {
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -177,10 +177,14 @@
 	// of requests that have not ended. Once isClosing is set, no further request is
 	// started and the connection ends after lastResponse, or at once if nothing is in
 	// flight.
-	mu           sync.Mutex
-	isReading    bool
-	isLingering  bool
+	mu          sync.Mutex
+	isReading   bool
+	isLingering bool
+	// streaming is the response that is sent while it arrives from its endpoint, nil if there
+	// is none. It ends the connection if it is cut, so that no further request is started
+	// before its end.
 	lastResponse *responseWriter
+	streaming    *responseWriter
 	inFlight     int
 	isClosing    bool
 	// idleSince is when the last response ended. idleTimer closes the idle connection.
@@ -202,10 +206,32 @@
 	// What follows the header may be the begin of the next request.
 	s.isReading = s.reader.Buffered() > 0 || !mayStartEarly(w.request)
 	s.lastResponse = w
+	w.startsEarly = mayStartEarly(w.request) && s.streaming == nil
 	s.inFlight++
 	return true
 }
 
+// beginStreaming reports whether the response of w may be sent while it arrives. It may not
+// if later requests have been started: if the response is cut, theirs are lost.
+func (s *session) beginStreaming(w *responseWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lastResponse != w {
+		return false
+	}
+	s.streaming = w
+	return true
+}
+
+// endStreaming lets further requests be started once the response of w has ended.
+func (s *session) endStreaming(w *responseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.streaming == w {
+		s.streaming = nil
+	}
+}
+
 // end records that a request has ended.
 func (s *session) end() {
 	s.mu.Lock()
@@ -345,12 +371,19 @@
 			<-pipelineSlots
 			s.end()
 		}
+		if !w.startsEarly {
+			// The body is read from the connection, or the request may not be safe to run
+			// before the earlier requests have been answered.
+			<-w.previousDone
+			if s.conn.ctx.Err() != nil {
+				close(w.done)
+				end()
+				return
+			}
+		}
 		if mayStartEarly(r) {
 			go s.respond(w, end)
 		} else {
-			// The body is read from the connection, and the request may not be safe to
-			// run before the earlier requests have been answered.
-			<-w.previousDone
 			s.respond(w, end)
 		}
 		if r.Close || w.isBodyLeft {
@@ -424,6 +457,7 @@
 func (s *session) respond(w *responseWriter, end func()) {
 	defer end()
 	defer close(w.done)
+	defer s.endStreaming(w)
 	defer func() {
 		if p := recover(); p != nil {
 			w.abort()
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -26,6 +26,8 @@
 	unlimitedUplink *uplink
 
 	inFlight atomic.Int64
+	// heldBytes is the size of the responses that are held back until they are complete.
+	heldBytes atomic.Int64
 
 	// retryBudgets holds the retry budgets by service, baselines the mean latencies and
 	// routeRequestCounts the numbers of requests, both by route.
@@ -112,6 +114,7 @@
 		if x.cancel != nil {
 			x.cancel()
 		}
+		x.releaseHeld()
 	}()
 	resp, failure := x.run()
 	if e.deps.isShuttingDown() {
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -88,7 +88,7 @@
 	// canaryHedgeDelay is the minimum hedge delay of an attempt at a version under
 	// canary analysis, so that a slow response is noticed; 0 for other attempts.
 	canaryHedgeDelay time.Duration
-	// isDecided is set once no further result is used; mu guards it.
+	// isDecided is set once no further result is used; mu guards it and heldBytes.
 	mu        sync.Mutex
 	isDecided bool
 	// mayHaveRun is set once a failed attempt may have run at an endpoint.
@@ -97,6 +97,8 @@
 	// retry succeeds.
 	fallbackResponse *endpointResponse
 	status           int
+	// heldBytes is the part of the entry's heldBytes that belongs to the request.
+	heldBytes int64
 	// servedAttempt is the attempt whose response was chosen; it is empty if the client
 	// gets fallbackResponse.
 	servedAttempt attemptResult
--- a/pkg/sidecar/responsewriter.go
+++ b/pkg/sidecar/responsewriter.go
@@ -19,6 +19,9 @@
 	previousDone chan struct{}
 	done         chan struct{}
 
+	// startsEarly is set if the request is started before the earlier responses have ended.
+	startsEarly bool
+
 	isHeaderWritten  bool
 	isChunked        bool
 	hasNoBody        bool
@@ -41,6 +44,9 @@
 // writing a response are always independent here.
 func (w *responseWriter) EnableFullDuplex() error { return nil }
 
+// BeginStreaming implements streamStarter.
+func (w *responseWriter) BeginStreaming() bool { return w.session.beginStreaming(w) }
+
 // WriteHeader implements http.ResponseWriter.
 func (w *responseWriter) WriteHeader(status int) {
 	if w.isHeaderWritten {
