Send requests to a version without an order only if none is left

Cause: without a rollout, the version with the most endpoints got all requests, and beside a rollout that had ended any third version got some. No node knew which version a service was on.

Change: the version in use of each service is stored: the first one when a fleet starts, then the target of each completed rollout, before the rollout's state. Requests go to it only, and the gates of other versions reject what a node with an older view sends. Another version takes over by itself only after a minute without any endpoint of the one in use, and not if its rollout was not completed.

--- a/pkg/mesh/placement/table.go
+++ b/pkg/mesh/placement/table.go
@@ -114,6 +114,9 @@
 // Instances returns the sorted names of the instances with endpoints.
 func (t *Table) Instances() []string { return t.instances }
 
+// Services returns the names of the services with endpoints, in no particular order.
+func (t *Table) Services() []string { return lo.Keys(t.services) }
+
 // HasAddress reports whether the node at address has an endpoint.
 func (t *Table) HasAddress(address string) bool { return t.addresses[address] }
 
--- /dev/null
+++ b/pkg/mesh/rollout/inuse.go
@@ -0,0 +1,66 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+)
+
+// InUse is the stored version that serves a service's requests while no rollout says
+// otherwise. Endpoints of another version wait for the order to move traffic to them.
+type InUse struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+}
+
+// Times after which the version in use is stored.
+const (
+	// firstUseDelay lets the endpoints of a fleet that starts announce themselves.
+	firstUseDelay = time.Second
+	// abandonedDelay is how long a version must have had no endpoint before the service is
+	// taken to be of another one. Endpoints that have crashed are back within seconds.
+	abandonedDelay = time.Minute
+)
+
+// ServiceView is what a node knows of the versions of a service.
+type ServiceView struct {
+	// InUse is the stored version; "" if there is none.
+	InUse string
+	// EndpointCounts holds the number of endpoints by version.
+	EndpointCounts map[string]int
+	// Target and TargetState are those of the service's rollout; "" if there is none.
+	Target      string
+	TargetState mesh.RolloutState
+}
+
+// NextInUse returns the version that is to be stored as in use, and the time for which
+// this must have been so. ok is false if the stored version is right.
+func (v ServiceView) NextInUse() (version string, delay time.Duration, ok bool) {
+	if v.TargetState == mesh.RolloutCompleted {
+		return v.Target, 0, v.InUse != v.Target
+	}
+	if v.InUse != "" && v.EndpointCounts[v.InUse] > 0 {
+		return "", 0, false
+	}
+	version = v.mostCommon()
+	delay = firstUseDelay
+	if v.InUse != "" {
+		delay = abandonedDelay
+	}
+	return version, delay, version != ""
+}
+
+// mostCommon returns the version with the most endpoints, without that of a rollout that is
+// not completed; "" if there is none.
+func (v ServiceView) mostCommon() string {
+	best := ""
+	for version, count := range v.EndpointCounts {
+		if version == v.Target || count == 0 {
+			continue
+		}
+		if most := v.EndpointCounts[best]; best == "" || count > most || count == most && version < best {
+			best = version
+		}
+	}
+	return best
+}
--- a/pkg/mesh/rollout/statemachine.go
+++ b/pkg/mesh/rollout/statemachine.go
@@ -213,6 +213,15 @@
 	return policies
 }
 
+// Rollout returns the rollout of a service, whatever its state; ok is false if there is none.
+func (m *StateMachine) Rollout(service string) (r mesh.Rollout, ok bool) {
+	t := m.rollouts[service]
+	if t == nil {
+		return mesh.Rollout{}, false
+	}
+	return t.rollout, true
+}
+
 // Active returns the rollouts that are neither completed nor rolled back.
 func (m *StateMachine) Active() []mesh.Rollout {
 	var active []mesh.Rollout
--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/platform"
 )
@@ -24,6 +25,8 @@
 		wait := time.Hour
 		if len(active) > 0 {
 			wait = rolloutPollInterval
+		} else if len(t.inUseDueSince) > 0 {
+			wait = inUsePollInterval
 		}
 		timer := time.NewTimer(wait)
 		select {
@@ -37,6 +40,7 @@
 		if t.deps.table.Load() == nil {
 			continue
 		}
+		t.storeVersionsInUse(ctx)
 		effects := t.deps.rollouts.step(rollout.Event{Kind: rollout.Tick, Roles: t.rolloutRoles()})
 		for _, effect := range effects {
 			t.execute(ctx, effect)
@@ -65,7 +69,14 @@
 	var err error
 	if effect.Kind == rollout.WriteState {
 		f["state"] = string(effect.State)
-		err = t.writeState(ctx, effect)
+		if effect.State == mesh.RolloutCompleted {
+			// The old version's endpoints stop at once. What comes after this rollout depends
+			// on the version in use.
+			err = t.writeInUse(ctx, rollout.InUse{Service: effect.Rollout.Service, Version: effect.Rollout.Version})
+		}
+		if err == nil {
+			err = t.writeState(ctx, effect)
+		}
 	} else {
 		f["phase"] = string(effect.Progress.Phase)
 		err = t.writeProgress(ctx, effect.Progress)
@@ -96,11 +107,22 @@
 }
 
 func (t *tracker) writeProgress(ctx context.Context, p rollout.Progress) error {
-	value, err := json.Marshal(p)
+	return t.writeMeshState(ctx, rolloutPrefix+p.Service, p)
+}
+
+func (t *tracker) writeInUse(ctx context.Context, u rollout.InUse) error {
+	if t.deps.rollouts.versionInUse(u.Service) == u.Version {
+		return nil
+	}
+	return t.writeMeshState(ctx, inUsePrefix+u.Service, u)
+}
+
+// writeMeshState stores an object unless another node has changed it.
+func (t *tracker) writeMeshState(ctx context.Context, name string, content any) error {
+	value, err := json.Marshal(content)
 	if err != nil {
-		return eris.Wrap(err, "encode rollout progress")
+		return eris.Wrapf(err, "encode %s", name)
 	}
-	name := rolloutPrefix + p.Service
 	t.mu.Lock()
 	version := t.resourceVersions[platform.KindMeshState][name]
 	t.mu.Unlock()
@@ -117,3 +139,39 @@
 	t.apply(platform.KindMeshState, platform.Event{Type: platform.EventPut, Object: written})
 	return nil
 }
+
+// Times of storing the version in use: between two looks whether it is due, and the delay
+// per rank of a node, so that usually only one node writes.
+const (
+	inUsePollInterval = 500 * time.Millisecond
+	inUseRankDelay    = 700 * time.Millisecond
+)
+
+// storeVersionsInUse stores the version in use of each service for which that is due. The
+// nodes with endpoints of the version are ranked, and each lower rank acts a little later.
+func (t *tracker) storeVersionsInUse(ctx context.Context) {
+	now, table := t.deps.now(), t.deps.table.Load()
+	due := make(map[rollout.InUse]time.Time)
+	for _, service := range table.Services() {
+		version, delay, ok := t.deps.rollouts.serviceView(service, table).NextInUse()
+		if !ok {
+			continue
+		}
+		next := rollout.InUse{Service: service, Version: version}
+		since, isKnown := t.inUseDueSince[next]
+		if !isKnown {
+			since = now
+		}
+		due[next] = since
+		rank := slices.Index(table.RankedInstances(service, version), t.deps.settings.Instance)
+		if rank < 0 || now.Sub(since) < delay+time.Duration(rank)*inUseRankDelay {
+			continue
+		}
+		f := fields{"service": service, "version": version, "reason": "the version in use"}
+		if err := t.writeInUse(ctx, next); err != nil {
+			f["error"] = err.Error()
+		}
+		t.deps.log.event("rollout_step", f)
+	}
+	t.inUseDueSince = due
+}
--- a/pkg/sidecar/rollouts.go
+++ b/pkg/sidecar/rollouts.go
@@ -38,6 +38,9 @@
 	// closedUntil holds the time until which a version is assumed to take no requests,
 	// because a node rejected a call to it for that reason.
 	closedUntil map[serviceVersion]time.Time
+	// inUse holds the stored version of each service that serves its requests while no rollout
+	// says otherwise.
+	inUse map[string]string
 }
 
 type serviceVersion struct{ service, version string }
@@ -55,10 +58,41 @@
 	return &rolloutTracker{
 		now: now, log: log, wake: wake, machine: rollout.NewStateMachine(),
 		policies: make(map[string]trackedPolicy), requestCounts: make(map[string]uint64),
-		closedUntil: make(map[serviceVersion]time.Time),
+		closedUntil: make(map[serviceVersion]time.Time), inUse: make(map[string]string),
 	}
 }
 
+// setInUse sets the stored version of a service.
+func (rt *rolloutTracker) setInUse(u rollout.InUse) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if rt.inUse[u.Service] != u.Version {
+		rt.log.event("version_in_use", fields{"service": u.Service, "version": u.Version})
+	}
+	rt.inUse[u.Service] = u.Version
+}
+
+// serviceView returns what this node knows of the versions of a service.
+func (rt *rolloutTracker) serviceView(service string, table *placement.Table) rollout.ServiceView {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	v := rollout.ServiceView{InUse: rt.inUse[service], EndpointCounts: make(map[string]int)}
+	for version := range table.EndpointsByVersion(service) {
+		v.EndpointCounts[version] = len(table.RankedInstances(service, version))
+	}
+	if r, ok := rt.machine.Rollout(service); ok {
+		v.Target, v.TargetState = r.Version, r.State
+	}
+	return v
+}
+
+// versionInUse returns the stored version of a service; "" if there is none.
+func (rt *rolloutTracker) versionInUse(service string) string {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.inUse[service]
+}
+
 // step applies an event to the state machine and returns the writes that are due.
 func (rt *rolloutTracker) step(event rollout.Event) []rollout.Effect {
 	rt.mu.Lock()
@@ -100,11 +134,14 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	p, ok := rt.policies[service]
+	inUse := rt.inUse[service]
 	switch {
 	case !ok:
-		return true
+		return inUse == "" || version == inUse
 	case version == p.Version:
 		return p.Share > 0
+	case inUse != "" && inUse != p.Version && version != inUse:
+		return false
 	}
 	return p.Share < 1 || rt.now().Sub(p.since) < handoverPeriod
 }
@@ -161,11 +198,15 @@
 	known := table.EndpointsByVersion(service)
 	versions := rt.openVersions(service, known)
 	p, ok := rt.policies[service]
+	inUse := rt.inUse[service]
 	if !ok {
+		if inUse != "" {
+			return versions[inUse]
+		}
 		return mostCommonVersion(versions)
 	}
 	if p.Share >= 1 {
-		if list = versions[p.Version]; len(list) > 0 {
+		if list = versions[p.Version]; len(list) > 0 || inUse == p.Version {
 			return list
 		}
 	}
@@ -178,7 +219,7 @@
 		}
 	}
 	for version, endpoints := range versions {
-		if version != p.Version {
+		if version != p.Version && (inUse == "" || inUse == p.Version || version == inUse) {
 			list = append(list[:len(list):len(list)], endpoints...)
 		}
 	}
@@ -200,9 +241,8 @@
 	return float64(high) / unit
 }
 
-// mostCommonVersion returns the endpoints of the version with the most endpoints.
-// Without a rollout, endpoints of any other version either wait for their rollout to be
-// stored or are about to be removed.
+// mostCommonVersion returns the endpoints of the version with the most endpoints, for the
+// time until the version in use is stored.
 func mostCommonVersion(versions map[string][]*placement.Endpoint) []*placement.Endpoint {
 	var best string
 	var list []*placement.Endpoint
--- a/pkg/sidecar/rollouts_test.go
+++ b/pkg/sidecar/rollouts_test.go
@@ -74,3 +74,34 @@
 	rt.step(rollout.Event{Kind: rollout.RolloutsReplaced, Rollouts: []mesh.Rollout{canary}})
 	assert.Equal(t, len(rt.candidates(tableOf(now, "v2"), "s", true)), 0)
 }
+
+// Verifies that a version gets no requests without an order, however many endpoints it has:
+// endpoints of the version in use may leave at any time.
+func TestVersionWithoutOrderGetsNoRequests(t *testing.T) {
+	now := time.Now()
+	log := newEventLog(io.Discard, testOrigin, func() uint64 { return 1 })
+	defer log.close(time.Second)
+	rt := newRolloutTracker(func() time.Time { return now }, log, func() {})
+	order := func(version string, state mesh.RolloutState) {
+		rt.step(rollout.Event{Kind: rollout.RolloutsReplaced, Rollouts: []mesh.Rollout{{Service: "s", Version: version, Duration: 10 * time.Second, State: state}}})
+		now = now.Add(handoverPeriod)
+	}
+	rt.setInUse(rollout.InUse{Service: "s", Version: "v2"})
+	all, others := tableOf(now, "v1", "v2", "v3"), tableOf(now, "v1", "v3")
+	check := func(name string, table *placement.Table, want map[string]int) {
+		t.Helper()
+		assert.DeepEqual(t, countVersions(rt, table, 5), want)
+		for _, version := range []string{"v1", "v3"} {
+			assert.Equal(t, rt.isAllowed("s", version), want[version] > 0 || name == version, name)
+		}
+	}
+	check("no rollout", all, map[string]int{"v2": 5})
+	assert.Equal(t, len(rt.candidates(others, "s", false)), 0)
+	order("v1", mesh.RolloutRolledBack)
+	check("another one rolled back", all, map[string]int{"v2": 5})
+	order("v1", mesh.RolloutRunning)
+	check("v1", all, map[string]int{"v2": 5})
+	order("v2", mesh.RolloutCompleted)
+	check("completed", all, map[string]int{"v2": 5})
+	assert.Equal(t, len(rt.candidates(others, "s", false)), 0)
+}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -30,6 +30,7 @@
 const (
 	instancePrefix = "instance-"
 	rolloutPrefix  = "rollout-"
+	inUsePrefix    = "version-"
 )
 
 // trackedKinds are the kinds of objects that a node follows.
@@ -83,6 +84,9 @@
 	// is set if the node that it follows has lost the store.
 	lostKinds     map[platform.Kind]time.Time
 	isSourceStale bool
+	// inUseDueSince holds since when a version is to be stored as in use. Only
+	// advanceRollouts uses it.
+	inUseDueSince map[rollout.InUse]time.Time
 	// loggedEndpoints and loggedNodes are the counts that were logged last.
 	loggedEndpoints, loggedNodes int
 	// publishWake wakes publish, rolloutWake advanceRollouts, and fetchWake fetchNewer.
@@ -226,7 +230,7 @@
 	case platform.KindConfiguration:
 		return name == t.codec.ConfigurationName() || name == ""
 	case platform.KindMeshState:
-		return strings.HasPrefix(name, instancePrefix) || strings.HasPrefix(name, rolloutPrefix) || name == ""
+		return strings.HasPrefix(name, instancePrefix) || strings.HasPrefix(name, rolloutPrefix) || strings.HasPrefix(name, inUsePrefix) || name == ""
 	}
 	return true
 }
@@ -282,6 +286,15 @@
 			return eris.Errorf("the progress names another service: %.60q", p.Service)
 		}
 		t.progress[o.Name] = p
+	case strings.HasPrefix(o.Name, inUsePrefix):
+		var u rollout.InUse
+		if err := json.Unmarshal(o.Value, &u); err != nil {
+			return eris.Wrap(err, "decode version in use")
+		}
+		if o.Name != inUsePrefix+u.Service || u.Version == "" {
+			return eris.Errorf("the object names another service or no version: %.60q", u.Service)
+		}
+		t.deps.rollouts.setInUse(u)
 	}
 	return nil
 }
--- a/test/sidecar/store_test.go
+++ b/test/sidecar/store_test.go
@@ -310,3 +310,33 @@
 	f.store.SetFault(nil)
 	f.waitUntil("the stored instance entry is read", func() bool { return len(n.log.events("endpoints_restored")) > 0 })
 }
+
+// Endpoints of a new version that wait for their order must get no requests when endpoints
+// of the version in use leave, nor from nodes that have just started.
+func TestVersionWithoutOrderGetsNoRequests(t *testing.T) {
+	f, old, next := rolloutFleet(t, sign)
+	for _, n := range f.nodes {
+		f.waitUntil("the version in use is known", func() bool { return len(n.log.events("version_in_use")) > 0 })
+	}
+	stop := make(chan struct{})
+	failed := f.startLoad(stop, 4)
+	leaving := f.nodes[0]
+	leaving.endpoint.SetState("draining")
+	f.waitUntil("the endpoint has left", func() bool {
+		status, err := leaving.endpoint.Announce(context.Background(), leaving.settings.ControlAddress)
+		return err == nil && status == http.StatusOK
+	})
+	late := f.addNode("d0", &platformtest.Endpoint{ID: "late", Service: "s", Version: "v2"})
+	f.waitUntil("the new node is ready", late.isReady)
+	f.waitUntil("the new node serves requests", func() bool { return late.get("/safe/x", "id").status == http.StatusOK })
+	served := runCount(old)
+	f.waitUntil("the version in use serves", func() bool { return runCount(old) > served+100 })
+	close(stop)
+	assert.DeepEqual(t, failed(), map[int]int{})
+	assert.Equal(t, runCount(append(next, late.endpoint)), 0, "a version without an order got requests")
+
+	leaving.endpoint.Close()
+	f.nodes[2].endpoint.Crash()
+	got := f.nodes[1].get("/safe/x", "none left")
+	assert.Assert(t, got.status != http.StatusOK, "a version without an order got the requests of one without endpoints")
+}
