--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -95,12 +95,14 @@
 	for {
 		c, err := listener.Accept()
 		if err != nil {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.closed {
+			if s.isClosed() {
 				return http.ErrServerClosed
 			}
-			return err
+			if !isTemporary(err) {
+				return err
+			}
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		session := newSession(s, newClientConn(c))
 		s.mu.Lock()
@@ -116,6 +118,12 @@
 	}
 }
 
+func (s *clientServer) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // Shutdown stops accepting connections, closes idle ones and waits for the others until
 // ctx ends.
 func (s *clientServer) Shutdown(ctx context.Context) error {
@@ -471,31 +479,3 @@
 	s.server.handler.ServeHTTP(w, w.request)
 	w.finish()
 }
-
-// setClosing lets no further request start on the connection.
-func (s *session) setClosing() {
-	s.mu.Lock()
-	s.isClosing, s.isLingering = true, true
-	s.mu.Unlock()
-}
-
-func (s *session) setLingering() {
-	s.mu.Lock()
-	s.isLingering = true
-	s.mu.Unlock()
-}
-
-// linger gives the client time to read the last response, then closes the connection.
-func (s *session) linger() {
-	s.setLingering()
-	if tcp, ok := s.conn.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	timer := time.NewTimer(lingerTimeout)
-	defer timer.Stop()
-	select {
-	case <-s.conn.ctx.Done():
-	case <-timer.C:
-	}
-	_ = s.conn.Close()
-}
--- a/pkg/sidecar/clientserver_test.go
+++ b/pkg/sidecar/clientserver_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -246,3 +247,42 @@
 		}
 	}
 }
+
+// failingListener fails with the given errors before it accepts connections.
+type failingListener struct {
+	net.Listener
+	errs []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errs) == 0 {
+		return l.Listener.Accept()
+	}
+	err := l.errs[0]
+	l.errs = l.errs[1:]
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+}
+
+// A server must go on after an error that passes, such as a lack of descriptors. It took no
+// client any more, while the node said that it was ready.
+func TestServerOutlivesTemporaryAcceptErrors(t *testing.T) {
+	server := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
+		func() mesh.Limits { return mesh.Limits{} }, func(reason any, _ []byte) { t.Error(reason) }, func(cutConnection) {})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() {
+		served <- server.Serve(&failingListener{Listener: listener, errs: []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED}})
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.NilError(t, server.Close())
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+}
