--- a/test/sidecar/endless_test.go
+++ b/test/sidecar/endless_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -146,3 +148,85 @@
 		assert.Check(t, err, "%s: the connection is still open", c.name)
 	}
 }
+
+// residentBytes returns the highest resident memory of the process so far.
+func (p *process) residentBytes(t *testing.T) int64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	assert.NilError(t, err)
+	for _, line := range strings.Split(string(status), "\n") {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10
+		}
+	}
+	t.Fatal("the kernel does not report the memory")
+	return 0
+}
+
+// Bytes without end from an endpoint must not fill the memory of the process that called
+// it: the requests of its other clients would end with it. All slots get such a response at
+// the same time, and no client reads.
+func TestEndlessResponsesStayWithinMemory(t *testing.T) {
+	const (
+		slots   = 18
+		clients = 64
+		// maxBytes is the memory of the smallest instances.
+		maxBytes = 184 << 20
+	)
+	for _, c := range []struct {
+		name   string
+		prefix func(r *http.Request) string
+		part   string
+	}{
+		{"no response", func(*http.Request) string { return "" }, "x"},
+		{"fields", func(r *http.Request) string { return signedHeader(r) }, "X-Field: x\r\n"},
+		{"body", func(r *http.Request) string { return signedHeader(r) + "\r\n" }, "x"},
+		{"body with a length", func(r *http.Request) string { return signedHeader(r) + "Content-Length: 100000000000\r\n\r\n" }, "x"},
+		{"chunks", func(r *http.Request) string { return signedHeader(r) + "Transfer-Encoding: chunked\r\n\r\n" }, "1\r\nx\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			e := endpoint("e")
+			e.Slots = slots
+			e.ServeConn = func(conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if strings.HasPrefix(r.URL.Path, "/download/") {
+						writeEndlessly(conn, c.prefix(r), c.part)
+						return
+					}
+					_, _ = io.WriteString(conn, signedHeader(r)+"Content-Length: 2\r\n\r\nok")
+				}
+			}
+			// The node in the fleet only provides the addresses for the process.
+			n := f.addNode("a", e)
+			n.stop()
+			<-n.done
+			p := startProcess(t, settingsText(n))
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f.waitUntil("the process accepts announcements", func() bool {
+				status, err := e.Announce(ctx, n.settings.ControlAddress)
+				return err == nil && status == http.StatusOK
+			})
+			go announceRepeatedly(ctx, n)
+			f.waitUntil("the process serves requests", func() bool { return n.get("/safe/probe", "probe").status == http.StatusOK })
+			for i := range clients {
+				conn := n.dial(t)
+				conn.send(t, "/download/x", fmt.Sprint("endless", i))
+				conn.send(t, "/safe/x", fmt.Sprint("behind", i))
+			}
+			f.waitUntil("other clients are served", func() bool { return n.get("/safe/x", "other").status == http.StatusOK })
+			time.Sleep(2 * time.Second) // The deadline of the requests.
+			f.waitUntil("other clients are served again", func() bool { return n.get("/safe/x", "later").status == http.StatusOK })
+			resident := p.residentBytes(t)
+			t.Logf("%d MB", resident>>20)
+			assert.Assert(t, resident < maxBytes, "%d MB", resident>>20)
+		})
+	}
+}
