Start requests with a body whatever their client does meanwhile

Only a request that waited behind a streamed response may be dropped so, when that response was cut. The others reach the handler, which rejects and logs them, as before.

--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -383,7 +383,8 @@
 			// The body is read from the connection, or the request may not be safe to run
 			// before the earlier requests have been answered.
 			<-w.previousDone
-			if s.conn.ctx.Err() != nil {
+			if mayStartEarly(r) && s.conn.ctx.Err() != nil {
+				// The response before was cut, and the connection with it.
 				close(w.done)
 				end()
 				return
