Mark calls of retried requests, so that the retry budget is charged for theirs

Cause: calls that a retried request makes count as retries at the service that is called.

Change: newCall sets Retry for a retry and for a request taken for one that a retry made.

Evidence: TestRetriedCallsAreMarked failed before.

--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -217,7 +217,7 @@
 			Endpoint: e.ID, Service: e.Service, Version: e.Version, Route: x.route.Name,
 			Fingerprint: x.fingerprint,
 			Caller:      *x.entry.deps.service.Load(), Priority: x.route.Priority, Idempotent: x.route.Kind.Idempotent(),
-			Nested:         x.entry.deps.settings.isSameInstance(x.r.RemoteAddr),
+			Nested: x.isNested(), Retry: isRetry || x.isInduced,
 			TimeoutUs:      x.deadline.Sub(now).Microseconds(),
 			SoftTimeoutUs:  x.started.Add(x.route.TargetLatency).Sub(now).Microseconds(),
 			MaxQueueWaitUs: choice.MaxQueueWait.Microseconds(),
--- a/pkg/sidecar/attempts_test.go
+++ b/pkg/sidecar/attempts_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/gate"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/verdict"
@@ -102,3 +103,34 @@
 		assert.Equal(t, c.Nested, isNested, address)
 	}
 }
+
+// Calls that retried requests make count as retries at the called service. The node of the
+// endpoint can charge them only if the call that it runs says that it is a retry, and the
+// calls that those make in turn.
+func TestRetriedCallsAreMarked(t *testing.T) {
+	log := newEventLog(io.Discard, testOrigin, func() uint64 { return 0 })
+	defer log.close(time.Second)
+	service := "s"
+	deps := &shared{settings: Settings{InboundAddress: "10.0.0.9:1", RetryBudgetRatio: 0.2, RetryBudgetWindow: time.Second}, now: time.Now, log: log}
+	deps.service.Store(&service)
+	deps.rollouts = newRolloutTracker(deps.now, log, func() {})
+	admission := newLocalAdmission(deps)
+	entry := newEntry(deps, admission, nil)
+	queue := gate.NewQueue(1)
+	_, _ = queue.Admit(time.Now(), gate.Request{ID: 1, Deadline: time.Now().Add(time.Minute)})
+	ea := &endpointAdmission{queue: queue}
+	admission.admissions["e"] = ea
+	for _, isRetryRunning := range []bool{false, true} {
+		if isRetryRunning {
+			admission.countRetry(ea, &call{hopMetadata: hopMetadata{Retry: true}}, 1)
+		}
+		for _, isRetry := range []bool{false, true} {
+			r := httptest.NewRequest(http.MethodGet, "/x", nil)
+			r.RemoteAddr = "10.0.0.9:4711"
+			x := &request{entry: entry, r: r, route: &mesh.Route{Kind: mesh.Safe}, service: "t"}
+			x.recordRequest()
+			c := x.newCall(time.Now(), placement.Choice{Endpoint: &placement.Endpoint{}}, isRetry)
+			assert.Equal(t, c.Retry, isRetry || isRetryRunning, "retry %v, made by a retry %v", isRetry, isRetryRunning)
+		}
+	}
+}
