Remove an endpoint that has crashed at once

Callers saw: after the crash of an endpoint, nodes sent requests there until five announcements were missed (7.5 s); each was rejected or went elsewhere after a failed connection. A quarantined sound request whose trial was due at that endpoint waited as long.

Change: the check that finds a crash (the endpoint does not listen any more, and has neither drained nor deregistered) removes the endpoint without a tombstone: should the process live, its next announcement brings it back.

--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -195,6 +195,14 @@
 	delete(r.tombstones, oldest)
 }
 
+// RemoveCrashed removes an endpoint whose process has ended without a word. There is no
+// tombstone: should the process live, it announces itself again.
+func (r *EndpointRegistry) RemoveCrashed(id string, startUnixMs int64) {
+	if e := r.endpoints[id]; e != nil && e.StartUnixMs == startUnixMs {
+		delete(r.endpoints, id)
+	}
+}
+
 // RemoveExpired removes unresponsive endpoints and old tombstones and reports whether
 // the set that takes new requests changed.
 func (r *EndpointRegistry) RemoveExpired(now time.Time) (changed bool) {
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -79,7 +79,12 @@
 }
 
 func newLocalAdmission(deps *shared) *localAdmission {
-	return &localAdmission{deps: deps, registry: mesh.NewEndpointRegistry(deps.settings.HeartbeatInterval), admissions: make(map[string]*endpointAdmission), announcementCounts: make(map[string]announcementCount), readAhead: newReadAheadPool(), crashes: newCrashRecorder(deps)}
+	la := &localAdmission{
+		deps: deps, registry: mesh.NewEndpointRegistry(deps.settings.HeartbeatInterval), admissions: make(map[string]*endpointAdmission),
+		announcementCounts: make(map[string]announcementCount), readAhead: newReadAheadPool(), crashes: newCrashRecorder(deps),
+	}
+	la.crashes.isInUse, la.crashes.onCrash = la.isInUse, la.removeCrashed
+	return la
 }
 
 // deliverDecisions passes decisions of the queue to the calls that wait for them.
@@ -263,7 +268,7 @@
 		la.countRetry(ea, c, -1)
 		if failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil {
 			la.recordOutcome(ea, false)
-			la.crashes.connectionBroke(ea, running, func() bool { return la.isInUse(ea) })
+			la.crashes.connectionBroke(ea, running)
 		} else {
 			la.crashes.end(ea, running, false)
 		}
@@ -282,7 +287,7 @@
 	body := &slotBody{ReadCloser: resp.body}
 	body.onDone = func(complete bool, bytes int64) {
 		if body.isCut && callerCtx.Err() == nil {
-			la.crashes.connectionBroke(ea, running, func() bool { return la.isInUse(ea) })
+			la.crashes.connectionBroke(ea, running)
 		} else {
 			la.crashes.end(ea, running, complete && !resp.notRun)
 		}
@@ -315,15 +320,6 @@
 	return la.crashes.begin(ea, c.Fingerprint, load)
 }
 
-// isInUse reports whether the endpoint has neither drained nor deregistered, and its version
-// takes requests.
-func (la *localAdmission) isInUse(ea *endpointAdmission) bool {
-	la.mu.Lock()
-	isCurrent := la.admissions[ea.endpoint.ID] == ea
-	la.mu.Unlock()
-	return isCurrent && la.deps.rollouts.isAllowed(ea.endpoint.Service, ea.endpoint.Version)
-}
-
 func (la *localAdmission) loadOf(ea *endpointAdmission, route string) placement.Load {
 	la.mu.Lock()
 	defer la.mu.Unlock()
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// isInUse reports whether the endpoint has neither drained nor deregistered, and its version
+// takes requests.
+func (la *localAdmission) isInUse(ea *endpointAdmission) bool {
+	la.mu.Lock()
+	isCurrent := la.admissions[ea.endpoint.ID] == ea
+	la.mu.Unlock()
+	return isCurrent && la.deps.rollouts.isAllowed(ea.endpoint.Service, ea.endpoint.Version)
+}
+
+// removeCrashed removes an endpoint that has crashed. The calls that wait for it can go to
+// another one at once, and other nodes send it no more.
+func (la *localAdmission) removeCrashed(ea *endpointAdmission) {
+	la.mu.Lock()
+	la.registry.RemoveCrashed(ea.endpoint.ID, ea.endpoint.StartUnixMs)
+	la.syncAdmissions()
+	la.mu.Unlock()
+	la.deps.onEndpointsChanged()
+}
+
 // change applies a change to the local endpoints and updates their admission queues.
 func (la *localAdmission) change(event, id, state string, apply func(now time.Time) bool) bool {
 	now := la.deps.now()
--- a/pkg/sidecar/crashes.go
+++ b/pkg/sidecar/crashes.go
@@ -53,6 +53,10 @@
 // is quarantined.
 type crashRecorder struct {
 	deps *shared
+	// isInUse reports whether an endpoint has neither drained nor deregistered, and onCrash is
+	// called after it has crashed.
+	isInUse func(ea *endpointAdmission) bool
+	onCrash func(ea *endpointAdmission)
 	// suspicions is what the entries of all nodes say; nil without any crash.
 	suspicions atomic.Pointer[map[mesh.Fingerprint]quarantine.Suspicion]
 
@@ -178,30 +182,29 @@
 
 // connectionBroke records that the connection of a call broke before the end of its
 // response. If the endpoint does not listen any more, it has crashed.
-func (r *crashRecorder) connectionBroke(ea *endpointAdmission, c *endpointCall, isInUse func() bool) {
+func (r *crashRecorder) connectionBroke(ea *endpointAdmission, c *endpointCall) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.brokenAt = r.deps.now()
 	if !r.isChecking[ea] {
 		r.isChecking[ea] = true
-		go r.check(ea, isInUse)
+		go r.check(ea)
 	}
 }
 
-// check finds out whether an endpoint has crashed. isInUse reports whether the endpoint has
-// neither drained nor deregistered.
-func (r *crashRecorder) check(ea *endpointAdmission, isInUse func() bool) {
+// check finds out whether an endpoint has crashed.
+func (r *crashRecorder) check(ea *endpointAdmission) {
 	hasCrashed := false
 	for _, delay := range crashCheckDelays {
 		time.Sleep(delay)
 		ctx, cancel := context.WithTimeout(context.Background(), endpointDialTimeout)
 		err := ea.pool.EnsureIdleConn(ctx)
 		cancel()
-		if hasCrashed = errors.Is(err, syscall.ECONNREFUSED); hasCrashed || !isInUse() {
+		if hasCrashed = errors.Is(err, syscall.ECONNREFUSED); hasCrashed || !r.isInUse(ea) {
 			break
 		}
 	}
-	hasCrashed = hasCrashed && isInUse()
+	hasCrashed = hasCrashed && r.isInUse(ea)
 	r.mu.Lock()
 	delete(r.isChecking, ea)
 	var broken, suspects []*endpointCall
@@ -219,7 +222,7 @@
 	}
 	r.mu.Unlock()
 	if hasCrashed {
-		r.deps.onEndpointsChanged()
+		r.onCrash(ea)
 	}
 }
 
--- a/test/sidecar/endless_test.go
+++ b/test/sidecar/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -203,19 +202,7 @@
 					_, _ = io.WriteString(conn, signedHeader(r)+"Content-Length: 2\r\n\r\nok")
 				}
 			}
-			// The node in the fleet only provides the addresses for the process.
-			n := f.addNode("a", e)
-			n.stop()
-			<-n.done
-			p := startProcess(t, settingsText(n))
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			f.waitUntil("the process accepts announcements", func() bool {
-				status, err := e.Announce(ctx, n.settings.ControlAddress)
-				return err == nil && status == http.StatusOK
-			})
-			go announceRepeatedly(ctx, n)
-			f.waitUntil("the process serves requests", func() bool { return n.get("/safe/probe", "probe").status == http.StatusOK })
+			n, p := f.addProcess(e)
 			for i := range clients {
 				conn := n.dial(t)
 				conn.send(t, "/download/x", fmt.Sprint("endless", i))
--- a/test/sidecar/program_test.go
+++ b/test/sidecar/program_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/azurespring/azurespring/platform"
+	"github.com/azurespring/azurespring/platform/platformtest"
 )
 
 // buildProgram builds the node's program once for all tests.
@@ -74,6 +75,25 @@
 	return p
 }
 
+// addProcess starts the node of an endpoint as a process and waits until it serves requests.
+// The node in the fleet only provides the addresses.
+func (f *fleet) addProcess(e *platformtest.Endpoint) (*testNode, *process) {
+	f.t.Helper()
+	n := f.addNode("a", e)
+	n.stop()
+	<-n.done
+	p := startProcess(f.t, settingsText(n))
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	f.waitUntil("the process accepts announcements", func() bool {
+		status, err := e.Announce(ctx, n.settings.ControlAddress)
+		return err == nil && status == http.StatusOK
+	})
+	go announceRepeatedly(ctx, n)
+	f.waitUntil("the process serves requests", func() bool { return n.get("/safe/probe", "probe").status == http.StatusOK })
+	return n, p
+}
+
 // Signals during a graceful shutdown must not interrupt requests. If the signal handler
 // is removed after the first signal, a SIGHUP terminates the process at once.
 func TestSignalsDuringShutdownInterruptNoRequest(t *testing.T) {
@@ -87,19 +107,7 @@
 		}
 		e.Sign(w, r)
 	}
-	// The node in the fleet only provides the addresses for the process.
-	n := f.addNode("a", e)
-	n.stop()
-	<-n.done
-	p := startProcess(t, settingsText(n))
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	f.waitUntil("the process accepts announcements", func() bool {
-		status, err := e.Announce(ctx, n.settings.ControlAddress)
-		return err == nil && status == http.StatusOK
-	})
-	go announceRepeatedly(ctx, n)
-	f.waitUntil("the process serves requests", func() bool { return n.get("/safe/probe", "probe").status == http.StatusOK })
+	n, p := f.addProcess(e)
 	heldResult := make(chan result, 1)
 	go func() { heldResult <- n.get("/safe/held", "held") }()
 	<-arrived
--- a/test/sidecar/quarantine_test.go
+++ b/test/sidecar/quarantine_test.go
@@ -122,6 +122,37 @@
 	}
 }
 
+// An endpoint that has crashed must be removed when its connections break, long before its
+// announcements are missed: other nodes would still send requests there.
+func TestCrashedEndpointIsRemovedAtOnce(t *testing.T) {
+	started := make(chan struct{}, 1)
+	f := newCrashingFleet(t, 2, func(e *platformtest.Endpoint, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/unsafe/held" {
+			started <- struct{}{}
+			<-r.Context().Done()
+			return
+		}
+		sign(e, w, r)
+	})
+	done := make(chan result, 1)
+	go func() { done <- f.nodes[0].post("/unsafe/held", "held") }()
+	<-started
+	crashed := f.nodes[0]
+	if f.nodes[1].endpoint.RunCount() > f.nodes[0].endpoint.RunCount() {
+		crashed = f.nodes[1]
+	}
+	assert.Assert(t, crashed.endpoint.Crash())
+	<-done
+	for _, n := range f.nodes {
+		f.waitUntil("the endpoint is removed", func() bool {
+			lines := n.log.events("endpoints_known")
+			return lines[len(lines)-1]["endpoints"] == float64(1)
+		})
+	}
+	assert.Equal(t, len(crashed.log.events("endpoint_silent")), 0, "the endpoint was removed because it was silent")
+	assert.Equal(t, len(crashed.log.events("endpoint_crashed")), 1)
+}
+
 // A request that is always sent together with the cause of the crashes looks the same in the
 // reports. It must be served as soon as it runs alone.
 func TestCompanionOfCrashingRequestIsServed(t *testing.T) {
