Store the version in use again if it was lost or belongs to a rollout that was rolled back

The stored version was not written again after another writer had deleted or spoiled it, so that nodes which start later would have counted endpoints again. And a node that was about to complete a rollout stored its target as in use; had another node rolled the rollout back in that moment, the next order would have left the service without a version.

Measured: the cases of TestVersionInUseChangesByOrder, and TestVersionWithoutOrderGetsNoRequests, which deletes and spoils the object; they pass.

--- a/pkg/mesh/rollout/inuse.go
+++ b/pkg/mesh/rollout/inuse.go
@@ -24,8 +24,10 @@
 
 // ServiceView is what a node knows of the versions of a service.
 type ServiceView struct {
-	// InUse is the stored version; "" if there is none.
-	InUse string
+	// InUse is the version in use; "" if none is known. IsStored is set if it is what the
+	// store holds: another writer may have replaced or deleted it.
+	InUse    string
+	IsStored bool
 	// EndpointCounts holds the number of endpoints by version.
 	EndpointCounts map[string]int
 	// Target and TargetState are those of the service's rollout; "" if there is none.
@@ -36,8 +38,15 @@
 // NextInUse returns the version that is to be stored as in use, and the time for which
 // this must have been so. ok is false if the stored version is right.
 func (v ServiceView) NextInUse() (version string, delay time.Duration, ok bool) {
-	if v.TargetState == mesh.RolloutCompleted {
-		return v.Target, 0, v.InUse != v.Target
+	switch {
+	case v.TargetState == mesh.RolloutCompleted:
+		return v.Target, 0, v.InUse != v.Target || !v.IsStored
+	case v.TargetState == mesh.RolloutRolledBack && v.InUse == v.Target:
+		// One node was about to complete the rollout when another one rolled it back.
+		version = v.mostCommon()
+		return version, 0, version != ""
+	case v.InUse != "" && !v.IsStored:
+		return v.InUse, 0, true
 	}
 	if v.InUse != "" && v.EndpointCounts[v.InUse] > 0 {
 		return "", 0, false
--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -111,12 +111,22 @@
 }
 
 func (t *tracker) writeInUse(ctx context.Context, u rollout.InUse) error {
-	if t.deps.rollouts.versionInUse(u.Service) == u.Version {
+	if t.deps.rollouts.versionInUse(u.Service) == u.Version && t.isInUseStored(u.Service) {
 		return nil
 	}
 	return t.writeMeshState(ctx, inUsePrefix+u.Service, u)
 }
 
+// isInUseStored reports whether the version in use of a service is what was last read from
+// the store.
+func (t *tracker) isInUseStored(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	name := inUsePrefix + service
+	version := t.resourceVersions[platform.KindMeshState][name]
+	return version != "" && t.objects[platform.KindMeshState][name].ResourceVersion == version
+}
+
 // writeMeshState stores an object unless another node has changed it.
 func (t *tracker) writeMeshState(ctx context.Context, name string, content any) error {
 	value, err := json.Marshal(content)
@@ -153,7 +163,7 @@
 	now, table := t.deps.now(), t.deps.table.Load()
 	due := make(map[rollout.InUse]time.Time)
 	for _, service := range table.Services() {
-		version, delay, ok := t.deps.rollouts.serviceView(service, table).NextInUse()
+		version, delay, ok := t.deps.rollouts.serviceView(service, table, t.isInUseStored(service)).NextInUse()
 		if !ok {
 			continue
 		}
--- a/pkg/sidecar/rollouts.go
+++ b/pkg/sidecar/rollouts.go
@@ -72,11 +72,12 @@
 	rt.inUse[u.Service] = u.Version
 }
 
-// serviceView returns what this node knows of the versions of a service.
-func (rt *rolloutTracker) serviceView(service string, table *placement.Table) rollout.ServiceView {
+// serviceView returns what this node knows of the versions of a service. isStored is set if
+// the store holds the version in use.
+func (rt *rolloutTracker) serviceView(service string, table *placement.Table, isStored bool) rollout.ServiceView {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	v := rollout.ServiceView{InUse: rt.inUse[service], EndpointCounts: make(map[string]int)}
+	v := rollout.ServiceView{InUse: rt.inUse[service], IsStored: isStored, EndpointCounts: make(map[string]int)}
 	for version := range table.EndpointsByVersion(service) {
 		v.EndpointCounts[version] = len(table.RankedInstances(service, version))
 	}
--- a/test/sidecar/store_test.go
+++ b/test/sidecar/store_test.go
@@ -318,6 +318,16 @@
 	for _, n := range f.nodes {
 		f.waitUntil("the version in use is known", func() bool { return len(n.log.events("version_in_use")) > 0 })
 	}
+	// Another writer deletes or replaces the stored version. Nodes that start later need it.
+	const kind, name = "azurespring-mesh", "version-s"
+	isStored := func() bool {
+		o, ok := f.store.Get(kind, name)
+		return ok && strings.Contains(string(o.Specification), `"v1"`)
+	}
+	f.store.Delete(kind, name)
+	f.waitUntil("the deleted version is stored again", isStored)
+	f.store.Put(kind, name, `{"service":"s"}`)
+	f.waitUntil("the replaced version is stored again", isStored)
 	stop := make(chan struct{})
 	failed := f.startLoad(stop, 4)
 	leaving := f.nodes[0]
