Let no paused node replace the version in use

A node that sees no endpoint of the version in use for a minute stores another one. What was seen before a gap of 3 s between two looks does not count any more.

Measured: TestPausedNodeDoesNotReplaceVersionInUse failed before (one write after the pause) and passes.

--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -155,12 +155,19 @@
 const (
 	inUsePollInterval = 500 * time.Millisecond
 	inUseRankDelay    = 700 * time.Millisecond
+	// maxInUsePollGap is the time without a look after which what was seen before does not
+	// count: the process may have been paused, and the endpoints may have been back meanwhile.
+	maxInUsePollGap = 3 * time.Second
 )
 
 // storeVersionsInUse stores the version in use of each service for which that is due. The
 // nodes with endpoints of the version are ranked, and each lower rank acts a little later.
 func (t *tracker) storeVersionsInUse(ctx context.Context) {
 	now, table := t.deps.now(), t.deps.table.Load()
+	if now.Sub(t.inUsePolledAt) > maxInUsePollGap {
+		t.inUseDueSince = nil
+	}
+	t.inUsePolledAt = now
 	due := make(map[rollout.InUse]time.Time)
 	for _, service := range table.Services() {
 		version, delay, ok := t.deps.rollouts.serviceView(service, table, t.isInUseStored(service)).NextInUse()
--- a/pkg/sidecar/rollouts_test.go
+++ b/pkg/sidecar/rollouts_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"io"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
+	"github.com/azurespring/azurespring/pkg/platform"
 )
 
 // tableOf returns a table with two endpoints of each version of service s.
@@ -105,3 +107,47 @@
 	check("completed", all, map[string]int{"v2": 5})
 	assert.Equal(t, len(rt.candidates(others, "s", false)), 0)
 }
+
+// Verifies that a process which was paused does not act on what it saw before: the endpoints
+// of the version in use may have been back meanwhile, and its view may be old.
+func TestPausedNodeDoesNotReplaceVersionInUse(t *testing.T) {
+	tr, logText := newTestTracker(t)
+	defer logText()
+	now := time.Now()
+	tr.deps.now = func() time.Time { return now }
+	store := &writeCounter{}
+	tr.store = store
+	tr.replace(platform.KindMeshState, []platform.Object{
+		entryOf(t, "n", 2), stateObject(inUsePrefix+"s", 3, `{"service":"s","version":"gone"}`),
+	})
+	tr.deps.table.Store(placement.NewBuilder(placement.Locality{Instance: "n"}).Build(now, []mesh.Instance{
+		{Name: "n", Address: "10.0.0.9:1", Endpoints: []mesh.Endpoint{{ID: "e", Service: "s", Version: "v", Slots: 1}}},
+	}))
+	for range 10 {
+		tr.storeVersionsInUse(t.Context())
+		now = now.Add(inUsePollInterval)
+	}
+	now = now.Add(2 * time.Minute) // The pause.
+	tr.storeVersionsInUse(t.Context())
+	assert.Equal(t, store.writes, 0)
+	for range int(2 * time.Minute / inUsePollInterval) {
+		now = now.Add(inUsePollInterval)
+		tr.storeVersionsInUse(t.Context())
+	}
+	assert.Assert(t, store.writes > 0, "a version that stays away is never replaced")
+}
+
+// writeCounter counts writes and fails them.
+type writeCounter struct {
+	downStore
+	writes int
+}
+
+func (w *writeCounter) Update(context.Context, platform.Object) (platform.Object, error) {
+	w.writes++
+	return platform.Object{}, platform.ErrConnectFailed
+}
+
+func (w *writeCounter) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	return platform.Object{}, platform.ErrConnectFailed
+}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -84,9 +84,10 @@
 	// is set if the node that it follows has lost the store.
 	lostKinds     map[platform.Kind]time.Time
 	isSourceStale bool
-	// inUseDueSince holds since when a version is to be stored as in use. Only
-	// advanceRollouts uses it.
+	// inUseDueSince holds since when a version is to be stored as in use, and inUsePolledAt
+	// when that was last looked at. Only advanceRollouts uses them.
 	inUseDueSince map[rollout.InUse]time.Time
+	inUsePolledAt time.Time
 	// loggedEndpoints and loggedNodes are the counts that were logged last.
 	loggedEndpoints, loggedNodes int
 	// publishWake wakes publish, rolloutWake advanceRollouts, and fetchWake fetchNewer.
