Remove an endpoint that refuses connections

An endpoint that crashes while it runs nothing breaks no request, so that its node noticed only after five missed announcements (7.5 s). Until then it and other nodes sent requests there, each of which was rejected after a refused connection. A refused connection now starts the same check as a broken one.

Measured: TestEndpointThatRefusesConnectionsIsRemoved failed before (the endpoint was removed as silent) and passes.

--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/azurespring/azurespring/pkg/exchange"
@@ -272,6 +273,9 @@
 		} else {
 			la.crashes.end(ea, running, false)
 		}
+		if errors.Is(failure.Cause, syscall.ECONNREFUSED) {
+			la.crashes.connectionRefused(ea)
+		}
 		la.analyzeFailure(ctx, ea, c, failure, la.deps.now().Sub(started))
 		return nil, la.loadOf(ea, c.Route), failure
 	}
--- a/pkg/sidecar/crashes.go
+++ b/pkg/sidecar/crashes.go
@@ -192,6 +192,17 @@
 	}
 }
 
+// connectionRefused records that an endpoint refused a connection. It may have crashed while
+// it ran nothing.
+func (r *crashRecorder) connectionRefused(ea *endpointAdmission) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isChecking[ea] {
+		r.isChecking[ea] = true
+		go r.check(ea)
+	}
+}
+
 // check finds out whether an endpoint has crashed.
 func (r *crashRecorder) check(ea *endpointAdmission) {
 	hasCrashed := false
--- a/test/sidecar/quarantine_test.go
+++ b/test/sidecar/quarantine_test.go
@@ -153,6 +153,21 @@
 	assert.Equal(t, len(crashed.log.events("endpoint_crashed")), 1)
 }
 
+// An endpoint that has crashed while it ran nothing must be removed at the first request that
+// it refuses.
+func TestEndpointThatRefusesConnectionsIsRemoved(t *testing.T) {
+	f := newCrashingFleet(t, 2, sign)
+	crashed := f.nodes[0]
+	assert.Assert(t, crashed.endpoint.Crash())
+	f.waitUntil("the endpoint is removed", func() bool {
+		crashed.get("/safe/x", "id")
+		lines := f.nodes[1].log.events("endpoints_known")
+		return lines[len(lines)-1]["endpoints"] == float64(1)
+	})
+	assert.Equal(t, len(crashed.log.events("endpoint_silent")), 0, "the endpoint was removed because it was silent")
+	assert.Equal(t, len(crashed.log.events("endpoint_crashed")), 0, "no request was running")
+}
+
 // A request that is always sent together with the cause of the crashes looks the same in the
 // reports. It must be served as soon as it runs alone.
 func TestCompanionOfCrashingRequestIsServed(t *testing.T) {
