Wait for the endpoints in the test of requests that run at other crashes

Traced in the logs of the four nodes: the test crashes all four endpoints within 0.46 s; each is back after 0.3 s and announces itself within another 0.2 s. Since crashed endpoints are removed at once, none was known at the moment of the last request, which was rejected truthfully. The request was not quarantined, which is what the test guards against.

The test now waits until the endpoints have announced themselves again, and also checks that no node has quarantined the request at all, so that it is no less strict. Only the test has changed.

--- a/test/sidecar/quarantine_test.go
+++ b/test/sidecar/quarantine_test.go
@@ -59,6 +59,18 @@
 	})
 }
 
+// waitUntilBack waits until all endpoints run again and their nodes know that.
+func (f *crashingFleet) waitUntilBack() {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		f.waitUntil("the endpoint is back", func() bool {
+			status, err := n.endpoint.Announce(f.t.Context(), n.settings.ControlAddress)
+			return err == nil && status == http.StatusOK
+		})
+	}
+	f.waitUntilReady()
+}
+
 func sign(e *platformtest.Endpoint, w http.ResponseWriter, r *http.Request) {
 	e.Sign(w, r)
 	_, _ = fmt.Fprint(w, e.ID)
@@ -116,9 +128,11 @@
 		assert.Equal(t, got.status, http.StatusBadGateway, got.body)
 	}
 	isReleased.Store("all", true)
+	f.waitUntilBack()
 	for i, n := range f.nodes {
 		got := n.post("/unsafe/slow", fmt.Sprint("again", i))
 		assert.Equal(t, got.status, http.StatusOK, got.body)
+		assert.Equal(t, len(n.log.events("request_quarantined")), 0)
 	}
 }
 
