Decode tenants, regions, cold starts and their bounds

The configuration of two deployments has tenants with keys and quotas, regions that routes and tenants may be served in, and services whose endpoints start cold. None of it was decoded. The fields and settings are read now; what acts on them follows. A key that two tenants hold, and a tenant without a name, reject the configuration.

--- a/pkg/mesh/configuration.go
+++ b/pkg/mesh/configuration.go
@@ -66,6 +66,26 @@
 	Priority int
 	// WeightedServices lists at least one service with a weight above 0.
 	WeightedServices []WeightedService
+	// AllowedRegions lists the regions that may serve the requests; empty means all.
+	AllowedRegions []string
+	// Public is set if requests need no key.
+	Public bool
+}
+
+// Tenant is a customer whose requests carry one of its keys.
+type Tenant struct {
+	Name string
+	// Keys are the secrets that identify the tenant. They must not be logged.
+	Keys []string
+	// Priority ranks the tenant's requests before the priority of their routes; 0 is the
+	// most urgent.
+	Priority int
+	// RatePerSecond and Burst bound the tenant's requests over all nodes; a rate of 0
+	// means no bound.
+	RatePerSecond float64
+	Burst         float64
+	// AllowedRegions lists the regions that may serve the tenant; empty means all.
+	AllowedRegions []string
 }
 
 // Service holds the configured settings of a service.
@@ -73,6 +93,12 @@
 	Name string
 	// MaxConnections bounds the connections to one endpoint; 0 means no bound.
 	MaxConnections int
+	// HealthCheckPath is the path of an endpoint's health check; "" if there is none.
+	HealthCheckPath string
+	// ColdStart is the time after its start for which an endpoint is cold, and
+	// ColdPerSecond the requests per second that it withstands meanwhile; 0 means no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Limits bounds the requests and connections of clients.
@@ -89,6 +115,9 @@
 	Limits   Limits
 	Routes   []Route
 	Services []Service
+	// Tenants lists the tenants; if there are any, requests need a key unless their route
+	// is public.
+	Tenants []Tenant
 }
 
 // Snapshot is a validated, immutable configuration.
@@ -112,6 +141,9 @@
 		}
 		s.hosts[route.Host] = append(s.hosts[route.Host], route)
 	}
+	if err := validateTenants(c.Tenants); err != nil {
+		return nil, eris.Wrapf(err, "version %d", c.Version)
+	}
 	for _, routes := range s.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
@@ -138,12 +170,39 @@
 	return nil
 }
 
+// validateTenants rejects tenants that cannot be told apart: a key that two of them hold
+// would give the requests of one to the other.
+func validateTenants(tenants []Tenant) error {
+	names, holders := make(map[string]bool, len(tenants)), make(map[string]string)
+	for _, t := range tenants {
+		switch {
+		case t.Name == "":
+			return eris.New("a tenant has no name")
+		case names[t.Name]:
+			return eris.Errorf("tenant %q is defined twice", t.Name)
+		case t.RatePerSecond < 0 || t.Burst < 0:
+			return eris.Errorf("tenant %q has a negative rate or burst", t.Name)
+		}
+		names[t.Name] = true
+		for _, key := range t.Keys {
+			if holder, ok := holders[key]; ok && holder != t.Name {
+				return eris.Errorf("tenants %q and %q hold the same key", holder, t.Name)
+			}
+			holders[key] = t.Name
+		}
+	}
+	return nil
+}
+
 // Version returns the version of the configuration.
 func (s *Snapshot) Version() uint64 { return s.configuration.Version }
 
 // Limits returns the limits for clients.
 func (s *Snapshot) Limits() Limits { return s.configuration.Limits }
 
+// Tenants returns the tenants of the configuration. They must not be changed.
+func (s *Snapshot) Tenants() []Tenant { return s.configuration.Tenants }
+
 // Service returns the service called name, or nil.
 func (s *Snapshot) Service(name string) *Service { return s.services[name] }
 
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -31,6 +31,9 @@
 	// KindRolloutState is the state of the rollout of the same name. It supports only
 	// Update; its resource version is that of the rollout.
 	KindRolloutState Kind = "rolloutstate"
+	// KindEvacuation holds one object for each failure domain whose endpoints must get no
+	// requests.
+	KindEvacuation Kind = "evacuation"
 	// KindMeshState holds the state that nodes share: instance entries and the progress
 	// of rollouts.
 	KindMeshState Kind = "meshstate"
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -145,6 +145,9 @@
 	return x.mayRetry()
 }
 
+// eligible returns the candidates that the request may be sent to.
+func (x *request) eligible(candidates []*placement.Endpoint) []*placement.Endpoint { return candidates }
+
 // isLate reports whether the soft deadline of the request has passed.
 func (x *request) isLate() bool {
 	return x.entry.deps.now().After(x.started.Add(x.route.TargetLatency))
@@ -164,7 +167,7 @@
 		}
 		candidates = table.InstanceEndpoints(x.service, s.TrialInstance)
 	}
-	choice, ok := placement.Choose(now, candidates, placement.Request{
+	choice, ok := placement.Choose(now, x.eligible(candidates), placement.Request{
 		Route: x.route.Name, Kind: x.route.Kind, Timeout: remaining, SoftTimeout: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.attempted, Rejections: x.rejectedBy,
 	})
 	if !ok {
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -57,9 +57,11 @@
 
 	snapshot *mesh.Snapshot
 	route    *mesh.Route
-	service  string
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// tenant is nil for requests without a tenant.
+	tenant  *mesh.Tenant
+	service string
+	ctx     context.Context
+	cancel  context.CancelFunc
 	// deadline is that of the attempts. It is earlier than that of ctx if the node shuts
 	// down before.
 	deadline      time.Time
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -49,8 +49,29 @@
 	RetryBudgetWindow time.Duration
 	RetryBudgetSlack  float64
 
+	// EvacuationTimeout is the time within which a stored evacuation of a failure domain
+	// must be in force; 0 if the deployment has none.
+	EvacuationTimeout time.Duration
+	// ColdOverage and ColdSlack bound the requests that a cold endpoint may get in one
+	// second: ColdPerSecond of its service times ColdOverage, plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
+	// FailClosed is set if a node that has not been sure of its configuration for
+	// RevokeTimeout must not accept keys.
+	FailClosed    bool
+	RevokeTimeout time.Duration
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of a tenant over all
+	// nodes: in each window, (rate * window + burst) * (1 + QuotaOverage) + QuotaSlack.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+	// ZoneRegions maps each failure domain to its region; nil if unknown.
+	ZoneRegions map[string]string
+
 	Cores       int
 	MemoryBytes int64
+	// FileDescriptors is the number of descriptors that the process may open; 0 if unknown.
+	FileDescriptors int
 	// LinkBytesPerSecond is the bandwidth of the instance's own link; 0 if unknown.
 	LinkBytesPerSecond float64
 }
@@ -81,6 +102,16 @@
 	// CallerService names the service of the instance where the request entered the
 	// mesh.
 	CallerService string
+	// Authorization holds the scheme KeyScheme and the key of a tenant.
+	Authorization string
+	KeyScheme     string
+	// Tenant names the tenant of a request to its endpoint.
+	Tenant string
+	// ServerLoad holds the load of an endpoint.
+	ServerLoad string
+	// ColdRemaining holds the milliseconds for which an endpoint stays cold, in responses
+	// to health checks.
+	ColdRemaining string
 }
 
 // Defaults for deployments that do not set these values, taken from the existing
