Keep what the store has lost after it comes back from an older copy

A restored store gives revisions out again and says so by an era. All versions were taken to grow only: watches missed changes, conditional writes could match another state, configurations and rollouts went back. Resource versions now hold era and revision, so that they stay ordered. In a new era nodes list again, go on with what the store has lost, and store their entries, versions in use, progress and decided states again.

--- a/pkg/mesh/rollout/inuse.go
+++ b/pkg/mesh/rollout/inuse.go
@@ -11,6 +11,8 @@
 type InUse struct {
 	Service string `json:"service"`
 	Version string `json:"version"`
+	// Era is the era of the store in which the object was written.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Times after which the version in use is stored.
--- a/pkg/mesh/rollout/statemachine.go
+++ b/pkg/mesh/rollout/statemachine.go
@@ -50,6 +50,8 @@
 	Phase   Phase  `json:"phase"`
 	// StartedUnixMs is when the rollout was first seen, in Unix milliseconds.
 	StartedUnixMs int64 `json:"startedMs"`
+	// Era is the era of the store in which the object was written.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Policy determines which version of a service a request may be sent to.
@@ -80,6 +82,8 @@
 type Event struct {
 	Kind     EventKind
 	Rollouts []mesh.Rollout
+	// Era is the era of the store in which Rollouts were read.
+	Era      uint64
 	Progress Progress
 	// Service and Version identify the rollout of VersionFailed.
 	Service string
@@ -97,6 +101,9 @@
 	Rank int
 	// ResultCount is the number of results in the local analysis.
 	ResultCount int
+	// RestoreRank orders the nodes that may write a decided state again after the store
+	// has lost it; -1 for other nodes.
+	RestoreRank int
 }
 
 // EffectKind says what an Effect asks for.
@@ -124,8 +131,18 @@
 // not safe for concurrent use.
 //
 // Invariants: a version that failed its analysis gets no more requests from this node;
-// no rollout is completed before the shift has lasted minShiftDuration.
-type StateMachine struct{ rollouts map[string]*trackedRollout }
+// no rollout is completed before the shift has lasted minShiftDuration. A state that was
+// decided holds after the store has been restored from a copy that lacks it.
+type StateMachine struct {
+	rollouts map[string]*trackedRollout
+	// era is that of the rollouts that were read last, restoredAt when it rose.
+	era        uint64
+	restoredAt time.Time
+}
+
+// restorePeriod is the time after the store has been restored in which operators and nodes
+// write again what it has lost.
+const restorePeriod = 30 * time.Second
 
 type trackedRollout struct {
 	rollout mesh.Rollout
@@ -135,6 +152,18 @@
 	shiftedAt time.Time
 	failed    bool
 	lastWrite time.Time
+	// lostState is the decided state that the store has lost; "" if it has not. isMissing
+	// is set while the store lacks the rollout itself.
+	lostState mesh.RolloutState
+	isMissing bool
+}
+
+// state returns the state of the rollout, also if the store has lost it.
+func (t *trackedRollout) state() mesh.RolloutState {
+	if t.lostState != "" {
+		return t.lostState
+	}
+	return t.rollout.State
 }
 
 // NewStateMachine returns a state machine without rollouts.
@@ -146,7 +175,7 @@
 func (m *StateMachine) Step(now time.Time, event Event) []Effect {
 	switch event.Kind {
 	case RolloutsReplaced:
-		m.replaceRollouts(now, event.Rollouts)
+		m.replaceRollouts(now, event.Rollouts, event.Era)
 	case ProgressRead:
 		m.applyProgress(now, event)
 	case VersionFailed:
@@ -160,7 +189,13 @@
 	return nil
 }
 
-func (m *StateMachine) replaceRollouts(now time.Time, rollouts []mesh.Rollout) {
+func (m *StateMachine) replaceRollouts(now time.Time, rollouts []mesh.Rollout, era uint64) {
+	if era > m.era {
+		if m.era > 0 {
+			m.restoredAt = now
+		}
+		m.era = era
+	}
 	seen := make(map[string]bool, len(rollouts))
 	for _, r := range rollouts {
 		seen[r.Service] = true
@@ -169,15 +204,34 @@
 			t = &trackedRollout{startedAt: now, phase: Canary}
 			m.rollouts[r.Service] = t
 		}
-		t.rollout = r
+		switch {
+		case r.State.Terminal():
+			t.lostState = ""
+		case m.isRestoring(now) && t.rollout.State.Terminal():
+			t.lostState = t.rollout.State
+		}
+		t.rollout, t.isMissing = r, false
 	}
-	for service := range m.rollouts {
-		if !seen[service] {
+	for service, t := range m.rollouts {
+		switch {
+		case seen[service]:
+		case m.isRestoring(now):
+			// The operator writes the rollout again.
+			t.lostState, t.isMissing = t.state(), true
+			if !t.lostState.Terminal() {
+				t.lostState = ""
+			}
+		default:
 			delete(m.rollouts, service)
 		}
 	}
 }
 
+// isRestoring reports whether the store has been restored a short time ago.
+func (m *StateMachine) isRestoring(now time.Time) bool {
+	return !m.restoredAt.IsZero() && now.Sub(m.restoredAt) < restorePeriod
+}
+
 func (m *StateMachine) applyProgress(now time.Time, event Event) {
 	p := event.Progress
 	t := m.rollouts[p.Service]
@@ -201,9 +255,9 @@
 	for service, t := range m.rollouts {
 		p := Policy{Version: t.rollout.Version, Share: CanaryShare}
 		switch {
-		case t.rollout.State == mesh.RolloutCompleted:
+		case t.state() == mesh.RolloutCompleted:
 			p.Share = 1
-		case t.rollout.State == mesh.RolloutRolledBack || t.failed:
+		case t.state() == mesh.RolloutRolledBack || t.failed:
 			p.Share = 0
 		case t.phase == Shift:
 			p.Share = 1
@@ -219,31 +273,53 @@
 	if t == nil {
 		return mesh.Rollout{}, false
 	}
-	return t.rollout, true
+	r = t.rollout
+	r.State = t.state()
+	return r, true
 }
 
 // Active returns the rollouts that are neither completed nor rolled back.
 func (m *StateMachine) Active() []mesh.Rollout {
 	var active []mesh.Rollout
 	for _, t := range m.rollouts {
-		if !t.rollout.State.Terminal() {
+		if !t.state().Terminal() {
 			active = append(active, t.rollout)
 		}
 	}
 	return active
 }
 
+// Unstored returns the rollouts whose decided state the store has lost.
+func (m *StateMachine) Unstored() []mesh.Rollout {
+	var unstored []mesh.Rollout
+	for _, t := range m.rollouts {
+		if t.lostState != "" && !t.isMissing {
+			unstored = append(unstored, t.rollout)
+		}
+	}
+	return unstored
+}
+
 func (m *StateMachine) tick(now time.Time, event Event) []Effect {
 	var effects []Effect
 	for service, t := range m.rollouts {
-		if t.rollout.State.Terminal() || now.Sub(t.lastWrite) < writeRetryDelay {
+		if t.isMissing && !m.isRestoring(now) {
+			delete(m.rollouts, service)
+			continue
+		}
+		if t.rollout.State.Terminal() || t.isMissing || now.Sub(t.lastWrite) < writeRetryDelay {
 			continue
 		}
 		role, ok := event.Roles[service]
 		if !ok {
-			role.Rank = -1
+			role.Rank, role.RestoreRank = -1, -1
+		}
+		var due []Effect
+		if t.lostState != "" {
+			due = t.restoreEffects(now.Sub(m.restoredAt), role)
+		} else {
+			due = t.dueEffects(now, role)
 		}
-		due := t.dueEffects(now, role)
 		if len(due) == 0 {
 			continue
 		}
@@ -260,6 +336,15 @@
 	return effects
 }
 
+// restoreEffects returns the write of a decided state that the store has lost. elapsed is
+// the time since the store was restored.
+func (t *trackedRollout) restoreEffects(elapsed time.Duration, role NodeRole) []Effect {
+	if role.RestoreRank < 0 || elapsed < time.Duration(role.RestoreRank)*rankDelay {
+		return nil
+	}
+	return []Effect{{Kind: WriteState, State: t.lostState, Reason: "the store has lost the state"}}
+}
+
 // dueEffects returns the writes that are due at a node with the given role.
 func (t *trackedRollout) dueEffects(now time.Time, role NodeRole) []Effect {
 	if t.failed {
@@ -282,7 +367,7 @@
 	case t.rollout.State == "" && elapsed >= 0:
 		return []Effect{
 			{Kind: WriteState, State: mesh.RolloutRunning, Reason: "the rollout is new"},
-			{Kind: WriteProgress, Progress: Progress{Phase: Canary}, Reason: "the rollout is new"},
+			{Kind: WriteProgress, Progress: Progress{Phase: t.phase}, Reason: "the rollout is new"},
 		}
 	}
 	return nil
--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -23,7 +23,7 @@
 	for {
 		active := t.deps.rollouts.activeRollouts()
 		wait := time.Hour
-		if len(active) > 0 {
+		if len(active) > 0 || t.deps.rollouts.hasUnstored() {
 			wait = rolloutPollInterval
 		} else if len(t.inUseDueSince) > 0 {
 			wait = inUsePollInterval
@@ -41,6 +41,7 @@
 			continue
 		}
 		t.storeVersionsInUse(ctx)
+		t.rewriteProgress(ctx)
 		effects := t.deps.rollouts.step(rollout.Event{Kind: rollout.Tick, Roles: t.rolloutRoles()})
 		for _, effect := range effects {
 			t.execute(ctx, effect)
@@ -58,6 +59,14 @@
 			ResultCount: t.admission.analyzedResults(r.Service, r.Version),
 		}
 	}
+	for _, r := range t.deps.rollouts.unstoredRollouts() {
+		ranked := table.RankedInstances(r.Service, r.Version)
+		if len(ranked) == 0 {
+			// The endpoints of a version that was rolled back are gone.
+			ranked = table.RankedInstances(r.Service, t.deps.rollouts.versionInUse(r.Service))
+		}
+		rolloutRoles[r.Service] = rollout.NodeRole{Rank: -1, RestoreRank: slices.Index(ranked, t.deps.settings.Instance)}
+	}
 	return rolloutRoles
 }
 
@@ -107,6 +116,7 @@
 }
 
 func (t *tracker) writeProgress(ctx context.Context, p rollout.Progress) error {
+	p.Era = t.storeEra()
 	return t.writeMeshState(ctx, rolloutPrefix+p.Service, p)
 }
 
@@ -114,6 +124,7 @@
 	if t.deps.rollouts.versionInUse(u.Service) == u.Version && t.isInUseStored(u.Service) {
 		return nil
 	}
+	u.Era = t.storeEra()
 	return t.writeMeshState(ctx, inUsePrefix+u.Service, u)
 }
 
@@ -124,6 +135,9 @@
 	defer t.mu.Unlock()
 	name := inUsePrefix + service
 	version := t.resourceVersions[platform.KindMeshState][name]
+	if _, isLost := t.lostWrites[name]; isLost {
+		return false
+	}
 	return version != "" && t.objects[platform.KindMeshState][name].ResourceVersion == version
 }
 
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -23,7 +23,7 @@
 	crashes, acquittals := t.admission.crashes.toPublish()
 	return mesh.Instance{
 		Name: s.Instance, Address: s.InboundAddress, FailureDomain: s.FailureDomain, Region: s.Region, Endpoints: endpoints, EndedEndpoints: ended,
-		Crashes: crashes, Acquittals: acquittals,
+		Crashes: crashes, Acquittals: acquittals, Era: t.eras[platform.KindMeshState],
 	}
 }
 
@@ -156,7 +156,7 @@
 }
 
 // sameEntry reports whether two instance entries are equal, ignoring the remaining
-// warm-up times.
+// warm-up times and the era in which they were written.
 func sameEntry(a, b mesh.Instance) bool {
 	if a.Stopping != b.Stopping || a.Address != b.Address || a.FailureDomain != b.FailureDomain || a.Region != b.Region {
 		return false
--- /dev/null
+++ b/pkg/sidecar/restore_test.go
@@ -0,0 +1,96 @@
+package sidecar
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/platform"
+)
+
+// inEra returns o as it is read in an era of the store.
+func inEra(era uint64, o platform.Object) platform.Object {
+	o.ResourceVersion = strconv.FormatUint(platform.JoinVersion(era, parseRevision(o.ResourceVersion)), 10)
+	return o
+}
+
+// list applies a list that was read in an era up to a revision.
+func (t *tracker) list(kind platform.Kind, era, revision uint64, objects ...platform.Object) {
+	t.replaceView(kind, objects, platform.JoinVersion(era, revision))
+	t.refresh(kind)
+}
+
+// Endpoints must stay known after the store was restored from a copy without their
+// entries, so that requests go on, until their nodes had time to store them again. What
+// the copy says instead must not be used before.
+func TestEntriesThatTheStoreLostAreUsedForSomeTime(t *testing.T) {
+	tracker, logText := newTestTracker(t)
+	now := time.Now()
+	tracker.deps.now = func() time.Time { return now }
+	stale := stateObject(instancePrefix+"b", 3, `{"name":"b","address":"10.0.0.1:80","failureDomain":"d","region":"r","endpoints":[{"id":"old","service":"s","version":"v","slots":4}]}`)
+	tracker.list(platform.KindMeshState, 1, 10, inEra(1, entryOf(t, "a", 7)), inEra(1, entryOf(t, "b", 8)), inEra(1, entryOf(t, "c", 2)))
+	tracker.list(platform.KindMeshState, 2, 5, inEra(2, stale), inEra(2, entryOf(t, "c", 2)))
+	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true, "e-b": true, "e-c": true})
+
+	// Its node stores the entry again, with a revision below that of before.
+	again, err := mesh.Instance{Name: "a", Address: "10.0.0.1:80", FailureDomain: "d", Region: "r", Era: 2}.Encode()
+	assert.NilError(t, err)
+	tracker.applyPut(inEra(2, stateObject(instancePrefix+"a", 6, string(again))))
+	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-b": true, "e-c": true})
+	now = now.Add(lostWritePeriod)
+	_, expired := tracker.takeExpiredLostWrites()
+	assert.Assert(t, expired)
+	tracker.refresh(platform.KindMeshState)
+	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"old": true, "e-c": true})
+	assert.Assert(t, len(logText()) > 0)
+}
+
+// The active configuration must not go back, and other nodes must get the newer one from
+// here, until the operator has written it again.
+func TestConfigurationOutlivesRestoredStore(t *testing.T) {
+	tracker, _ := newTestTracker(t)
+	configuration := func(version string, revision int) platform.Object {
+		return platform.Object{
+			Kind: platform.KindConfiguration, Name: "main", ResourceVersion: strconv.Itoa(revision), Value: []byte(`{"Version":` + version + `}`),
+		}
+	}
+	tracker.list(platform.KindConfiguration, 1, 10, inEra(1, configuration("7", 9)))
+	tracker.list(platform.KindConfiguration, 2, 5, inEra(2, configuration("6", 4)))
+	assert.Equal(t, tracker.deps.configVersion(), uint64(7))
+	changes, _ := tracker.changesSince(map[platform.Kind]uint64{platform.KindConfiguration: platform.JoinVersion(1, 8)})
+	assert.Equal(t, len(changes), 1)
+	assert.Assert(t, changes[0].IsFull)
+	assert.Equal(t, string(changes[0].Objects[0].Value), `{"Version":7}`)
+	tracker.applyPut(inEra(2, configuration("8", 6)))
+	assert.Equal(t, tracker.deps.configVersion(), uint64(8))
+}
+
+// The version in use must not go back with the store, and must count as not stored so that
+// it is stored again.
+func TestVersionInUseOutlivesRestoredStore(t *testing.T) {
+	for _, listed := range [][]platform.Object{nil, {inEra(2, stateObject(inUsePrefix+"s", 3, `{"service":"s","version":"v1"}`))}} {
+		tracker, _ := newTestTracker(t)
+		tracker.list(platform.KindMeshState, 1, 10, inEra(1, stateObject(inUsePrefix+"s", 9, `{"service":"s","version":"v2","era":1}`)))
+		assert.Assert(t, tracker.isInUseStored("s"))
+		tracker.list(platform.KindMeshState, 2, 5, listed...)
+		assert.Equal(t, tracker.deps.rollouts.versionInUse("s"), "v2")
+		assert.Assert(t, !tracker.isInUseStored("s"))
+		tracker.applyPut(inEra(2, stateObject(inUsePrefix+"s", 6, `{"service":"s","version":"v2","era":2}`)))
+		assert.Assert(t, tracker.isInUseStored("s"))
+	}
+}
+
+// This node's own entry must be compared with what the store has, and stored again.
+func TestOwnEntryIsStoredAgainAfterRestore(t *testing.T) {
+	tracker, _ := newTestTracker(t)
+	tracker.admission.restore(mesh.Instance{})
+	tracker.list(platform.KindMeshState, 1, 10, inEra(1, entryOf(t, "n", 9)))
+	for len(tracker.publishWake) > 0 {
+		<-tracker.publishWake
+	}
+	tracker.list(platform.KindMeshState, 2, 5)
+	assert.Equal(t, len(tracker.publishWake), 1, "the lost entry is not published")
+}
--- a/pkg/sidecar/rollouts.go
+++ b/pkg/sidecar/rollouts.go
@@ -130,6 +130,15 @@
 	return rt.machine.Active()
 }
 
+// unstoredRollouts returns the rollouts whose decided state the store has lost.
+func (rt *rolloutTracker) unstoredRollouts() []mesh.Rollout {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.machine.Unstored()
+}
+
+func (rt *rolloutTracker) hasUnstored() bool { return len(rt.unstoredRollouts()) > 0 }
+
 // isAllowed reports whether endpoints of the version take requests.
 func (rt *rolloutTracker) isAllowed(service, version string) bool {
 	rt.mu.Lock()
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -82,8 +82,13 @@
 	frames      frameCache
 	// lostKinds holds since when this node, as a reader, cannot read a kind. isSourceStale
 	// is set if the node that it follows has lost the store.
-	lostKinds     map[platform.Kind]time.Time
-	isSourceStale bool
+	lostKinds map[platform.Kind]time.Time
+	// eras holds the era of the store in which the view of a kind was read, and lostWrites,
+	// by name, the mesh state that is used although the store has lost it.
+	eras           map[platform.Kind]uint64
+	lostWrites     map[string]lostWrite
+	lostWritesWake chan struct{}
+	isSourceStale  bool
 	// inUseDueSince holds since when a version is to be stored as in use, and inUsePolledAt
 	// when that was last looked at. Only advanceRollouts uses them.
 	inUseDueSince map[rollout.InUse]time.Time
@@ -113,6 +118,7 @@
 		loadedKinds: make(map[platform.Kind]bool),
 		asOf:        make(map[platform.Kind]uint64), removals: make(map[platform.Kind]map[string]uint64),
 		removalsFrom: make(map[platform.Kind]uint64), viewChanged: make(chan struct{}), lostKinds: make(map[platform.Kind]time.Time),
+		eras: make(map[platform.Kind]uint64), lostWrites: make(map[string]lostWrite), lostWritesWake: make(chan struct{}, 1),
 		upstream:    upstream.NewSelector(deps.settings.Instance),
 		publishWake: make(chan struct{}, 1), rolloutWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), published: make(chan struct{}),
 	}
@@ -139,6 +145,7 @@
 	running.Go(func() { t.publish(ctx) })
 	running.Go(func() { t.advanceRollouts(ctx) })
 	running.Go(func() { t.fetchNewer(ctx) })
+	running.Go(func() { t.expireLostWrites(ctx) })
 	running.Wait()
 }
 
@@ -163,6 +170,7 @@
 	if asOf > 0 && asOf < t.asOf[kind] {
 		return
 	}
+	isRestored := t.beginEra(kind, asOf)
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
@@ -170,7 +178,13 @@
 	}
 	for name, version := range t.resourceVersions[kind] {
 		// An object that this node wrote after the list was made is not in it.
-		if !listed[name] && (asOf == 0 || parseRevision(version) <= asOf) {
+		switch {
+		case listed[name] || asOf > 0 && parseRevision(version) > asOf:
+		case isRestored && t.keepsLostWrites(kind, name):
+			delete(t.objects[kind], name)
+			delete(t.resourceVersions[kind], name)
+			t.keepLostWrite(name, nil)
+		default:
 			t.remove(kind, name)
 			t.recordRemoval(kind, name, asOf)
 		}
@@ -209,10 +223,16 @@
 	if read != "" && (o.ResourceVersion == read || isOlder(o.ResourceVersion, read)) {
 		return // This or a newer version was read in the meantime.
 	}
+	isLost := t.isLostWrite(kind, o, read)
 	t.resourceVersions[kind][o.Name] = o.ResourceVersion
 	if !t.isUsed(kind, o.Name) {
 		return
 	}
+	if isLost {
+		t.objects[kind][o.Name] = o
+		t.keepLostWrite(o.Name, &o)
+		return
+	}
 	err := t.decode(kind, o)
 	if kind == platform.KindMeshState && o.Name == t.entryName() {
 		t.recordOwnEntry(err)
@@ -221,7 +241,25 @@
 		t.deps.log.event("object_refused", fields{"kind": string(kind), "name": o.Name, "revision": o.ResourceVersion, "error": err.Error()})
 		return
 	}
+	if known, ok := t.objects[kind][o.Name]; ok && kind == platform.KindConfiguration && t.isRestoredConfiguration(o, known) {
+		// The operator writes the newer configuration again. Until then, nodes that follow
+		// this one get it from here.
+		o.Value = known.Value
+	}
 	t.objects[kind][o.Name] = o
+	if kind == platform.KindMeshState {
+		delete(t.lostWrites, o.Name)
+	}
+}
+
+// isRestoredConfiguration reports whether o is a configuration below the known one, read
+// from a store that was restored.
+func (t *tracker) isRestoredConfiguration(o, known platform.Object) bool {
+	if platform.EraOf(o.ResourceVersion) <= platform.EraOf(known.ResourceVersion) {
+		return false
+	}
+	read, err := t.codec.DecodeConfiguration(o.Value)
+	return err == nil && read.Version < t.deps.configVersion()
 }
 
 // isUsed reports whether nodes use an object of the given name. One without a name is
@@ -307,6 +345,7 @@
 	case platform.KindRollout:
 		delete(t.rollouts, name)
 	case platform.KindMeshState:
+		delete(t.lostWrites, name)
 		delete(t.instances, name)
 		delete(t.progress, name)
 		if name == t.entryName() && !t.deps.isShuttingDown() {
@@ -351,8 +390,9 @@
 		for _, p := range t.progress {
 			progress = append(progress, p)
 		}
+		era := t.eras[platform.KindRollout]
 		t.mu.Unlock()
-		t.deps.rollouts.step(rollout.Event{Kind: rollout.RolloutsReplaced, Rollouts: rollouts})
+		t.deps.rollouts.step(rollout.Event{Kind: rollout.RolloutsReplaced, Rollouts: rollouts, Era: era})
 		for _, p := range progress {
 			t.deps.rollouts.step(rollout.Event{Kind: rollout.ProgressRead, Progress: p})
 		}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -83,6 +83,7 @@
 
 func newFleet(t *testing.T, programPath string, size int, seed uint64) (*fleet, error) {
 	f := &fleet{programPath: programPath, store: platformtest.NewStore(), requestLog: newRequestLog(), logf: t.Logf, errorf: t.Errorf}
+	f.store.BeginEras()
 	f.storeConfiguration(defaultLimits)
 	dir := t.TempDir()
 	// An address per process and seed keeps the ports of concurrent runs apart.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -103,6 +103,8 @@
 		time.Sleep(*faultDuration / 3)
 		f.inject(planned, plannedChanges)
 	})
+	restores := rand.New(rand.NewPCG(seed, 3))
+	changes.Go(func() { f.restoreStore(restores) })
 	f.inject(r, faults)
 	changes.Wait()
 	cancelSlow()
@@ -284,6 +286,17 @@
 	inst.fleet.store.CompactHistory()
 }
 
+// restoreStore lets the store come back from a copy that is up to two seconds old. The
+// operator writes the configuration again soon after.
+func (f *fleet) restoreStore(r *rand.Rand) {
+	time.Sleep(time.Duration(r.Int64N(int64(*faultDuration / 2))))
+	saved := f.store.Copy()
+	time.Sleep(time.Duration(r.Int64N(int64(2 * time.Second))))
+	f.store.Restore(saved)
+	time.Sleep(time.Duration(r.Int64N(int64(300 * time.Millisecond))))
+	f.storeConfiguration(defaultLimits)
+}
+
 func (inst *instance) injectProxyFaults(p *faultproxy.TCPProxy, duration time.Duration, c faultproxy.TCPFaults) {
 	inst.runUnplannedFault(func() {
 		p.SetFaults(c)
