Check a configuration of the users' platform before it is stored

Operators learn of a fault only from the logs of nodes, after the store has accepted the configuration, and of entries without effect never. azurespringctl check shows errors, entries that can never match, limits that contradict each other, and what differs from the version in force.

--- a/cmd/azurespringctl/main.go
+++ b/cmd/azurespringctl/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := ctl.Run(ctx, ctl.Invocation{Args: os.Args[1:], Env: os.Environ(), Stdout: os.Stdout, Stderr: os.Stderr})
+	code := ctl.Run(ctx, ctl.Invocation{Args: os.Args[1:], Env: os.Environ(), Stdout: os.Stdout, Stderr: os.Stderr, Platform: platformConfigurations{}})
 	stop()
 	os.Exit(code)
 }
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/azurespring/azurespring/pkg/config/static"
+	"github.com/azurespring/azurespring/pkg/mesh"
 )
 
 // ProgramName is the name of the command.
@@ -23,6 +24,16 @@
 	Env    []string
 	Stdout io.Writer
 	Stderr io.Writer
+	// Platform reads configurations of the users' platform; nil if the command has none.
+	Platform PlatformConfigurations
+}
+
+// PlatformConfigurations reads the configurations of the users' platform.
+type PlatformConfigurations interface {
+	// Decode decodes a configuration document.
+	Decode(document []byte) (mesh.Configuration, error)
+	// InForce reads the configuration that the store at address holds.
+	InForce(ctx context.Context, address string) (mesh.Configuration, error)
 }
 
 // command describes one subcommand.
@@ -45,7 +56,7 @@
 
 func commands() []command {
 	return []command{
-		validateCommand, applyCommand, getCommand, movesCommand, reportCommand, timelineCommand,
+		validateCommand, checkCommand, applyCommand, getCommand, movesCommand, reportCommand, timelineCommand,
 		versionCommand, completionCommand,
 	}
 }
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -352,7 +352,7 @@
 // Verifies that help and completion list the commands and their flags, and that
 // unknown commands and output formats are usage errors.
 func TestHelpAndCompletionListCommandsAndFlags(t *testing.T) {
-	run(nil, "completion", "bash").check(t, ctl.ExitOK, "validate apply get moves report timeline version completion help", "-change-id")
+	run(nil, "completion", "bash").check(t, ctl.ExitOK, "validate check apply get moves report timeline version completion help", "-change-id")
 	run(nil, "help").check(t, ctl.ExitOK, "5  it is not known")
 	run(nil, "help", "apply").check(t, ctl.ExitOK, "azurespringctl apply -base 41", "AZURESPRING_NODES")
 	run(nil, "moves", "-help").check(t, ctl.ExitOK, "-evidence")
--- a/pkg/ctl/docs_test.go
+++ b/pkg/ctl/docs_test.go
@@ -82,7 +82,7 @@
 		}
 	}
 	script := run(nil, "completion", "bash").stdout
-	for _, command := range strings.Fields("validate apply get moves report timeline version completion") {
+	for _, command := range strings.Fields("validate check apply get moves report timeline version completion") {
 		assert.Assert(t, strings.Contains(script, command) && strings.Contains(rest, command+"\n"), command)
 	}
 }
@@ -93,7 +93,7 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(paths) >= 8)
 	known := flagsIn(nodeHelp(t))
-	for _, command := range strings.Fields("validate apply get moves report timeline version completion") {
+	for _, command := range strings.Fields("validate check apply get moves report timeline version completion") {
 		known = append(known, flagsIn(run(nil, "help", command).stdout)...)
 	}
 	known = append(known, "help")
--- a/pkg/ctl/failure.go
+++ b/pkg/ctl/failure.go
@@ -30,7 +30,7 @@
 	{ExitOK, "success"},
 	{ExitFailure, "failure of another kind"},
 	{ExitUsage, "wrong usage"},
-	{ExitInvalidLists, "the lists are invalid; nothing was changed"},
+	{ExitInvalidLists, "the lists or the checked configuration are invalid; nothing was changed"},
 	{ExitConflict, "somebody else changed the configuration; nothing was changed"},
 	{ExitOutcomeUnknown, "it is not known whether the change was accepted; send it again with the same change id"},
 	{ExitUnavailable, "no node or no platform answered; nothing was changed"},
