--- a/pkg/mesh/configuration.go
+++ b/pkg/mesh/configuration.go
@@ -3,11 +3,14 @@
 package mesh
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/azurespring/azurespring/pkg/mesh/tenant"
 )
 
 // RequestKind says whether a request may be retried and what it returns.
@@ -125,6 +128,7 @@
 	configuration Configuration
 	hosts         map[string][]*Route
 	services      map[string]*Service
+	keys          *tenant.KeyIndex
 }
 
 // Compile validates a configuration and returns its snapshot. One invalid route
@@ -144,6 +148,7 @@
 	if err := validateTenants(c.Tenants); err != nil {
 		return nil, eris.Wrapf(err, "version %d", c.Version)
 	}
+	s.indexKeys()
 	for _, routes := range s.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
@@ -194,13 +199,36 @@
 	return nil
 }
 
+// indexKeys moves the keys of the tenants to an index by hash, so that the snapshot holds
+// none.
+func (s *Snapshot) indexKeys() {
+	tenants := slices.Clone(s.configuration.Tenants)
+	s.keys = tenant.NewKeyIndex(len(tenants))
+	for i := range tenants {
+		for _, key := range tenants[i].Keys {
+			s.keys.Add(key, i)
+		}
+		tenants[i].Keys = nil
+	}
+	s.configuration.Tenants = tenants
+}
+
+// TenantOf returns the tenant that holds a key, or nil.
+func (s *Snapshot) TenantOf(key string) *Tenant {
+	if i, isKnown := s.keys.Holder(key); isKnown {
+		return &s.configuration.Tenants[i]
+	}
+	return nil
+}
+
 // Version returns the version of the configuration.
 func (s *Snapshot) Version() uint64 { return s.configuration.Version }
 
 // Limits returns the limits for clients.
 func (s *Snapshot) Limits() Limits { return s.configuration.Limits }
 
-// Tenants returns the tenants of the configuration. They must not be changed.
+// Tenants returns the tenants of the configuration, without their keys. They must not be
+// changed.
 func (s *Snapshot) Tenants() []Tenant { return s.configuration.Tenants }
 
 // Service returns the service called name, or nil.
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -293,3 +293,31 @@
 	last := EndedEndpoint{ID: fmt.Sprint("gone", 2*maxEndedEndpoints-1), StartUnixMs: now.UnixMilli()}
 	assert.Assert(t, slices.Contains(stored.EndedEndpoints, last), "the latest end is missing")
 }
+
+// A key must lead to the tenant that the newest configuration gives it to, and a snapshot
+// must not keep keys, which would show in a dump of it.
+func TestSnapshotFindsTenantsByKeyAndKeepsNoKeys(t *testing.T) {
+	c := Configuration{Tenants: []Tenant{
+		{Name: "a", Keys: []string{"secret-a1", "secret-a2"}, Priority: 1}, {Name: "b", Keys: []string{"secret-b"}}, {Name: "c"},
+	}}
+	s, err := Compile(c)
+	assert.NilError(t, err)
+	for key, want := range map[string]string{"secret-a1": "a", "secret-a2": "a", "secret-b": "b"} {
+		assert.Equal(t, s.TenantOf(key).Name, want)
+	}
+	assert.Assert(t, s.TenantOf("secret") == nil && s.TenantOf("") == nil)
+	assert.Assert(t, s.TenantOf("secret-b") == &s.Tenants()[1], "the tenant is that of the snapshot")
+	assert.Assert(t, !strings.Contains(fmt.Sprintf("%+v", *s), "secret"), "%+v", *s)
+	assert.Equal(t, len(c.Tenants[0].Keys), 2, "the caller's configuration is not changed")
+
+	c.Tenants = []Tenant{{Name: "a", Keys: []string{"secret-a1"}}, {Name: "b", Keys: []string{"secret-b", "secret-a2"}}}
+	moved, err := Compile(c)
+	assert.NilError(t, err)
+	assert.Equal(t, moved.TenantOf("secret-a2").Name, "b")
+	assert.Equal(t, s.TenantOf("secret-a2").Name, "a", "a snapshot does not change")
+
+	c.Tenants = []Tenant{{Name: "a", Keys: []string{"secret"}}, {Name: "b", Keys: []string{"secret"}}}
+	_, err = Compile(c)
+	assert.ErrorContains(t, err, "hold the same key")
+	assert.Assert(t, !strings.Contains(err.Error(), "secret"), "the error shows the key")
+}
