Admit the requests of tenants in turns

One tenant that sends 7.5 times its usual load, or whose clients retry at once, would take most slots of a gate. With tenants, the gate ranks requests by the priority of the tenant, then that of the route, then by the turns of tenants. A more urgent request replaces the least urgent one of a full queue, and routes and tenants that are served less than a third as often as all go first at one admission of four. Without tenants the order is today's.

--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -36,6 +36,11 @@
 	MaxWait time.Duration
 	// ServiceTime is the usual time of such a request at this endpoint; 0 if unknown.
 	ServiceTime time.Duration
+	// Route names the kind of the request. Tenant names its tenant, "" for none, and
+	// TenantPriority ranks that before the priority of the route; 0 is the most urgent.
+	Route          string
+	Tenant         string
+	TenantPriority int
 	// startBy is the time until which the request is likely to meet its soft deadline.
 	startBy time.Time
 }
@@ -77,6 +82,9 @@
 // equals those that can still meet their soft deadline. Requests that would wait
 // longer than MaxWait are rejected at once, so that their senders choose another
 // endpoint or tell the client when to retry.
+//
+// Once it has seen a request of a tenant, the priority of tenants goes before that of
+// routes, and equally urgent tenants get turns (see fairness).
 type Queue struct {
 	slots           int
 	running         int
@@ -85,11 +93,18 @@
 	// lateShare is the share of requests that could no longer be in time among those that
 	// waited and got a slot lately.
 	lateShare float64
+	// fair is the order between tenants, nil while no tenant has requests.
+	fair *fairness
+	// fairnessCounts are those since the queue was created.
+	fairnessCounts FairnessCounts
 }
 
 type waiter struct {
 	Request
 	enqueuedAt time.Time
+	// flow and route are set in the order between tenants.
+	flow  *flow
+	route *group
 }
 
 // NewQueue returns the admission queue of an endpoint with the given slots.
@@ -127,6 +142,9 @@
 	if !now.Before(r.Deadline) {
 		return false, q.reject(verdict.DeadlineUnreachable, "the deadline has passed", 0)
 	}
+	if q.updateFairness(now, &r); q.fair != nil {
+		return q.admitFair(now, r)
+	}
 	if q.running < q.slots && len(q.waiting) == 0 {
 		q.running++
 		return true, nil
@@ -164,6 +182,7 @@
 	if index < 0 {
 		return false
 	}
+	q.settle(&q.waiting[index], false, true)
 	q.waiting = slices.Delete(q.waiting, index, index+1)
 	return true
 }
@@ -174,7 +193,7 @@
 	for _, w := range q.waiting {
 		decisions = append(decisions, Decision{ID: w.ID, Rejection: q.reject(verdict.Draining, "the endpoint is leaving", 0)})
 	}
-	q.waiting = nil
+	q.waiting, q.fair = nil, nil
 	return decisions
 }
 
@@ -214,9 +233,13 @@
 
 func (q *Queue) admitWaiting(now time.Time) []Decision {
 	var decisions []Decision
+	if q.fair != nil {
+		q.fair.now = now
+	}
 	remaining := q.waiting[:0]
 	for _, w := range q.waiting {
 		if !now.Before(w.Deadline) {
+			q.settle(&w, false, true)
 			decisions = append(decisions, Decision{ID: w.ID, Rejection: q.reject(verdict.DeadlineUnreachable, "no slot was free in time", 0)})
 			continue
 		}
@@ -225,12 +248,8 @@
 	q.waiting = remaining
 	decisions = append(decisions, q.rejectHopeless(now)...)
 	for q.running < q.slots && len(q.waiting) > 0 {
-		best := 0
-		for i := 1; i < len(q.waiting); i++ {
-			if q.precedes(now, &q.waiting[i].Request, &q.waiting[best].Request) {
-				best = i
-			}
-		}
+		best := q.next(now)
+		q.settle(&q.waiting[best], true, true)
 		decisions = append(decisions, Decision{ID: q.waiting[best].ID})
 		q.recordStart(now.After(q.waiting[best].startBy))
 		q.waiting = slices.Delete(q.waiting, best, best+1)
@@ -242,6 +261,20 @@
 	return decisions
 }
 
+// next returns the index of the waiting request that is admitted next.
+func (q *Queue) next(now time.Time) int {
+	if q.fair != nil {
+		return q.nextFair(now)
+	}
+	best := 0
+	for i := 1; i < len(q.waiting); i++ {
+		if q.precedes(now, &q.waiting[i].Request, &q.waiting[best].Request) {
+			best = i
+		}
+	}
+	return best
+}
+
 // lateShareWeight is the weight of one start in lateShare (EWMA), minLateShare the least
 // share that is assumed.
 const (
@@ -269,6 +302,7 @@
 	for _, w := range q.waiting {
 		wait := time.Duration(float64(lateAhead+1) * perStart)
 		if now.After(w.startBy) && now.Add(wait+serviceTime).After(w.Deadline) {
+			q.settle(&w, false, true)
 			decisions = append(decisions, Decision{ID: w.ID, Rejection: q.reject(verdict.DeadlineUnreachable, "no slot will be free in time", wait)})
 			continue
 		}
