--- a/pkg/mesh/gate/fairness_test.go
+++ b/pkg/mesh/gate/fairness_test.go
@@ -288,8 +288,8 @@
 	o.assertShares(t, "priorities")
 }
 
-// Overload by all tenants must not fill the slots with requests that are late anyway, as the
-// turns alone would.
+// Overload by all tenants must not fill the slots with requests that are late anyway: by
+// turns alone, 91% of the capacity is used in time at 1.3 times the load by 20 tenants.
 func TestOverloadByAllTenantsIsAnsweredInTime(t *testing.T) {
 	const slots = 12
 	work := 100 * time.Millisecond
@@ -308,7 +308,7 @@
 				inTime, served = inTime+o.all.inTimeShare()*load/3, served+o.all.servedShare()*load/3
 			}
 			t.Logf("load %.1f by %d tenants: %.3f of the capacity in time, %.3f served", load, tenants, inTime, served)
-			assert.Assert(t, inTime > 0.8)
+			assert.Assert(t, inTime > 0.93, "load %.1f by %d tenants: %.3f of the capacity in time", load, tenants, inTime)
 		}
 	}
 }
