Check keys at the entry node and order tenants at gates

Requests of deployments with tenants need a key; nothing checked it. The entry node now answers 401 to a missing or unknown key, keeps the key from the endpoint, and names the tenant to it, over a hop as well. With fail_closed, a node accepts keys only if the store has confirmed the configuration within the time of the bound, to it or to the node that it follows: watches report polls without a change, and frames carry the age of the configuration.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -82,6 +82,20 @@
 	return min(time.Duration(mean*rand.ExpFloat64()), maxWatchTimeout)
 }
 
+// revokePollFraction is the longest time between two polls of the configuration, as a
+// fraction of the time within which a node that must be sure of its keys has to hear from
+// the store: two polls, the pause after a change and the frames over three followers fit.
+const revokePollFraction = 0.25
+
+// limitWatchTimeout shortens the watch timeout of the configuration where nodes must be sure
+// of their keys.
+func limitWatchTimeout(kind store.Kind, timeout time.Duration, s sidecar.Settings) time.Duration {
+	if kind != store.KindConfiguration || !s.FailClosed {
+		return timeout
+	}
+	return min(timeout, time.Duration(revokePollFraction*float64(s.RevokeTimeout)))
+}
+
 // watchDebounce returns the time that a watch of a kind waits for further changes.
 func watchDebounce(kind store.Kind, applyTimeout time.Duration) time.Duration {
 	switch kind {
@@ -135,7 +149,7 @@
 		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
 		CallTimeout: storeCallTimeout,
 		WatchTimeout: func(kind store.Kind) time.Duration {
-			return watchTimeout(kind, settings.ConfigurationApplyTimeout, node.ReaderCount())
+			return limitWatchTimeout(kind, watchTimeout(kind, settings.ConfigurationApplyTimeout, node.ReaderCount()), settings)
 		},
 		WatchDebounce: func(kind store.Kind) time.Duration { return watchDebounce(kind, settings.ConfigurationApplyTimeout) },
 		StaleReads:    map[store.Kind]bool{store.KindMeshState: true},
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Kind is a kind of object.
@@ -69,6 +70,8 @@
 const (
 	EventPut EventType = iota + 1
 	EventDeleted
+	// EventBookmark has no object: a poll of the store has ended without a change.
+	EventBookmark
 )
 
 // Event is one change that a watch reports.
@@ -80,6 +83,9 @@
 	// all events of a batch but the last.
 	AsOf       string
 	MoreFollow bool
+	// KnownAt is a time at which the store had no change after the batch that the event
+	// belongs to; zero if unknown.
+	KnownAt time.Time
 }
 
 // Store is the platform's object service. Implementations are safe for
@@ -97,7 +103,7 @@
 	// Delete removes the object if its version is still version; otherwise it returns
 	// ErrConflict.
 	Delete(ctx context.Context, kind Kind, name, version string) error
-	// Watch calls handle for each change after version until ctx ends, handle
+	// Watch calls handle for each change after version, and may call it with bookmarks, until ctx ends, handle
 	// fails or the watch breaks. It never returns nil.
 	Watch(ctx context.Context, kind Kind, version string, handle func(Event) error) error
 }
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -195,6 +195,19 @@
 	return running, waiting, slots
 }
 
+// fairnessCounts returns the decisions of the order between tenants, summed over all local
+// endpoints.
+func (la *localAdmission) fairnessCounts() (sum gate.FairnessCounts) {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	for _, ea := range la.admissions {
+		counts := ea.queue.FairnessCounts()
+		sum.Displaced += counts.Displaced
+		sum.Guarded += counts.Guarded
+	}
+	return sum
+}
+
 // analyzedResults returns the number of results that the canary analysis of a version
 // has seen on this node.
 func (la *localAdmission) analyzedResults(service, version string) int {
@@ -360,7 +373,9 @@
 		SoftDeadline: now.Add(time.Duration(c.SoftTimeoutUs) * time.Microsecond),
 		MaxWait:      time.Duration(c.MaxQueueWaitUs) * time.Microsecond,
 		ServiceTime:  ea.routeLatencies[c.Route],
+		Route:        c.Route, Tenant: c.Tenant, TenantPriority: c.TenantPriority,
 	})
+	ea.deliverDecisions(ea.queue.TakeDisplaced())
 	if admitted || rejection != nil {
 		load := ea.load(c.Route)
 		la.mu.Unlock()
@@ -423,6 +438,9 @@
 	}
 	request.Header[h.ExpectedEndpoint] = []string{c.Endpoint}
 	request.Header[h.CallerService] = []string{c.Caller}
+	if c.Tenant != "" {
+		request.Header[h.Tenant] = []string{c.Tenant}
+	}
 	remainingMs := max(c.deadline.Sub(la.deps.now()).Milliseconds(), 1)
 	request.Header[h.Deadline] = []string{strconv.FormatInt(remainingMs, 10)}
 	exchangeRequest := exchange.Request{Request: request, IDHeader: h.RequestID}
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -226,6 +226,9 @@
 			MaxQueueWaitUs: choice.MaxQueueWait.Microseconds(),
 		},
 	}
+	if x.tenant != nil {
+		c.Tenant, c.TenantPriority = x.tenant.Name, x.tenant.Priority
+	}
 	if analyzed, shifted := x.entry.deps.rollouts.isAnalyzed(e.Service, e.Version); analyzed {
 		baseline := x.entry.baseline(x.route.Name)
 		c.BaselineUs = baseline.Microseconds()
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -82,6 +82,9 @@
 	Route    string `json:"r"`
 	Caller   string `json:"c"`
 	Priority int    `json:"p,omitempty"`
+	// Tenant names the tenant of the request, "" for none, and TenantPriority ranks it.
+	Tenant         string `json:"m,omitempty"`
+	TenantPriority int    `json:"y,omitempty"`
 	// Fingerprint identifies equal requests.
 	Fingerprint mesh.Fingerprint `json:"h,omitempty"`
 	// Nested is set for calls that an endpoint makes while it runs a request.
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -228,10 +228,10 @@
 }
 
 // statusOf returns the status of a local reply. A request that has not run gets a
-// status that says so, unless it has no route or is malformed.
+// status that says so, unless it has no route, no valid key, or is malformed.
 func statusOf(failure *verdict.Error) int {
 	switch {
-	case failure.Code == verdict.UnknownRoute, failure.Code == verdict.BadRequest:
+	case failure.Code == verdict.UnknownRoute, failure.Code == verdict.BadRequest, failure.Code == verdict.Unauthenticated:
 		return failure.Code.HTTPStatus()
 	case failure.Verdict == verdict.NotRun:
 		return http.StatusServiceUnavailable
@@ -248,6 +248,9 @@
 		retryAfter := max(failure.RetryAfter, minRetryAfter)
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	if x.status == http.StatusUnauthorized {
+		header.Set("Www-Authenticate", x.entry.deps.headers.KeyScheme)
+	}
 	// The type is a plain struct, which always encodes.
 	body, _ := json.Marshal(problem{
 		Code: failure.Code, Detail: failure.Detail, Verdict: failure.Verdict.String(), RequestID: x.id,
@@ -269,7 +272,13 @@
 	}
 	if x.route != nil {
 		kind = x.route.Kind.String()
-		f["route"], f["kind"], f["timeoutMs"] = x.route.Name, kind, x.deadline.Sub(x.started).Milliseconds()
+		f["route"], f["kind"] = x.route.Name, kind
+	}
+	if !x.deadline.IsZero() {
+		f["timeoutMs"] = x.deadline.Sub(x.started).Milliseconds()
+	}
+	if x.tenant != nil {
+		f["tenant"] = x.tenant.Name
 	}
 	name := eventServed
 	if failure != nil {
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -202,12 +202,14 @@
 	loadBy := t.deps.now().Add(maxLoadWait)
 	reviewAt := t.deps.now().Add(jittered(followerReviewInterval))
 	var next error
+	t.beginFollowing()
 	err := t.peers.follow(ctx, peer.Address, followRequest{Peer: peer.Name, Since: t.versions()}, func(f followFrame) error {
 		now := t.deps.now()
 		if err := t.applyChanges(f.changes); err != nil {
 			return err
 		}
 		t.upstream.RecordSuccess(peer.Name)
+		t.confirmFromPeer(now, f)
 		t.setSourceStale(f.isStale)
 		if f.isStale {
 			t.upstream.RecordStale(now, peer.Name)
--- a/pkg/sidecar/followstream.go
+++ b/pkg/sidecar/followstream.go
@@ -54,9 +54,14 @@
 	changes []kindChanges
 	// isStale is set if the sender has lost the store.
 	isStale bool
+	// age is the time since the configuration was last known to be the newest; hasAge is
+	// set if the sender tells it.
+	age    time.Duration
+	hasAge bool
 }
 
-// The header of a frame: the length of its payload, the checksum of the payload, and flags.
+// The header of a frame: the length of its payload, the checksum of the payload, and flags,
+// of which all but the lowest tell the age of the configuration.
 const (
 	frameHeaderBytes = 4 + 8 + 1
 	frameIsStale     = 1
@@ -80,6 +85,7 @@
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	frame := followFrame{isStale: header[frameHeaderBytes-1]&frameIsStale != 0}
+	frame.age, frame.hasAge = readFrameAge(header[frameHeaderBytes-1])
 	switch {
 	case size == 0:
 		return frame, nil
@@ -117,6 +123,7 @@
 	versions := request.Since
 	for !s.deps.isInboundClosed.Load() {
 		changed := s.tracker.changeSignal()
+		age, hasAge := s.tracker.frameAge() // Before the changes, which may be newer.
 		payload, next, err := s.tracker.encodedChangesSince(versions)
 		if err != nil {
 			s.deps.log.event("changes_failed", fields{"error": err.Error()})
@@ -124,6 +131,9 @@
 		}
 		versions = next
 		frame := appendFrame(nil, payload, s.tracker.isStale())
+		if hasAge {
+			setFrameAge(frame, age)
+		}
 		_ = controller.SetWriteDeadline(s.deps.now().Add(frameWriteTimeout))
 		s.deps.uplink.countBytes(len(frame))
 		if _, err := w.Write(frame); err != nil || controller.Flush() != nil || request.Once {
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -40,4 +40,9 @@
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("connections_cut").Inc(1)
 }
 
+// keyCheck counts a decision about the key of a request.
+func (m *metrics) keyCheck(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("key_checks").Inc(1)
+}
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -119,6 +119,7 @@
 	n.hopServer = &hopServer{deps: n.shared, admission: n.admission, tracker: n.tracker}
 	n.shared.onEndpointsChanged = n.tracker.endpointsChanged
 	n.shared.hasNodeAt = n.tracker.hasNodeAt
+	n.shared.isCertain = n.tracker.isCertain
 	n.shared.isLoaded, n.shared.encodeState, n.shared.applyState = n.tracker.isLoaded, n.tracker.encodeState, n.tracker.applyState
 	n.shared.awaitPublished = n.tracker.awaitPublished
 	n.shared.onNewerRevision = func() { notify(n.tracker.fetchWake) }
@@ -217,6 +218,7 @@
 		n.admission.sweep()
 		n.hopClient.sweep()
 		n.updateGauges()
+		n.tracker.logCertainty()
 	}
 }
 
@@ -226,6 +228,11 @@
 	m.gauge("endpoints_running", running)
 	m.gauge("endpoints_waiting", waiting)
 	m.gauge("endpoints_slots", slots)
+	if len(n.tenants()) > 0 {
+		counts := n.admission.fairnessCounts()
+		m.gauge("gate_requests_displaced", float64(counts.Displaced))
+		m.gauge("gate_requests_guarded", float64(counts.Guarded))
+	}
 	m.gauge("configuration_version", float64(n.shared.configVersion()))
 	m.gauge("requests_in_flight", float64(n.inFlight()))
 	m.gauge("log_lines_dropped", float64(n.shared.log.output.dropped.Load()))
@@ -291,6 +298,14 @@
 	return mesh.Limits{}
 }
 
+// tenants returns the tenants of the active configuration.
+func (n *Node) tenants() []mesh.Tenant {
+	if snapshot := n.shared.snapshot.Load(); snapshot != nil {
+		return snapshot.Tenants()
+	}
+	return nil
+}
+
 func (n *Node) serveReadiness(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path != n.deps.ReadinessPath:
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -57,11 +57,13 @@
 
 	snapshot *mesh.Snapshot
 	route    *mesh.Route
-	// tenant is nil for requests without a tenant.
-	tenant  *mesh.Tenant
-	service string
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// tenant is nil for requests without a tenant. hasTenants is set if the configuration has
+	// tenants.
+	tenant     *mesh.Tenant
+	hasTenants bool
+	service    string
+	ctx        context.Context
+	cancel     context.CancelFunc
 	// deadline is that of the attempts. It is earlier than that of ctx if the node shuts
 	// down before.
 	deadline      time.Time
@@ -123,6 +125,9 @@
 	if err := x.matchRoute(); err != nil {
 		return nil, err
 	}
+	if err := x.authenticate(); err != nil {
+		return nil, err
+	}
 	if err := x.setDeadline(); err != nil {
 		return nil, err
 	}
@@ -231,7 +236,7 @@
 
 // readBody reads the start of the body, or all of a small one.
 func (x *request) readBody() *verdict.Error {
-	x.header = forwardableHeader(x.r.Header)
+	x.header = x.forwardedHeader()
 	if x.r.ContentLength == 0 || x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -122,6 +122,7 @@
 	defaultConfigurationApplyTimeout = 2 * time.Second
 	defaultRetryBudgetRatio          = 0.2
 	defaultRetryBudgetWindow         = 10 * time.Second
+	defaultRevokeTimeout             = 5 * time.Second
 )
 
 // WithDefaults returns the settings with defaults for the values that are not set.
@@ -135,6 +136,9 @@
 	fill(&s.GracePeriod, defaultGracePeriod)
 	fill(&s.ConfigurationApplyTimeout, defaultConfigurationApplyTimeout)
 	fill(&s.RetryBudgetWindow, defaultRetryBudgetWindow)
+	if s.FailClosed {
+		fill(&s.RevokeTimeout, defaultRevokeTimeout)
+	}
 	if s.RetryBudgetRatio <= 0 {
 		s.RetryBudgetRatio = defaultRetryBudgetRatio
 	}
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -53,6 +53,8 @@
 	hasNodeAt func(address string) bool
 	// onEndpointsChanged is called after the local endpoints have changed.
 	onEndpointsChanged func()
+	// isCertain reports whether the store has lately confirmed the configuration.
+	isCertain func() bool
 	// isLoaded reports whether everything that requests depend on is known. encodeState
 	// encodes it for another node; applyState applies what another node sent.
 	isLoaded    func() bool
--- a/pkg/sidecar/storereader.go
+++ b/pkg/sidecar/storereader.go
@@ -22,7 +22,12 @@
 			}
 			retry.Reset()
 			err = t.store.Watch(ctx, kind, version, func(event platform.Event) error {
-				t.apply(kind, event)
+				if event.Type != platform.EventBookmark {
+					t.apply(kind, event)
+				}
+				if !event.MoreFollow {
+					t.confirmFromStore(kind, event.KnownAt)
+				}
 				return nil
 			})
 			if errors.Is(err, platform.ErrWatchExpired) {
@@ -49,10 +54,12 @@
 	if asOf > 0 && !isLost {
 		return strconv.FormatUint(asOf, 10), nil
 	}
+	askedAt := t.deps.now()
 	objects, version, err := t.store.List(ctx, kind)
 	if err != nil {
 		return "", err
 	}
+	defer t.confirmFromStore(kind, askedAt)
 	t.replaceView(kind, objects, parseRevision(version))
 	t.refresh(kind)
 	return version, nil
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -14,6 +14,7 @@
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
+	"github.com/azurespring/azurespring/pkg/mesh/tenant"
 	"github.com/azurespring/azurespring/pkg/mesh/upstream"
 	"github.com/azurespring/azurespring/pkg/platform"
 )
@@ -84,6 +85,10 @@
 	// is set if the node that it follows has lost the store.
 	lostKinds     map[platform.Kind]time.Time
 	isSourceStale bool
+	// certainty tells when the configuration was last known to be the newest, and
+	// loggedCertain what of it was logged last.
+	certainty     tenant.Certainty
+	loggedCertain bool
 	// inUseDueSince holds since when a version is to be stored as in use, and inUsePolledAt
 	// when that was last looked at. Only advanceRollouts uses them.
 	inUseDueSince map[rollout.InUse]time.Time
@@ -333,7 +338,7 @@
 	t.deps.snapshot.Store(snapshot)
 	storeMax(&t.deps.newestConfigVersion, c.Version)
 	t.deps.log.event("configuration_activated", fields{
-		"version": c.Version, "routes": len(c.Routes), "services": len(c.Services),
+		"version": c.Version, "routes": len(c.Routes), "services": len(c.Services), "tenants": len(c.Tenants),
 	})
 	return nil
 }
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -57,6 +57,7 @@
 	Draining            Code = "draining"
 	VersionClosed       Code = "version-closed"
 	Quarantined         Code = "quarantined"
+	ConfigurationStale  Code = "configuration-stale"
 	KeyInUse            Code = "key-in-use"
 	KeyStoreUnavailable Code = "key-store-unavailable"
 	TargetShed          Code = "target-shed"
@@ -87,6 +88,7 @@
 	Draining:            http.StatusServiceUnavailable,
 	VersionClosed:       http.StatusServiceUnavailable,
 	Quarantined:         http.StatusUnprocessableEntity,
+	ConfigurationStale:  http.StatusServiceUnavailable,
 	KeyInUse:            http.StatusConflict,
 	KeyStoreUnavailable: http.StatusServiceUnavailable,
 	TargetShed:          http.StatusServiceUnavailable,
