--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -44,6 +44,10 @@
 	maxBodyBytes int
 	// firstReadSpread is a setting of the nodes.
 	firstReadSpread time.Duration
+	// watchTimeout is the time that a call of a watch waits for a change.
+	watchTimeout time.Duration
+	// tenants is the list of tenants in the configurations, as JSON; "" for none.
+	tenants string
 }
 
 type testNode struct {
@@ -84,7 +88,7 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	t.Parallel()
-	f := &fleet{t: t, store: platformtest.NewStore(), maxBodyBytes: 64 << 20}
+	f := &fleet{t: t, store: platformtest.NewStore(), maxBodyBytes: 64 << 20, watchTimeout: 5 * time.Second}
 	f.server = httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		for _, n := range f.nodes {
@@ -114,9 +118,13 @@
 // storeConfiguration stores the next configuration version.
 func (f *fleet) storeConfiguration(rules ...string) {
 	f.version++
+	tenants := ""
+	if f.tenants != "" {
+		tenants = `,"tenants":` + f.tenants
+	}
 	f.store.Put("config", "main", fmt.Sprintf(`{"version":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":%d,`+
 		`"header_timeout":"3000ms","idle_timeout":"15000ms"},"listeners":[{"host":"h.example","rules":[%s]}],`+
-		`"clusters":[{"name":"s","max_connections":110},{"name":"t","max_connections":110}]}`, f.version, f.maxBodyBytes, strings.Join(rules, ",")))
+		`"clusters":[{"name":"s","max_connections":110},{"name":"t","max_connections":110}]%s}`, f.version, f.maxBodyBytes, strings.Join(rules, ","), tenants))
 }
 
 // Nodes listen on ports below the range of ephemeral ports, because a connection
@@ -187,7 +195,7 @@
 	n.log, n.done = &logBuffer{}, make(chan struct{})
 	client := platform.NewStore(platform.StoreOptions{
 		Address: n.settings.StoreAddress, Dial: exchange.Dialer{Timeout: time.Second}.DialContext, CallTimeout: time.Second,
-		WatchTimeout: func(store.Kind) time.Duration { return 5 * time.Second }, WatchDebounce: func(store.Kind) time.Duration { return 10 * time.Millisecond },
+		WatchTimeout: func(store.Kind) time.Duration { return f.watchTimeout }, WatchDebounce: func(store.Kind) time.Duration { return 10 * time.Millisecond },
 	})
 	node, err := sidecar.New(sidecar.Deps{
 		Settings: n.settings, HeaderNames: platform.HeaderNames(), Store: client, StoreCallLimits: store.CallLimits{
