Ask a gate for urgent requests of tenants behind a long queue

The entry node refuses a request whose expected wait is longer than its time. It knows the number of waiting requests only, not that a gate would admit the more urgent one first: behind seven views of 250 ms, a request of an urgent tenant with 1 s left got 503. For tenants whose requests may go ahead of others, the first attempt now asks the gate, which decides by its own order.

--- a/pkg/mesh/configuration.go
+++ b/pkg/mesh/configuration.go
@@ -129,6 +129,9 @@
 	hosts         map[string][]*Route
 	services      map[string]*Service
 	keys          *tenant.KeyIndex
+	// leastTenantPriority and leastRoutePriority are the priorities of the least urgent
+	// tenant and route.
+	leastTenantPriority, leastRoutePriority int
 }
 
 // Compile validates a configuration and returns its snapshot. One invalid route
@@ -144,6 +147,7 @@
 			return nil, eris.Wrapf(err, "version %d, route %q", c.Version, route.Name)
 		}
 		s.hosts[route.Host] = append(s.hosts[route.Host], route)
+		s.leastRoutePriority = max(s.leastRoutePriority, route.Priority)
 	}
 	if err := validateTenants(c.Tenants); err != nil {
 		return nil, eris.Wrapf(err, "version %d", c.Version)
@@ -209,6 +213,7 @@
 			s.keys.Add(key, i)
 		}
 		tenants[i].Keys = nil
+		s.leastTenantPriority = max(s.leastTenantPriority, tenants[i].Priority)
 	}
 	s.configuration.Tenants = tenants
 }
@@ -221,6 +226,12 @@
 	return nil
 }
 
+// MayGoAhead reports whether gates may admit a tenant's requests on a route before others
+// that wait. Their wait is then shorter than the number of waiting requests tells.
+func (s *Snapshot) MayGoAhead(t *Tenant, route *Route) bool {
+	return t != nil && (t.Priority < s.leastTenantPriority || route.Priority < s.leastRoutePriority)
+}
+
 // Version returns the version of the configuration.
 func (s *Snapshot) Version() uint64 { return s.configuration.Version }
 
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -310,6 +310,8 @@
 	assert.Assert(t, !strings.Contains(fmt.Sprintf("%+v", *s), "secret"), "%+v", *s)
 	assert.Equal(t, len(c.Tenants[0].Keys), 2, "the caller's configuration is not changed")
 
+	assert.Assert(t, s.MayGoAhead(&s.Tenants()[1], &Route{}) && !s.MayGoAhead(&s.Tenants()[0], &Route{}) && !s.MayGoAhead(nil, &Route{}))
+
 	c.Tenants = []Tenant{{Name: "a", Keys: []string{"secret-a1"}}, {Name: "b", Keys: []string{"secret-b", "secret-a2"}}}
 	moved, err := Compile(c)
 	assert.NilError(t, err)
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -175,7 +175,7 @@
 		err.RetryAfter = noEndpointRetryAfter
 		return 0, err
 	}
-	if choice.QueueWait > 0 && choice.ExpectedLatency > remaining {
+	if choice.QueueWait > 0 && choice.ExpectedLatency > remaining && !x.mayGoAhead() {
 		err := verdict.NotRunErrorf(verdict.DeadlineUnreachable, "the wait for a slot is longer than the time left")
 		err.RetryAfter = choice.QueueWait
 		return 0, err
--- a/pkg/sidecar/tenants.go
+++ b/pkg/sidecar/tenants.go
@@ -148,3 +148,10 @@
 	}
 	return time.Duration(units-1) * frameAgeUnit, true
 }
+
+// mayGoAhead reports whether a gate is asked although the queue there looks too long: the
+// number of waiting requests does not tell how many of them are less urgent than this one.
+// Only one gate is asked.
+func (x *request) mayGoAhead() bool {
+	return x.hasTenants && x.attempts == 0 && x.snapshot.MayGoAhead(x.tenant, x.route)
+}
--- a/test/sidecar/tenants_test.go
+++ b/test/sidecar/tenants_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -306,3 +307,44 @@
 		})
 	}
 }
+
+// An urgent request whose time is shorter than the queue of less urgent ones must run ahead
+// of them, at the gate of another node as well. Its entry node knows the length of the queue
+// only, by which the request would be hopeless: seven views of 250 ms are there, and a shift trade
+// has 1 s.
+func TestUrgentTenantGoesAheadOfQueue(t *testing.T) {
+	e := endpoint("e")
+	e.Slots = 1
+	e.Handler = func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(250 * time.Millisecond)
+		e.Sign(w, r)
+	}
+	_, remote, _ := startTenantFleet(t, e)
+	for _, id := range []string{"first", "second"} { // The second response tells the time that a request takes.
+		assert.Equal(t, remote.withKey(http.MethodGet, "/safe/", id, keyA).status, http.StatusOK)
+	}
+	const views = 7
+	ended := make(chan result, views)
+	for i := range views {
+		go func() {
+			r := remote.request(context.Background(), http.MethodPost, "/unsafe/", fmt.Sprint("view-", i), strings.NewReader("x"))
+			r.Header.Set(platformtest.HeaderDeadline, "3000")
+			r.Header.Set(headerAuthorization, "Token "+keyA)
+			ended <- do(r)
+		}()
+	}
+	time.Sleep(150 * time.Millisecond)
+	r := remote.request(context.Background(), http.MethodPost, "/unsafe/", "trade", strings.NewReader("x"))
+	r.Header.Set(platformtest.HeaderDeadline, "1000")
+	r.Header.Set(headerAuthorization, "Token "+keyB)
+	assert.Equal(t, do(r).status, http.StatusOK)
+	for range views {
+		got := <-ended
+		assert.Assert(t, got.status == http.StatusOK || got.header.Get("Retry-After") != "", "%v", got)
+	}
+	var order []string
+	for _, r := range e.Requests() {
+		order = append(order, r.Header.Get(platformtest.HeaderRequestID))
+	}
+	assert.Assert(t, slices.Index(order, "trade") < 5, "order at the endpoint: %v", order)
+}
