--- a/cmd/azurespring-node/sidecar_test.go
+++ b/cmd/azurespring-node/sidecar_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	store "github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/sidecar"
 )
 
 // Verifies that the watches of idle readers leave room in the store's rate limit of 2,000
@@ -49,3 +50,18 @@
 		assert.Assert(t, late <= rounds/200, "in %d rounds with %d nodes, no node polled in time in %d", rounds, instances, late)
 	}
 }
+
+// A node that must be sure of its keys polls often enough that two polls, the pause after a
+// change and the frames over three followers fit into the bound; otherwise quiet stores would
+// make nodes refuse keys. Other deployments and kinds poll as before.
+func TestPollsConfirmTheConfigurationInTime(t *testing.T) {
+	const followers, frameInterval, frameAgeStep = 3, 400 * time.Millisecond, 100 * time.Millisecond
+	s := sidecar.Settings{FailClosed: true, RevokeTimeout: 5 * time.Second, ConfigurationApplyTimeout: 3 * time.Second}
+	longest := limitWatchTimeout(store.KindConfiguration, maxWatchTimeout, s)
+	age := 2*longest + watchDebounce(store.KindConfiguration, s.ConfigurationApplyTimeout) + followers*(frameInterval+frameAgeStep)
+	assert.Assert(t, age < s.RevokeTimeout, "%v", age)
+	assert.Equal(t, limitWatchTimeout(store.KindConfiguration, time.Second, s), time.Second)
+	assert.Equal(t, limitWatchTimeout(store.KindRollout, maxWatchTimeout, s), maxWatchTimeout)
+	s.FailClosed = false
+	assert.Equal(t, limitWatchTimeout(store.KindConfiguration, maxWatchTimeout, s), maxWatchTimeout)
+}
--- a/pkg/mesh/tenant/tenant_test.go
+++ b/pkg/mesh/tenant/tenant_test.go
@@ -120,3 +120,20 @@
 	age, _ = follower.Age(at(14_300))
 	assert.Equal(t, age, 800*time.Millisecond, "an older confirmation changes nothing")
 }
+
+// BenchmarkHolder measures the search for the holder of a key.
+func BenchmarkHolder(b *testing.B) {
+	for _, size := range []int{86, 10_000} {
+		b.Run(fmt.Sprint("keys=", size), func(b *testing.B) {
+			index := NewKeyIndex(size)
+			for i := range size {
+				index.Add(fmt.Sprintf("key-%032d", i), i)
+			}
+			for i := range b.N {
+				if _, isKnown := index.Holder("key-00000000000000000000000000000042"); !isKnown {
+					b.Fatal(i)
+				}
+			}
+		})
+	}
+}
