--- a/pkg/mesh/gate/fairness_test.go
+++ b/pkg/mesh/gate/fairness_test.go
@@ -29,7 +29,15 @@
 }
 
 // counts are the decisions about the requests of one group.
-type counts struct{ offered, served, inTime float64 }
+type counts struct {
+	offered, served, inTime float64
+	// refusedLate is the number of refusals after a wait, held the sum of these waits as
+	// fractions of the timeout.
+	refusedLate, held float64
+	// waited and estimated are the sums of the waits, in seconds, of the requests that got a
+	// slot after one, and of the estimates.
+	waited, estimated float64
+}
 
 func (c counts) servedShare() float64 { return c.served / max(c.offered, 1) }
 func (c counts) inTimeShare() float64 { return c.inTime / max(c.offered, 1) }
@@ -81,6 +89,9 @@
 		request Request
 		source  int
 		first   time.Time
+		// admittedAt and estimate are the time and the estimated wait of the attempt.
+		admittedAt time.Time
+		estimate   time.Duration
 	}
 	requests := make(map[uint64]known)
 	next := uint64(0)
@@ -110,6 +121,12 @@
 	}
 	refuse := func(now time.Time, id uint64) {
 		k := requests[id]
+		count(id, func(c *counts) {
+			if waited := now.Sub(k.request.arrivedAt(r.sources[k.source])); waited > 0 {
+				c.refusedLate++
+				c.held += float64(waited) / float64(r.sources[k.source].timeout)
+			}
+		})
 		if s := r.sources[k.source]; s.retryAfter > 0 && now.Add(s.retryAfter).Before(k.first.Add(s.timeout)) {
 			heap.Push(&pending, arrival{at: now.Add(s.retryAfter), source: k.source, first: k.first})
 		}
@@ -117,6 +134,12 @@
 	decide := func(now time.Time, decisions []Decision) {
 		for _, d := range decisions {
 			if d.Rejection == nil {
+				if k := requests[d.ID]; k.estimate > 0 {
+					count(d.ID, func(c *counts) {
+						c.waited += now.Sub(k.admittedAt).Seconds()
+						c.estimated += k.estimate.Seconds()
+					})
+				}
 				start(now, d.ID)
 				continue
 			}
@@ -151,13 +174,20 @@
 			ID: id, Nested: s.nested, Tenant: s.tenant, TenantPriority: s.tenantPriority, Route: s.route, Priority: s.priority,
 			SoftDeadline: a.first.Add(s.target), Deadline: a.first.Add(s.timeout), MaxWait: s.timeout - r.work, ServiceTime: r.work,
 		}
-		requests[id] = known{request: request, source: a.source, first: a.first}
+		requests[id] = known{request: request, source: a.source, first: a.first, admittedAt: now}
 		if !isRetry {
 			count(id, func(c *counts) { c.offered++ })
 		}
 		switch admitted, rejection := o.queue.Admit(now, request); {
 		case admitted:
 			start(now, id)
+		case rejection == nil && o.queue.fair != nil:
+			k := requests[id]
+			last := &o.queue.waiting[len(o.queue.waiting)-1]
+			o.queue.waiting = o.queue.waiting[:len(o.queue.waiting)-1]
+			k.estimate = o.queue.estimateFairWait(now, last)
+			o.queue.waiting = o.queue.waiting[:len(o.queue.waiting)+1]
+			requests[id] = k
 		case rejection != nil:
 			if rejection.RetryAfter <= 0 {
 				o.untruthful++
@@ -249,7 +279,8 @@
 }
 
 // With twice the load that the slots serve, shift trades must be in time beside views, and
-// views must still get their quarter, also when the trades alone take all slots.
+// views must still get their quarter, also when the trades alone take all slots. The waits by
+// which requests are refused must be those that the others have.
 func TestShiftTradesAreInTimeBesideViews(t *testing.T) {
 	const slots = 12
 	work := 100 * time.Millisecond
@@ -264,6 +295,14 @@
 			trades, views := o.routes["trade"], o.routes["view"]
 			t.Logf("%.0f%% trades: trades %.3f served, %.3f in time; views %.3f served, %.3f in time; all %.3f, in time of the capacity %.3f", 100*c.tradeFraction,
 				trades.servedShare(), trades.inTimeShare(), views.servedShare(), views.inTimeShare(), o.all.servedShare(), 2*o.all.inTimeShare())
+			held := views.held / max(views.refusedLate, 1)
+			t.Logf("%.0f of %.0f views refused after a wait, of %.3f of their time", views.refusedLate, views.offered, held)
+			assert.Assert(t, held < 0.3, "views are refused after %.3f of their time", held)
+			for name, c := range o.routes {
+				ratio := c.waited / c.estimated
+				t.Logf("%ss wait for %.2f times the estimate", name, ratio)
+				assert.Assert(t, ratio > 0.5 && ratio < 2, "%ss wait for %.2f times the estimate", name, ratio)
+			}
 			assert.Assert(t, trades.inTimeShare() > c.trades, "%.0f%% trades: %.3f of them in time", 100*c.tradeFraction, trades.inTimeShare())
 			assert.Assert(t, 2*o.all.inTimeShare() > c.inTime, "slots are not used for responses in time: %.3f", 2*o.all.inTimeShare())
 			o.assertShares(t, fmt.Sprintf("%.0f%% trades", 100*c.tradeFraction))
@@ -312,3 +351,6 @@
 		}
 	}
 }
+
+// arrivedAt returns the time of the first attempt of a request.
+func (r Request) arrivedAt(s source) time.Time { return r.Deadline.Add(-s.timeout) }
