Replay a tenant whose clients retry for ever

The end of the guard for a tenant had no test.

go test -run CrowdOut ./pkg/mesh/gate: ok; fails with maxGuardedTurns = 1000

--- a/pkg/mesh/gate/fairness_test.go
+++ b/pkg/mesh/gate/fairness_test.go
@@ -26,6 +26,9 @@
 	// retryAfter is the time after which a refused request is sent again, until its timeout;
 	// 0 for never.
 	retryAfter time.Duration
+	// isEndless is set if refused requests are sent again for ever, each time with all of
+	// their timeout.
+	isEndless bool
 }
 
 // counts are the decisions about the requests of one group.
@@ -127,7 +130,7 @@
 				c.held += float64(waited) / float64(r.sources[k.source].timeout)
 			}
 		})
-		if s := r.sources[k.source]; s.retryAfter > 0 && now.Add(s.retryAfter).Before(k.first.Add(s.timeout)) {
+		if s := r.sources[k.source]; s.retryAfter > 0 && (s.isEndless || now.Add(s.retryAfter).Before(k.first.Add(s.timeout))) {
 			heap.Push(&pending, arrival{at: now.Add(s.retryAfter), source: k.source, first: k.first})
 		}
 	}
@@ -169,10 +172,13 @@
 			a.first = now
 		}
 		next++
-		id := next
+		id, asked := next, a.first
+		if s.isEndless {
+			asked = now
+		}
 		request := Request{
 			ID: id, Nested: s.nested, Tenant: s.tenant, TenantPriority: s.tenantPriority, Route: s.route, Priority: s.priority,
-			SoftDeadline: a.first.Add(s.target), Deadline: a.first.Add(s.timeout), MaxWait: s.timeout - r.work, ServiceTime: r.work,
+			SoftDeadline: asked.Add(s.target), Deadline: asked.Add(s.timeout), MaxWait: s.timeout - r.work, ServiceTime: r.work,
 		}
 		requests[id] = known{request: request, source: a.source, first: a.first, admittedAt: now}
 		if !isRetry {
@@ -245,13 +251,17 @@
 		tenantLoad float64
 		factor     float64
 		retryAfter time.Duration
+		isEndless  bool
 	}{
-		{"7.5 times the usual load", 0.95, 7.5, 0},
-		{"a large tenant at 7.5 times", 0.8, 43, 0},
-		{"clients that retry at once", 0.8, 43, 20 * time.Millisecond},
+		{"7.5 times the usual load", 0.95, 7.5, 0, false},
+		{"a large tenant at 7.5 times", 0.8, 43, 0, false},
+		{"clients that retry at once", 0.8, 43, 20 * time.Millisecond, false},
+		{"clients that retry at once and for ever", 0.8, 43, 20 * time.Millisecond, true},
 	} {
 		for seed := range uint64(3) {
-			o := replay{slots: slots, work: work, sources: rosterTenants(capacity, c.tenantLoad, c.factor, c.retryAfter)}.run(seed)
+			sources := rosterTenants(capacity, c.tenantLoad, c.factor, c.retryAfter)
+			sources[0].isEndless = c.isEndless
+			o := replay{slots: slots, work: work, sources: sources}.run(seed)
 			var others counts
 			for _, s := range o.sources[1:] {
 				others.offered, others.served, others.inTime = others.offered+s.offered, others.served+s.served, others.inTime+s.inTime
