Count suspensions into the age of the configuration

Go's monotonic clock stands still while a machine is suspended, so that a node with fail_closed would have accepted keys of an old configuration when it resumed. The age is now the longer one by the monotonic and the wall clock. This part has no test: the time package cannot make such readings. The events are literal, as the test of the documentation finds only those.

go test ./pkg/mesh/... ./pkg/sidecar: ok

--- a/pkg/mesh/tenant/certainty.go
+++ b/pkg/mesh/tenant/certainty.go
@@ -19,7 +19,7 @@
 // Confirm records a message of the source: age ago, the configuration was the newest.
 // maxGap is the longest time between two messages of the source.
 func (c *Certainty) Confirm(now time.Time, age, maxGap time.Duration) {
-	gap := now.Sub(c.lastReadAt)
+	gap := elapsed(c.lastReadAt, now)
 	c.lastReadAt = now
 	if at := now.Add(-age); gap <= maxGap && at.After(c.confirmedAt) {
 		c.confirmedAt = at
@@ -32,5 +32,12 @@
 // Age returns the time since the configuration was last known to be the newest; it reports
 // false if it never was.
 func (c *Certainty) Age(now time.Time) (age time.Duration, isKnown bool) {
-	return now.Sub(c.confirmedAt), !c.confirmedAt.IsZero()
+	return elapsed(c.confirmedAt, now), !c.confirmedAt.IsZero()
+}
+
+// elapsed returns the time between two readings of the clock, the longer one of the
+// monotonic and the wall clock: the former stands still while the machine is suspended, the
+// latter may be set back.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
 }
--- a/pkg/sidecar/tenants.go
+++ b/pkg/sidecar/tenants.go
@@ -115,14 +115,14 @@
 	if isKnown {
 		t.deps.metrics.gauge("configuration_age_seconds", age.Seconds())
 	}
-	if isCertain := isKnown && age <= t.deps.settings.RevokeTimeout; isCertain != t.loggedCertain {
-		t.loggedCertain = isCertain
-		name := "configuration_unconfirmed"
-		if isCertain {
-			name = "configuration_confirmed"
-		}
-		t.deps.log.event(name, fields{"ageMs": age.Milliseconds()})
+	isCertain := isKnown && age <= t.deps.settings.RevokeTimeout
+	switch {
+	case isCertain && !t.loggedCertain:
+		t.deps.log.event("configuration_confirmed", fields{"ageMs": age.Milliseconds()})
+	case !isCertain && t.loggedCertain:
+		t.deps.log.event("configuration_unconfirmed", fields{"ageMs": age.Milliseconds()})
 	}
+	t.loggedCertain = isCertain
 }
 
 // The age of the configuration in the flags of a frame: 0 if it is not known, otherwise one
