Judge late requests by those that are as urgent

A waiting request that is late was refused as hopeless behind all late requests before it, also those that a gate with tenants admits after it, and the wait of a late request that is next was divided by the share of late starts. Both now follow the order.

go test ./pkg/mesh/gate: ok; TestLateUrgentRequestIsNotHopeless fails without the change.

--- a/pkg/mesh/gate/displace.go
+++ b/pkg/mesh/gate/displace.go
@@ -88,3 +88,38 @@
 	q.fair.displaced = nil
 	return displaced
 }
+
+// lateCounts counts waiting requests that can no longer be in time, in the order between
+// tenants by urgency: a late request waits only behind those that are as urgent.
+type lateCounts []lateCount
+
+// maxLateCounts bounds the urgencies that are told apart, and with them the work for each
+// waiting request; further ones count with the last.
+const maxLateCounts = 8
+
+type lateCount struct {
+	example waiter
+	count   int
+}
+
+// ahead returns the number of counted requests that w waits behind.
+func (c *lateCounts) ahead(w *waiter, isFair bool) int {
+	sum := 0
+	for i := range *c {
+		if !isFair || compareUrgency(&(*c)[i].example, w) <= 0 {
+			sum += (*c)[i].count
+		}
+	}
+	return sum
+}
+
+// add counts w.
+func (c *lateCounts) add(w *waiter, isFair bool) {
+	for i := range *c {
+		if !isFair || i == maxLateCounts-1 || compareUrgency(&(*c)[i].example, w) == 0 {
+			(*c)[i].count++
+			return
+		}
+	}
+	*c = append(*c, lateCount{example: *w, count: 1})
+}
--- a/pkg/mesh/gate/fairness.go
+++ b/pkg/mesh/gate/fairness.go
@@ -311,7 +311,7 @@
 		ahead = max(0, ahead-(q.slots-q.running))
 	}
 	share := 1.0
-	if isLate {
+	if isLate && ahead > 0 { // Otherwise it is the next one, late or not.
 		share = max(q.lateShare, minLateShare)
 	}
 	return time.Duration(float64(q.timeOf(ahead+1)) / share)
--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -297,17 +297,17 @@
 	var decisions []Decision
 	serviceTime := q.expectedServiceTime()
 	perStart := float64(serviceTime) / float64(max(q.slots, 1)) / max(q.lateShare, minLateShare)
-	lateAhead := 0
+	var late lateCounts
 	remaining := q.waiting[:0]
 	for _, w := range q.waiting {
-		wait := time.Duration(float64(lateAhead+1) * perStart)
+		wait := time.Duration(float64(late.ahead(&w, q.fair != nil)+1) * perStart)
 		if now.After(w.startBy) && now.Add(wait+serviceTime).After(w.Deadline) {
 			q.settle(&w, false, true)
 			decisions = append(decisions, Decision{ID: w.ID, Rejection: q.reject(verdict.DeadlineUnreachable, "no slot will be free in time", wait)})
 			continue
 		}
 		if now.After(w.startBy) {
-			lateAhead++
+			late.add(&w, q.fair != nil)
 		}
 		remaining = append(remaining, w)
 	}
--- a/pkg/mesh/gate/tenantorder_test.go
+++ b/pkg/mesh/gate/tenantorder_test.go
@@ -264,3 +264,21 @@
 		})
 	}
 }
+
+// An urgent request that is late must not be refused as hopeless because of late requests
+// that are less urgent: it is the next one.
+func TestLateUrgentRequestIsNotHopeless(t *testing.T) {
+	q := NewQueue(1)
+	lateSoon := func(r *Request) {
+		r.SoftDeadline, r.Deadline = epoch.Add(60*time.Millisecond), epoch.Add(10*time.Second)
+	}
+	var waiting []Request
+	for i := range 6 {
+		waiting = append(waiting, request(uint64(i+1), tenantOf("a", 1), lateSoon, priority(2)))
+	}
+	waiting = append(waiting, request(7, tenantOf("a", 1), lateSoon, priority(0), func(r *Request) { r.Deadline = epoch.Add(time.Second) }))
+	fillSlots(t, q, waiting...)
+	q.lateShare = 0.2 // As behind requests that were in time lately.
+	decisions := q.Release(epoch.Add(100*time.Millisecond), 50*time.Millisecond)
+	assert.DeepEqual(t, decisions, []Decision{{ID: 7}})
+}
