--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -175,7 +175,7 @@
 		err.RetryAfter = noEndpointRetryAfter
 		return 0, err
 	}
-	if choice.QueueWait > 0 && choice.ExpectedLatency > remaining {
+	if choice.QueueWait > 0 && choice.ExpectedLatency > remaining && !x.mayGoAhead() {
 		err := verdict.NotRunErrorf(verdict.DeadlineUnreachable, "the wait for a slot is longer than the time left")
 		err.RetryAfter = choice.QueueWait
 		return 0, err
@@ -226,6 +226,9 @@
 			MaxQueueWaitUs: choice.MaxQueueWait.Microseconds(),
 		},
 	}
+	if x.tenant != nil {
+		c.Tenant, c.TenantPriority = x.tenant.Name, x.tenant.Priority
+	}
 	if analyzed, shifted := x.entry.deps.rollouts.isAnalyzed(e.Service, e.Version); analyzed {
 		baseline := x.entry.baseline(x.route.Name)
 		c.BaselineUs = baseline.Microseconds()
