Let senders see the reduced capacity of an endpoint

The slots of an endpoint came from its instance entry only, so that a gate could not tell that it takes less for some seconds. A lower number of slots in a reported load now counts for a second, and the wait that a rejection told counts for later requests meanwhile. Gates report lower slots only for cold endpoints.

--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -223,9 +223,12 @@
 		routeLatency *= warmupFactor
 	}
 	slots := float64(s.endpoint.Slots)
+	if v.slots > 0 && v.slots < s.endpoint.Slots {
+		slots, s.wait = float64(v.slots), max(v.busy, 0)
+	}
 	s.latency = time.Duration(routeLatency * (1 + saturationSlowdown*min(v.load/slots, 1)))
 	if v.load >= slots {
-		s.wait = time.Duration((v.load - slots + 1) / slots * serviceTime)
+		s.wait = max(s.wait, time.Duration((v.load-slots+1)/slots*serviceTime))
 	}
 	for _, rejection := range r.Rejections {
 		if rejection.Endpoint.Stats == s.endpoint.Stats {
--- a/pkg/mesh/placement/stats.go
+++ b/pkg/mesh/placement/stats.go
@@ -18,6 +18,10 @@
 	failureHalfLife    = 2 * time.Second
 )
 
+// reducedSlotsLifetime is how long a reported number of slots counts: an endpoint is cold
+// for some seconds.
+const reducedSlotsLifetime = time.Second
+
 // failureWeight is the weight of a new outcome in the failure rate (EWMA).
 const failureWeight = 0.15
 
@@ -49,6 +53,10 @@
 	outstanding    int
 	otherNodesLoad float64
 	reportedAt     time.Time
+	// reportedSlots is the number of slots at reportedAt; it is lower than that of the entry
+	// while the endpoint is cold. busyUntil is when it may take a further request then.
+	reportedSlots  int
+	busyUntil      time.Time
 	serviceTime    sample
 	routeLatencies map[string]sample
 	failureRate    float64
@@ -99,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.otherNodesLoad = math.Max(float64(load.Running+load.Waiting-s.outstanding), 0)
-	s.reportedAt, s.reportedFailureRate = now, load.FailureRate
+	s.reportedAt, s.reportedFailureRate, s.reportedSlots = now, load.FailureRate, load.Slots
 	if load.MeanServiceTime > 0 {
 		s.serviceTime = sample{load.MeanServiceTime, now}
 	}
@@ -114,6 +122,15 @@
 	s.unreachable = false
 }
 
+// RecordRejection records that the endpoint's node has rejected a request and told the
+// wait for a slot. It matters while the node reports fewer slots than the entry has:
+// without it, all requests of a busy sender would be tried there and rejected.
+func (s *Stats) RecordRejection(now time.Time, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busyUntil = now.Add(min(wait, reducedSlotsLifetime))
+}
+
 // RecordOutcome updates the failure rate with the outcome of a request.
 func (s *Stats) RecordOutcome(now time.Time, success bool) {
 	s.mu.Lock()
@@ -183,6 +200,10 @@
 	routeWeight       float64
 	failureRate       float64
 	ejected           bool
+	// slots is the number of slots that was reported lately, 0 if none was; busy is the time
+	// until a further request may be taken.
+	slots int
+	busy  time.Duration
 }
 
 func (s *Stats) view(now time.Time, route string) view {
@@ -195,6 +216,9 @@
 		failureRate: max(s.decayedFailureRate(now), decayed(s.reportedFailureRate, now.Sub(s.reportedAt))),
 		ejected:     s.unreachable || now.Before(s.ejectedUntil),
 	}
+	if now.Sub(s.reportedAt) < reducedSlotsLifetime {
+		v.slots, v.busy = s.reportedSlots, s.busyUntil.Sub(now)
+	}
 	if age := now.Sub(s.reportedAt); s.otherNodesLoad > 0 && age < loadLifetime {
 		v.load += s.otherNodesLoad * (1 - float64(age)/float64(loadLifetime))
 	}
