Obey home regions, evacuations and the limit of cold endpoints

Regions: every selection goes through eligible, which intersects the lists of the route and the tenant. The table keeps 16 candidates in each other region for requests with a list; other requests keep their 16 of all other regions. The canary endpoint is one that most of the configured traffic may reach, and requests that may not go there do not count for its share.

Evacuations: the kind is followed like rollouts if the settings have the bound. Entries filter, gates refuse as not run, calls that wait are refused. A follower gets the kind only if it asks for it; a state transfer without it is no empty list. The revision of the newest change goes with calls, so that a node with a silent source learns it from others.

Cold: the gate asks coldstart before each send, reduces the slots while the endpoint is not known to be warm, and asks the health check when it matters.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -93,11 +93,24 @@
 	return defaultWatchDebounce
 }
 
+// evacuationPollRatio is the mean time between two polls of the evacuations by any of the
+// nodes that read the store, as a fraction of the time within which an evacuation must be
+// in force. With 0.1, no node polls within three fifths of that time in 1 of 400 cases; the
+// others learn of the change with their calls.
+const evacuationPollRatio = 0.1
+
+// evacuationWatchTimeout returns the timeout of a watch call for evacuations, which must be
+// in force within timeout. It is drawn like that of watchTimeout.
+func evacuationWatchTimeout(timeout time.Duration, readers int) time.Duration {
+	mean := max(evacuationPollRatio*float64(timeout)*float64(readers), float64(minMeanWatchTimeout))
+	return min(time.Duration(mean*rand.ExpFloat64()), maxWatchTimeout)
+}
+
 // nodeCallLimits bounds the store calls of one node, so that a faulty node does not use
 // up the rate limit that all nodes share.
 func nodeCallLimits() store.CallLimits {
 	return store.CallLimits{
-		Default: store.RateLimits{WritesPerSecond: 5, ReadsPerSecond: 10, WriteBurst: 10, ReadBurst: 20}, MaxWatches: 3,
+		Default: store.RateLimits{WritesPerSecond: 5, ReadsPerSecond: 10, WriteBurst: 10, ReadBurst: 20}, MaxWatches: 4,
 	}
 }
 
@@ -135,6 +148,9 @@
 		Address: settings.StoreAddress, Dial: exchange.Dialer{Timeout: storeDialTimeout}.DialContext,
 		CallTimeout: storeCallTimeout,
 		WatchTimeout: func(kind store.Kind) time.Duration {
+			if kind == store.KindEvacuation {
+				return evacuationWatchTimeout(settings.EvacuationTimeout, node.ReaderCount())
+			}
 			return watchTimeout(kind, settings.ConfigurationApplyTimeout, node.ReaderCount())
 		},
 		WatchDebounce: func(kind store.Kind) time.Duration { return watchDebounce(kind, settings.ConfigurationApplyTimeout) },
--- a/pkg/mesh/configuration.go
+++ b/pkg/mesh/configuration.go
@@ -125,6 +125,7 @@
 	configuration Configuration
 	hosts         map[string][]*Route
 	services      map[string]*Service
+	regionScores  map[string]regionScores
 }
 
 // Compile validates a configuration and returns its snapshot. One invalid route
@@ -144,6 +145,7 @@
 	if err := validateTenants(c.Tenants); err != nil {
 		return nil, eris.Wrapf(err, "version %d", c.Version)
 	}
+	s.scoreRegions()
 	for _, routes := range s.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
--- a/pkg/mesh/placement/table.go
+++ b/pkg/mesh/placement/table.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/evacuation"
 )
 
 // statsLifetime is how long the observations of a removed endpoint are kept.
@@ -53,16 +54,21 @@
 type Endpoint struct {
 	mesh.Endpoint
 	*Stats
-	Instance    string
-	NodeAddress string
-	Distance    Distance
+	Instance      string
+	FailureDomain string
+	Region        string
+	NodeAddress   string
+	Distance      Distance
 	// warmUntil is the end of the slow start on this node's clock.
 	warmUntil time.Time
 }
 
 // Table is an immutable view of all endpoints by service and version.
 type Table struct {
-	services  map[string]map[string][]*Endpoint
+	services map[string]map[string][]*Endpoint
+	// regional is like services, but has candidates in each of the other regions, for
+	// requests that may run only in some.
+	regional  map[string]map[string][]*Endpoint
 	instances []string
 	// addresses holds the addresses of the nodes that have endpoints.
 	addresses map[string]bool
@@ -83,18 +89,6 @@
 	return names
 }
 
-// CanaryEndpoint returns the endpoint that takes the canary requests of a version. All
-// nodes choose the same one, so that its node sees all results. It is nil if all
-// endpoints are ejected.
-func (t *Table) CanaryEndpoint(service, version string, now time.Time) *Endpoint {
-	for _, e := range t.ranks[versionKey{service, version}] {
-		if !e.view(now, "").ejected {
-			return e
-		}
-	}
-	return nil
-}
-
 // EndpointsByVersion returns the candidate endpoints of each version of a service. The
 // result must not be changed.
 func (t *Table) EndpointsByVersion(service string) map[string][]*Endpoint { return t.services[service] }
@@ -124,16 +118,27 @@
 type Builder struct {
 	self Locality
 
-	mu        sync.Mutex
-	stats     map[statsKey]*Stats
-	warmUntil map[statsKey]time.Time
+	mu          sync.Mutex
+	stats       map[statsKey]*Stats
+	warmUntil   map[statsKey]time.Time
+	evacuations *evacuation.Set
 }
 
 type statsKey struct{ instance, endpoint string }
 
 // NewBuilder returns a builder for the node at self.
 func NewBuilder(self Locality) *Builder {
-	return &Builder{self: self, stats: make(map[statsKey]*Stats), warmUntil: make(map[statsKey]time.Time)}
+	return &Builder{
+		self: self, stats: make(map[statsKey]*Stats), warmUntil: make(map[statsKey]time.Time), evacuations: evacuation.None,
+	}
+}
+
+// SetEvacuations sets the evacuations of the tables to be built. Evacuated endpoints are
+// in the tables, but take the place of no other candidate.
+func (b *Builder) SetEvacuations(evacuations *evacuation.Set) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evacuations = evacuations
 }
 
 // Build returns the table of the given instances.
@@ -141,7 +146,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	table := &Table{
-		services: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint), addresses: make(map[string]bool),
+		services: make(map[string]map[string][]*Endpoint), regional: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint), addresses: make(map[string]bool),
 	}
 	for i := range instances {
 		instance := &instances[i]
@@ -160,9 +165,10 @@
 	}
 	slices.Sort(table.instances)
 	for service, versions := range table.services {
+		table.regional[service] = make(map[string][]*Endpoint, len(versions))
 		for version, endpoints := range versions {
 			table.ranks[versionKey{service, version}] = rankEndpoints(endpoints)
-			versions[version] = b.limitCandidates(endpoints)
+			versions[version], table.regional[service][version] = b.limitCandidates(endpoints)
 		}
 	}
 	b.prune(now)
@@ -181,8 +187,8 @@
 	stats.lastSeen = now
 	stats.mu.Unlock()
 	return &Endpoint{
-		Endpoint: e, Stats: stats, Instance: instance.Name, NodeAddress: instance.Address,
-		Distance: b.self.distance(instance), warmUntil: b.warmUntil[key],
+		Endpoint: e, Stats: stats, Instance: instance.Name, FailureDomain: instance.FailureDomain, Region: instance.Region,
+		NodeAddress: instance.Address, Distance: b.self.distance(instance), warmUntil: b.warmUntil[key],
 	}
 }
 
@@ -197,22 +203,37 @@
 
 // limitCandidates keeps at most maxCandidates endpoints of each distance: those that
 // rendezvous hashing with the local instance prefers, so that all nodes together
-// reach all endpoints.
-func (b *Builder) limitCandidates(endpoints []*Endpoint) []*Endpoint {
+// reach all endpoints. regional has as many of each other region. Evacuated endpoints are
+// counted apart.
+func (b *Builder) limitCandidates(endpoints []*Endpoint) (selected, regional []*Endpoint) {
 	hash := func(e *Endpoint) uint64 {
 		return xxhash.Sum64String(b.self.Instance + "/" + e.Instance + "/" + e.ID)
 	}
 	slices.SortFunc(endpoints, func(a, c *Endpoint) int {
 		return cmp.Or(cmp.Compare(a.Distance, c.Distance), cmp.Compare(hash(a), hash(c)), cmp.Compare(a.ID, c.ID))
 	})
-	selected := endpoints[:0]
-	var counts [OtherRegion + 1]int
+	type group struct {
+		distance    Distance
+		region      string
+		isEvacuated bool
+	}
+	counts := make(map[group]int)
 	for _, e := range endpoints {
-		if counts[e.Distance]++; counts[e.Distance] <= maxCandidates {
+		isEvacuated := !b.evacuations.Admits(e.FailureDomain)
+		byDistance := group{distance: e.Distance, isEvacuated: isEvacuated}
+		byRegion := group{distance: e.Distance, region: e.Region, isEvacuated: isEvacuated}
+		counts[byDistance]++
+		if counts[byDistance] <= maxCandidates {
 			selected = append(selected, e)
 		}
+		if byRegion != byDistance {
+			counts[byRegion]++
+		}
+		if counts[byRegion] <= maxCandidates {
+			regional = append(regional, e)
+		}
 	}
-	return selected
+	return selected, regional
 }
 
 func (b *Builder) prune(now time.Time) {
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -43,8 +43,10 @@
 	// deregistered.
 	restored           bool
 	announcementCounts map[string]announcementCount
-	readAhead          *readAheadPool
-	crashes            *crashRecorder
+	// warmth holds the limits of cold endpoints by the ID of the endpoint.
+	warmth    map[string]*endpointWarmth
+	readAhead *readAheadPool
+	crashes   *crashRecorder
 }
 
 // announcementCount counts the announcements of one process of an endpoint, which its
@@ -77,12 +79,13 @@
 	failureRate float64
 	// runningRetries is the number of running calls that count as retries.
 	runningRetries int
+	warmth         *endpointWarmth
 }
 
 func newLocalAdmission(deps *shared) *localAdmission {
 	la := &localAdmission{
 		deps: deps, registry: mesh.NewEndpointRegistry(deps.settings.HeartbeatInterval), admissions: make(map[string]*endpointAdmission),
-		announcementCounts: make(map[string]announcementCount), readAhead: newReadAheadPool(), crashes: newCrashRecorder(deps),
+		announcementCounts: make(map[string]announcementCount), warmth: make(map[string]*endpointWarmth), readAhead: newReadAheadPool(), crashes: newCrashRecorder(deps),
 	}
 	la.crashes.isInUse, la.crashes.onCrash = la.isInUse, la.removeCrashed
 	return la
@@ -245,10 +248,15 @@
 
 // run waits for a slot and runs the call.
 func (la *localAdmission) run(ctx context.Context, c *call) (*endpointResponse, placement.Load, *verdict.Error) {
+	arrived := la.deps.now()
 	ea, load, rejection := la.admit(ctx, c)
 	if rejection != nil {
 		return nil, load, rejection
 	}
+	if rejection := la.awaitColdLimit(ctx, ea, c, arrived); rejection != nil {
+		la.releaseSlot(ea, 0)
+		return nil, la.loadOf(ea, c.Route), rejection
+	}
 	started := la.deps.now()
 	running, rejection := la.recheck(ea, c, started)
 	if rejection != nil {
@@ -273,6 +281,9 @@
 		} else {
 			la.crashes.end(ea, running, false)
 		}
+		if failure.Cause != nil && ctx.Err() == nil {
+			la.doubtAfterFailure(ea)
+		}
 		if errors.Is(failure.Cause, syscall.ECONNREFUSED) {
 			la.crashes.connectionRefused(ea)
 		}
@@ -291,6 +302,7 @@
 	body := &slotBody{ReadCloser: resp.body}
 	body.onDone = func(complete bool, bytes int64) {
 		if body.isCut && callerCtx.Err() == nil {
+			la.doubtAfterFailure(ea)
 			la.crashes.connectionBroke(ea, running)
 		} else {
 			la.crashes.end(ea, running, complete && !resp.notRun)
@@ -318,6 +330,9 @@
 	case !la.deps.rollouts.isAllowed(c.Service, c.Version):
 		return nil, verdict.NotRunErrorf(verdict.VersionClosed, "version %q takes no requests any more", c.Version)
 	}
+	if rejection := la.evacuationRejection(); rejection != nil {
+		return nil, rejection
+	}
 	la.mu.Lock()
 	load := float64(ea.queue.Running()-1) / float64(max(ea.queue.Slots(), 1))
 	la.mu.Unlock()
@@ -348,11 +363,20 @@
 		la.mu.Unlock()
 		return nil, placement.Load{}, verdict.NotRunErrorf(verdict.NoTarget, "endpoint %q is of another service or version", c.Endpoint)
 	}
+	if rejection := la.evacuationRejection(); rejection != nil {
+		la.mu.Unlock()
+		return nil, placement.Load{}, rejection
+	}
 	if !la.deps.rollouts.isAllowed(c.Service, c.Version) {
 		load := ea.load(c.Route)
 		la.mu.Unlock()
 		return nil, load, verdict.NotRunErrorf(verdict.VersionClosed, "version %q takes no requests", c.Version)
 	}
+	if rejection := la.coldRejection(ea, c, now); rejection != nil {
+		load := ea.load(c.Route)
+		la.mu.Unlock()
+		return nil, load, rejection
+	}
 	la.nextID++
 	id := la.nextID
 	admitted, rejection := ea.queue.Admit(now, gate.Request{
@@ -408,15 +432,22 @@
 func (la *localAdmission) releaseSlot(ea *endpointAdmission, busyTime time.Duration) {
 	la.mu.Lock()
 	ea.deliverDecisions(ea.queue.Release(la.deps.now(), busyTime))
+	la.adjustSlots(ea)
 	la.mu.Unlock()
 }
 
 // send sends the call to the endpoint and reads the header of its response.
 func (la *localAdmission) send(ctx context.Context, ea *endpointAdmission, c *call) (*endpointResponse, *verdict.Error) {
 	h := la.deps.headers
+	counted := la.deps.now()
 	if err := c.prefetchBody(); err != nil {
 		return nil, verdict.NotRunErrorf(verdict.Canceled, "the body was cut: %v", err)
 	}
+	if now := la.deps.now(); now.Sub(counted) > lateSendTime {
+		if rejection := la.awaitColdLimit(ctx, ea, c, now); rejection != nil {
+			return nil, rejection
+		}
+	}
 	request, err := c.request(ctx)
 	if err != nil {
 		return nil, verdict.NotRunErrorf(verdict.BadRequest, "request: %v", err)
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -46,6 +46,7 @@
 		changed := la.registry.Announce(now, a)
 		return la.recordAnnouncement(now, a) || changed
 	})
+	la.recordWarmth(a)
 	return a.State != mesh.EndpointDraining || la.awaitDeregistrationStored(a.ID)
 }
 
@@ -136,6 +137,7 @@
 	for _, ea := range la.admissions {
 		ea.pool.CloseExpired()
 	}
+	la.sweepWarmth()
 }
 
 // isInUse reports whether the endpoint has neither drained nor deregistered, and its version
@@ -189,9 +191,7 @@
 		e := la.registry.ReadyEndpoint(id)
 		if e != nil && e.StartUnixMs == ea.endpoint.StartUnixMs && e.Address == ea.endpoint.Address {
 			ea.endpoint = e
-			if e.Slots != ea.queue.Slots() {
-				ea.deliverDecisions(ea.queue.Resize(la.deps.now(), e.Slots))
-			}
+			la.adjustSlots(ea)
 			continue
 		}
 		ea.deliverDecisions(ea.queue.RejectAll())
@@ -207,7 +207,8 @@
 			endpoint: e, queue: gate.NewQueue(e.Slots),
 			pool:    exchange.NewPool(e.Address, exchange.Dialer{Timeout: endpointDialTimeout}, la.deps.metrics.endpointConnection),
 			waiting: make(map[uint64]chan *verdict.Error), analyzer: rollout.NewAnalyzer(),
-			routeLatencies: make(map[string]time.Duration), responseSizes: make(map[string]int64),
+			routeLatencies: make(map[string]time.Duration), responseSizes: make(map[string]int64), warmth: la.warmthOf(e),
 		}
+		la.adjustSlots(la.admissions[published.ID])
 	}
 }
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -145,8 +145,21 @@
 	return x.mayRetry()
 }
 
-// eligible returns the candidates that the request may be sent to.
-func (x *request) eligible(candidates []*placement.Endpoint) []*placement.Endpoint { return candidates }
+// eligible returns the candidates that the request may be sent to. Every selection of an
+// endpoint goes through it.
+func (x *request) eligible(candidates []*placement.Endpoint) []*placement.Endpoint {
+	return x.restriction().Filter(candidates)
+}
+
+// restriction returns what the regions of the route and the tenant, and the evacuations,
+// allow.
+func (x *request) restriction() placement.Restriction {
+	r := placement.Restriction{Regions: [][]string{x.route.AllowedRegions}, Evacuations: x.entry.deps.evacuations.Load()}
+	if x.tenant != nil {
+		r.Regions = append(r.Regions, x.tenant.AllowedRegions)
+	}
+	return r
+}
 
 // isLate reports whether the soft deadline of the request has passed.
 func (x *request) isLate() bool {
@@ -160,12 +173,14 @@
 	remaining := x.deadline.Sub(now)
 	table := x.entry.deps.table.Load()
 	isFurtherAttempt := x.attempts > 0
-	candidates := x.entry.deps.rollouts.candidates(table, x.service, isFurtherAttempt)
+	candidates := x.entry.deps.rollouts.candidates(table, x.service, isFurtherAttempt, x.restriction(), x.entry.deps.canaryOrder(x.service))
 	if s := x.entry.admission.crashes.suspicion(x.fingerprint); s.IsQuarantined {
 		if now.Before(s.TrialDueAt()) {
 			return 0, quarantined(s, s.TrialDueAt().Sub(now))
 		}
-		candidates = table.InstanceEndpoints(x.service, s.TrialInstance)
+		if candidates = x.eligible(table.InstanceEndpoints(x.service, s.TrialInstance)); len(candidates) == 0 {
+			return 0, quarantined(s, s.TrialDelay()) // The request may not go where its trial is due.
+		}
 	}
 	choice, ok := placement.Choose(now, x.eligible(candidates), placement.Request{
 		Route: x.route.Name, Kind: x.route.Kind, Timeout: remaining, SoftTimeout: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.attempted, Rejections: x.rejectedBy,
@@ -293,6 +308,7 @@
 			deps.rollouts.markClosed(result.endpoint.Service, result.endpoint.Version)
 		default:
 			x.allowEndpointAgain(result.endpoint)
+			result.endpoint.RecordRejection(now, result.failure.RetryAfter)
 			x.rejectedBy = append(x.rejectedBy, placement.Rejection{Endpoint: result.endpoint, QueueWait: result.failure.RetryAfter})
 		}
 	case attemptShed, attemptFailed, attemptIncomplete:
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -106,6 +106,8 @@
 	// reported to it.
 	ConfigurationVersion uint64 `json:"g,omitempty"`
 	RolloutRevision      uint64 `json:"o,omitempty"`
+	// EvacuationRevision is that of the newest change of the evacuations.
+	EvacuationRevision uint64 `json:"z,omitempty"`
 }
 
 // endpointResponse is the response of an endpoint to a call.
@@ -153,6 +155,7 @@
 	hopErrorHeader           = hopHeaderPrefix + "Error"
 	hopConfigVersionHeader   = hopHeaderPrefix + "Config"
 	hopRolloutRevisionHeader = hopHeaderPrefix + "Orders"
+	hopEvacuationHeader      = hopHeaderPrefix + "Evacuations"
 	hopLacksStateHeader      = hopHeaderPrefix + "Lacks-State"
 	hopNotRunHeader          = hopHeaderPrefix + "Not-Run"
 	hopFailurePercentHeader  = hopHeaderPrefix + "Failure-Percent"
--- a/pkg/sidecar/changes.go
+++ b/pkg/sidecar/changes.go
@@ -34,6 +34,9 @@
 // recordRemoval remembers that an object was removed by the given version; t.mu must be
 // held.
 func (t *tracker) recordRemoval(kind platform.Kind, name string, asOf uint64) {
+	if kind == platform.KindEvacuation {
+		storeMax(&t.deps.newestEvacuationRevision, asOf)
+	}
 	if len(t.removals[kind]) >= maxRemovals || asOf == 0 {
 		clear(t.removals[kind])
 		t.removalsFrom[kind] = max(asOf, t.asOf[kind]+1)
@@ -47,8 +50,11 @@
 func (t *tracker) changesSince(since map[platform.Kind]uint64) (changes []kindChanges, versions map[platform.Kind]uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	versions = make(map[platform.Kind]uint64, len(trackedKinds))
-	for _, kind := range trackedKinds {
+	versions = make(map[platform.Kind]uint64, len(t.kinds))
+	for _, kind := range t.kinds {
+		if !isAsked(kind, since) {
+			continue
+		}
 		from, asOf := since[kind], t.asOf[kind]
 		versions[kind] = max(from, asOf)
 		if !t.loadedKinds[kind] || asOf <= from {
--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -54,7 +54,7 @@
 	table := t.deps.table.Load()
 	for _, r := range t.deps.rollouts.activeRollouts() {
 		rolloutRoles[r.Service] = rollout.NodeRole{
-			Rank:        slices.Index(table.RankedInstances(r.Service, r.Version), t.deps.settings.Instance),
+			Rank:        slices.Index(table.DecidingInstances(r.Service, r.Version, t.deps.canaryOrder(r.Service)), t.deps.settings.Instance),
 			ResultCount: t.admission.analyzedResults(r.Service, r.Version),
 		}
 	}
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -154,8 +154,8 @@
 // delivered its view.
 func (t *tracker) readStore(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	running := make(chan struct{}, len(trackedKinds))
-	for _, kind := range trackedKinds {
+	running := make(chan struct{}, len(t.kinds))
+	for _, kind := range t.kinds {
 		go func() {
 			t.followKind(ctx, kind)
 			running <- struct{}{}
@@ -163,7 +163,7 @@
 	}
 	defer func() {
 		cancel()
-		for range trackedKinds {
+		for range t.kinds {
 			<-running
 		}
 		t.mu.Lock()
@@ -276,8 +276,8 @@
 func (t *tracker) versions() map[platform.Kind]uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	versions := make(map[platform.Kind]uint64, len(trackedKinds))
-	for _, kind := range trackedKinds {
+	versions := make(map[platform.Kind]uint64, len(t.kinds))
+	for _, kind := range t.kinds {
 		versions[kind] = t.asOf[kind]
 	}
 	return versions
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -164,6 +164,7 @@
 	metadata.TimeoutUs = c.deadline.Sub(h.deps.now()).Microseconds()
 	metadata.Stopping = h.deps.isShuttingDown()
 	metadata.ConfigurationVersion, metadata.RolloutRevision = h.deps.newestConfigVersion.Load(), h.deps.newestRolloutRevision.Load()
+	metadata.EvacuationRevision = h.deps.newestEvacuationRevision.Load()
 	request.Header[hopMetadataHeader] = []string{encodeHopHeader(metadata)}
 	exchangeRequest := exchange.Request{Request: request, MaxDialWait: maxNodeDialWait}
 	if !c.Idempotent {
@@ -183,6 +184,7 @@
 	load := parseLoad(httpResponse.Header.Get(hopLoadHeader))
 	load.FailureRate = parseFailurePercent(httpResponse.Header.Get(hopFailurePercentHeader))
 	h.deps.recordRemoteRevisions(parseRevision(httpResponse.Header.Get(hopConfigVersionHeader)), parseRevision(httpResponse.Header.Get(hopRolloutRevisionHeader)), address)
+	h.deps.recordRemoteEvacuations(parseRevision(httpResponse.Header.Get(hopEvacuationHeader)), address)
 	if httpResponse.Header.Get(hopLacksStateHeader) != "" {
 		h.sendStateIfDue(address)
 	}
@@ -302,6 +304,9 @@
 	}
 	w.Header().Set(hopConfigVersionHeader, strconv.FormatUint(s.deps.newestConfigVersion.Load(), 10))
 	w.Header().Set(hopRolloutRevisionHeader, strconv.FormatUint(s.deps.newestRolloutRevision.Load(), 10))
+	if revision := s.deps.newestEvacuationRevision.Load(); revision > 0 {
+		w.Header().Set(hopEvacuationHeader, strconv.FormatUint(revision, 10))
+	}
 	if !s.deps.isLoaded() {
 		w.Header().Set(hopLacksStateHeader, "1")
 	}
@@ -311,6 +316,9 @@
 		return
 	}
 	s.deps.recordRemoteRevisions(c.ConfigurationVersion, c.RolloutRevision, s.deps.callerAddress(r))
+	if c.EvacuationRevision > s.deps.evacuationRevision.Load() {
+		s.deps.recordRemoteEvacuations(c.EvacuationRevision, s.deps.callerAddress(r))
+	}
 	if s.deps.isInboundClosed.Load() {
 		s.reject(w, placement.Load{}, verdict.NotRunErrorf(verdict.NoTarget, "the endpoint's node is stopping"))
 		return
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -40,4 +40,18 @@
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("connections_cut").Inc(1)
 }
 
+func (m *metrics) evacuationRejection(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("evacuation_rejections").Inc(1)
+}
+
+func (m *metrics) coldRejection() { m.scope.Counter("cold_rejections").Inc(1) }
+
+func (m *metrics) warmthDoubted(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("warmth_doubts").Inc(1)
+}
+
+func (m *metrics) warmthQuery(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("warmth_queries").Inc(1)
+}
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -167,7 +167,7 @@
 	if x.entry.deps.isRejectingNew.Load() {
 		return verdict.NotRunErrorf(verdict.Draining, "the node is stopping")
 	}
-	if x.snapshot = x.entry.deps.snapshot.Load(); x.snapshot == nil || x.entry.deps.table.Load() == nil {
+	if x.snapshot = x.entry.deps.snapshot.Load(); x.snapshot == nil || x.entry.deps.table.Load() == nil || x.entry.deps.evacuations.Load() == nil {
 		err := verdict.NotRunErrorf(verdict.NoTarget, "the node has no configuration yet")
 		err.RetryAfter = startRetryAfter
 		return err
--- a/pkg/sidecar/rollouts.go
+++ b/pkg/sidecar/rollouts.go
@@ -192,11 +192,14 @@
 // candidates returns the endpoints that a request for a service may be sent to. The
 // node of an endpoint knows first whether the version takes requests. If it rejected a
 // call for that reason, the other versions are used, even if this node has not read the
-// change yet.
-func (rt *rolloutTracker) candidates(table *placement.Table, service string, isFurtherAttempt bool) (list []*placement.Endpoint) {
+// change yet. A request that may not go to the canary endpoint does not count for the
+// share of the canary.
+func (rt *rolloutTracker) candidates(
+	table *placement.Table, service string, isFurtherAttempt bool, restriction placement.Restriction, order placement.CanaryOrder,
+) (list []*placement.Endpoint) {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	known := table.EndpointsByVersion(service)
+	known := table.Candidates(service, restriction)
 	versions := rt.openVersions(service, known)
 	p, ok := rt.policies[service]
 	inUse := rt.inUse[service]
@@ -204,7 +207,7 @@
 		if inUse != "" {
 			return versions[inUse]
 		}
-		return mostCommonVersion(versions)
+		return versions[mostCommonVersion(rt.openVersions(service, table.EndpointsByVersion(service)))]
 	}
 	if p.Share >= 1 {
 		if list = versions[p.Version]; len(list) > 0 || inUse == p.Version {
@@ -212,10 +215,11 @@
 		}
 	}
 	if p.Share > 0 && p.Share < 1 && !isFurtherAttempt && len(versions[p.Version]) > 0 {
-		rt.requestCounts[service]++
-		if unitPosition(rt.requestCounts[service]) < p.Share {
-			if e := table.CanaryEndpoint(service, p.Version, rt.now()); e != nil {
-				return []*placement.Endpoint{e}
+		canary := table.CanaryEndpoint(service, p.Version, rt.now(), order)
+		if canary != nil && restriction.Allows(canary) {
+			rt.requestCounts[service]++
+			if unitPosition(rt.requestCounts[service]) < p.Share {
+				return []*placement.Endpoint{canary}
 			}
 		}
 	}
@@ -242,15 +246,15 @@
 	return float64(high) / unit
 }
 
-// mostCommonVersion returns the endpoints of the version with the most endpoints, for the
-// time until the version in use is stored.
-func mostCommonVersion(versions map[string][]*placement.Endpoint) []*placement.Endpoint {
+// mostCommonVersion returns the version with the most endpoints, for the time until the
+// version in use is stored.
+func mostCommonVersion(versions map[string][]*placement.Endpoint) string {
 	var best string
-	var list []*placement.Endpoint
+	most := 0
 	for version, endpoints := range versions {
-		if len(endpoints) > len(list) || len(endpoints) == len(list) && version < best {
-			best, list = version, endpoints
+		if len(endpoints) > most || len(endpoints) == most && version < best {
+			best, most = version, len(endpoints)
 		}
 	}
-	return list
+	return best
 }
--- a/pkg/sidecar/rollouts_test.go
+++ b/pkg/sidecar/rollouts_test.go
@@ -9,11 +9,19 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/evacuation"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/platform"
 )
 
+// anywhere is the restriction of requests that may be sent to all endpoints, and anyCanary
+// the order of canaries without regions and evacuations.
+var (
+	anywhere  = placement.Restriction{Evacuations: evacuation.None}
+	anyCanary = placement.CanaryOrder{Evacuations: evacuation.None}
+)
+
 // tableOf returns a table with two endpoints of each version of service s.
 func tableOf(now time.Time, versions ...string) *placement.Table {
 	var instances []mesh.Instance
@@ -32,7 +40,7 @@
 func countVersions(rt *rolloutTracker, table *placement.Table, n int) map[string]int {
 	counts := make(map[string]int)
 	for range n {
-		for _, e := range rt.candidates(table, "s", true)[:1] {
+		for _, e := range rt.candidates(table, "s", true, anywhere, anyCanary)[:1] {
 			counts[e.Version]++
 		}
 	}
@@ -62,7 +70,7 @@
 	rt.markClosed("s", "v1")
 	canary.State = mesh.RolloutRolledBack
 	rt.step(rollout.Event{Kind: rollout.RolloutsReplaced, Rollouts: []mesh.Rollout{canary}})
-	assert.Equal(t, len(rt.candidates(both, "s", false)), 0)
+	assert.Equal(t, len(rt.candidates(both, "s", false, anywhere, anyCanary)), 0)
 }
 
 // Verifies that a new version does not get all requests only because no endpoint of the
@@ -74,7 +82,7 @@
 	rt := newRolloutTracker(func() time.Time { return now }, log, func() {})
 	canary := mesh.Rollout{Service: "s", Version: "v2", Duration: 10 * time.Second, State: mesh.RolloutRunning}
 	rt.step(rollout.Event{Kind: rollout.RolloutsReplaced, Rollouts: []mesh.Rollout{canary}})
-	assert.Equal(t, len(rt.candidates(tableOf(now, "v2"), "s", true)), 0)
+	assert.Equal(t, len(rt.candidates(tableOf(now, "v2"), "s", true, anywhere, anyCanary)), 0)
 }
 
 // Verifies that a version gets no requests without an order, however many endpoints it has:
@@ -98,14 +106,14 @@
 		}
 	}
 	check("no rollout", all, map[string]int{"v2": 5})
-	assert.Equal(t, len(rt.candidates(others, "s", false)), 0)
+	assert.Equal(t, len(rt.candidates(others, "s", false, anywhere, anyCanary)), 0)
 	order("v1", mesh.RolloutRolledBack)
 	check("another one rolled back", all, map[string]int{"v2": 5})
 	order("v1", mesh.RolloutRunning)
 	check("v1", all, map[string]int{"v2": 5})
 	order("v2", mesh.RolloutCompleted)
 	check("completed", all, map[string]int{"v2": 5})
-	assert.Equal(t, len(rt.candidates(others, "s", false)), 0)
+	assert.Equal(t, len(rt.candidates(others, "s", false, anywhere, anyCanary)), 0)
 }
 
 // Verifies that a process which was paused does not act on what it saw before: the endpoints
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/evacuation"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 )
 
@@ -24,6 +25,11 @@
 	// snapshot and table are nil until the store has been read.
 	snapshot atomic.Pointer[mesh.Snapshot]
 	table    atomic.Pointer[placement.Table]
+	// evacuations is nil while the deployment has them and they have not been read.
+	evacuations atomic.Pointer[evacuation.Set]
+	// evacuationRevision is the revision of the store up to which all evacuations are known
+	// here; newestEvacuationRevision that of the newest change that any node has read.
+	evacuationRevision, newestEvacuationRevision atomic.Uint64
 	// service is the service of the local endpoint; a reload of the settings may change
 	// it.
 	service atomic.Pointer[string]
@@ -73,6 +79,15 @@
 	return 0
 }
 
+// canaryOrder returns the order in which the endpoints of a service take canary requests.
+func (s *shared) canaryOrder(service string) placement.CanaryOrder {
+	order := placement.CanaryOrder{Evacuations: s.evacuations.Load()}
+	if snapshot := s.snapshot.Load(); snapshot != nil {
+		order.RegionScore = snapshot.RegionScore(service)
+	}
+	return order
+}
+
 // recordRemoteRevisions records the configuration version and the revision of the
 // newest rollout that the node at address reported; "" if its address is not known. A
 // node whose own source is silent, or pauses for long, learns of a change from the nodes
--- a/pkg/sidecar/statetransfer.go
+++ b/pkg/sidecar/statetransfer.go
@@ -46,7 +46,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	content := make(map[platform.Kind][]transferredObject)
-	for _, kind := range trackedKinds {
+	for _, kind := range t.kinds {
 		if !t.loadedKinds[kind] {
 			return nil, nil
 		}
@@ -63,16 +63,16 @@
 // store yet. It does not restore the local endpoints: what the sender knows of them may
 // be older than a deregistration that an earlier process of this node acknowledged.
 func (t *tracker) applyState(encoded []byte) error {
-	objectsByKind, err := decodeState(encoded)
+	objectsByKind, err := decodeState(encoded, t.kinds)
 	if err != nil {
 		return err
 	}
-	for _, kind := range trackedKinds {
-		objects := objectsByKind[kind]
+	for _, kind := range t.kinds {
+		objects, isListed := objectsByKind[kind]
 		t.mu.Lock()
 		isLoaded := t.loadedKinds[kind]
 		t.mu.Unlock()
-		if isLoaded || kind == platform.KindConfiguration && len(objects) == 0 {
+		if isLoaded || kind == platform.KindConfiguration && len(objects) == 0 || kind == platform.KindEvacuation && !isListed {
 			continue
 		}
 		t.replaceView(kind, objects, 0)
@@ -84,17 +84,20 @@
 
 // decodeState decodes a state transfer. Each object is decoded on its own: one that the
 // sender could use may be nested too deeply for encoding/json inside of the transfer.
-func decodeState(encoded []byte) (map[platform.Kind][]platform.Object, error) {
-	kinds, err := rawjson.Members(encoded)
+func decodeState(encoded []byte, kinds []platform.Kind) (map[platform.Kind][]platform.Object, error) {
+	members, err := rawjson.Members(encoded)
 	if err != nil {
 		return nil, eris.Wrap(err, "decode offer")
 	}
 	objectsByKind := make(map[platform.Kind][]platform.Object)
-	for _, kind := range trackedKinds {
-		list, err := rawjson.Elements(kinds[string(kind)])
-		if err != nil && kinds[string(kind)] != nil {
+	for _, kind := range kinds {
+		list, err := rawjson.Elements(members[string(kind)])
+		if err != nil && members[string(kind)] != nil {
 			return nil, eris.Wrapf(err, "decode objects of kind %s", kind)
 		}
+		if err == nil {
+			objectsByKind[kind] = nil // Listed, perhaps without objects.
+		}
 		for _, text := range list {
 			parts, _ := rawjson.Members(text)
 			o := platform.Object{Kind: kind, Value: bytes.Clone(parts["value"])}
--- a/pkg/sidecar/storereader.go
+++ b/pkg/sidecar/storereader.go
@@ -120,12 +120,16 @@
 		if newest := t.deps.newestRolloutRevision.Load(); newest > t.deps.rolloutRevision.Load() && ctx.Err() == nil {
 			t.fetchRollouts(ctx, newest)
 		}
+		if t.deps.isBehindEvacuations() && ctx.Err() == nil {
+			t.fetchEvacuations(ctx, t.deps.newestEvacuationRevision.Load())
+		}
 	}
 }
 
 // isBehind reports whether another node has reported something that is not known here.
 func (t *tracker) isBehind() bool {
-	return t.deps.newestConfigVersion.Load() > t.deps.configVersion() || t.deps.newestRolloutRevision.Load() > t.deps.rolloutRevision.Load()
+	return t.deps.newestConfigVersion.Load() > t.deps.configVersion() || t.deps.newestRolloutRevision.Load() > t.deps.rolloutRevision.Load() ||
+		t.deps.isBehindEvacuations()
 }
 
 func (t *tracker) fetchConfiguration(ctx context.Context, newest uint64) {
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/evacuation"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/mesh/upstream"
@@ -33,7 +34,7 @@
 	inUsePrefix    = "version-"
 )
 
-// trackedKinds are the kinds of objects that a node follows.
+// trackedKinds are the kinds of objects that every node follows.
 var trackedKinds = []platform.Kind{platform.KindConfiguration, platform.KindRollout, platform.KindMeshState}
 
 // DocumentCodec decodes and encodes the documents that operators write to the store.
@@ -64,6 +65,9 @@
 	instances map[string]mesh.Instance
 	rollouts  map[string]mesh.Rollout
 	progress  map[string]rollout.Progress
+	// kinds are the kinds that this node follows, and evacuated the evacuated failure domains.
+	kinds     []platform.Kind
+	evacuated map[string]bool
 	// resourceVersions holds the version of each object that was read last, decoded or
 	// not.
 	resourceVersions map[platform.Kind]map[string]string
@@ -113,10 +117,14 @@
 		loadedKinds: make(map[platform.Kind]bool),
 		asOf:        make(map[platform.Kind]uint64), removals: make(map[platform.Kind]map[string]uint64),
 		removalsFrom: make(map[platform.Kind]uint64), viewChanged: make(chan struct{}), lostKinds: make(map[platform.Kind]time.Time),
+		kinds: kindsOf(deps.settings), evacuated: make(map[string]bool),
 		upstream:    upstream.NewSelector(deps.settings.Instance),
 		publishWake: make(chan struct{}, 1), rolloutWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), published: make(chan struct{}),
 	}
-	for _, kind := range trackedKinds {
+	if deps.settings.EvacuationTimeout <= 0 {
+		deps.evacuations.Store(evacuation.None)
+	}
+	for _, kind := range t.kinds {
 		t.resourceVersions[kind], t.objects[kind] = make(map[string]string), make(map[string]platform.Object)
 		t.removals[kind] = make(map[string]uint64)
 	}
@@ -244,6 +252,9 @@
 		return t.activate(o)
 	case kind == platform.KindRollout:
 		return t.putRollout(o)
+	case kind == platform.KindEvacuation:
+		t.putEvacuation(o)
+		return nil
 	}
 	return t.putState(o)
 }
@@ -306,6 +317,8 @@
 	switch kind {
 	case platform.KindRollout:
 		delete(t.rollouts, name)
+	case platform.KindEvacuation:
+		delete(t.evacuated, name)
 	case platform.KindMeshState:
 		delete(t.instances, name)
 		delete(t.progress, name)
@@ -341,6 +354,8 @@
 // refresh rebuilds what is derived from the objects of a kind.
 func (t *tracker) refresh(kind platform.Kind) {
 	switch kind {
+	case platform.KindEvacuation:
+		t.refreshEvacuations()
 	case platform.KindRollout, platform.KindMeshState:
 		t.mu.Lock()
 		rollouts := make([]mesh.Rollout, 0, len(t.rollouts))
@@ -403,7 +418,8 @@
 func (t *tracker) isLoaded() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.loadedKinds[platform.KindRollout] && t.loadedKinds[platform.KindMeshState] && t.deps.snapshot.Load() != nil
+	return t.loadedKinds[platform.KindRollout] && t.loadedKinds[platform.KindMeshState] && t.deps.snapshot.Load() != nil &&
+		t.deps.evacuations.Load() != nil
 }
 
 // endpointsChanged applies a change of the local endpoints.
--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -191,7 +191,7 @@
 	})
 	node, err := sidecar.New(sidecar.Deps{
 		Settings: n.settings, HeaderNames: platform.HeaderNames(), Store: client, StoreCallLimits: store.CallLimits{
-			Default: store.RateLimits{WritesPerSecond: 50, ReadsPerSecond: 50, WriteBurst: 50, ReadBurst: 50}, MaxWatches: 3,
+			Default: store.RateLimits{WritesPerSecond: 50, ReadsPerSecond: 50, WriteBurst: 50, ReadBurst: 50}, MaxWatches: 4,
 		}, Codec: platform.DocumentCodec{},
 		ReadinessPath:          platform.ReadinessPath,
 		NewAnnouncementHandler: func(r sidecar.Registry) http.Handler { return platform.AnnouncementHandler(r) },
