--- a/cmd/azurespring-node/sidecar_test.go
+++ b/cmd/azurespring-node/sidecar_test.go
@@ -49,3 +49,29 @@
 		assert.Assert(t, late <= rounds/200, "in %d rounds with %d nodes, no node polled in time in %d", rounds, instances, late)
 	}
 }
+
+// Evacuations must be in force within 5 s, also when the watches miss a change: some reader
+// must poll within 3 s, which leaves 2 s for the others to learn of it. Idle readers must
+// poll seldom, as each call is billed.
+func TestEvacuationsArePolledInTime(t *testing.T) {
+	const timeout, rounds = 5 * time.Second, 2000
+	for _, readers := range []int{1, 3, 6, 14, 40} {
+		late := 0
+		var sum time.Duration
+		for range rounds {
+			first := time.Minute
+			for range readers {
+				wait := evacuationWatchTimeout(timeout, readers)
+				assert.Assert(t, wait <= maxWatchTimeout)
+				first = min(first, wait)
+				sum += wait
+			}
+			if first > 3*time.Second {
+				late++
+			}
+		}
+		assert.Assert(t, late <= rounds/100, "with %d readers, none polled in time in %d of %d rounds", readers, late, rounds)
+		perSecond := float64(readers) / (sum / time.Duration(rounds*readers)).Seconds()
+		assert.Assert(t, perSecond < 3, "%d readers poll %.1f times a second", readers, perSecond)
+	}
+}
