Check calls with late bodies again, and refuse hopeless ones before their body

A call with a streamed body had been counted and checked before its body arrived: it could be sent seconds later, to a domain that was evacuated meanwhile, together with others. A request that may be sent nowhere is refused before its body is read. A rejection because of a full queue tells the wait for the limit if that is longer.

--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -385,6 +385,9 @@
 		MaxWait:      time.Duration(c.MaxQueueWaitUs) * time.Microsecond,
 		ServiceTime:  ea.routeLatencies[c.Route],
 	})
+	if rejection != nil {
+		rejection.RetryAfter = max(rejection.RetryAfter, la.coldWait(ea, c, now))
+	}
 	if admitted || rejection != nil {
 		load := ea.load(c.Route)
 		la.mu.Unlock()
@@ -444,6 +447,9 @@
 		return nil, verdict.NotRunErrorf(verdict.Canceled, "the body was cut: %v", err)
 	}
 	if now := la.deps.now(); now.Sub(counted) > lateSendTime {
+		if rejection := la.evacuationRejection(); rejection != nil {
+			return nil, rejection
+		}
 		if rejection := la.awaitColdLimit(ctx, ea, c, now); rejection != nil {
 			return nil, rejection
 		}
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -151,6 +151,29 @@
 	return x.restriction().Filter(candidates)
 }
 
+// checkEligible refuses a request with a body that may be sent nowhere, before its body is
+// read.
+func (x *request) checkEligible() *verdict.Error {
+	r, table := x.restriction(), x.entry.deps.table.Load()
+	if x.r.ContentLength == 0 || !r.HasRegions() && r.Evacuations.IsEmpty() {
+		return nil
+	}
+	for _, weighted := range x.route.WeightedServices {
+		for _, endpoints := range table.Candidates(weighted.Service, r) {
+			if len(endpoints) > 0 {
+				return nil
+			}
+		}
+	}
+	return noEndpoint(x.route.WeightedServices[0].Service)
+}
+
+func noEndpoint(service string) *verdict.Error {
+	err := verdict.NotRunErrorf(verdict.NoTarget, "service %q has no endpoint for the request", service)
+	err.RetryAfter = noEndpointRetryAfter
+	return err
+}
+
 // restriction returns what the regions of the route and the tenant, and the evacuations,
 // allow.
 func (x *request) restriction() placement.Restriction {
@@ -179,16 +202,14 @@
 			return 0, quarantined(s, s.TrialDueAt().Sub(now))
 		}
 		if candidates = x.eligible(table.InstanceEndpoints(x.service, s.TrialInstance)); len(candidates) == 0 {
-			return 0, quarantined(s, s.TrialDelay()) // The request may not go where its trial is due.
+			return 0, quarantined(s, max(s.TrialDelay(), minTrialInterval)) // The request may not go where its trial is due.
 		}
 	}
 	choice, ok := placement.Choose(now, x.eligible(candidates), placement.Request{
 		Route: x.route.Name, Kind: x.route.Kind, Timeout: remaining, SoftTimeout: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.attempted, Rejections: x.rejectedBy,
 	})
 	if !ok {
-		err := verdict.NotRunErrorf(verdict.NoTarget, "service %q has no endpoint for the request", x.service)
-		err.RetryAfter = noEndpointRetryAfter
-		return 0, err
+		return 0, noEndpoint(x.service)
 	}
 	if choice.QueueWait > 0 && choice.ExpectedLatency > remaining {
 		err := verdict.NotRunErrorf(verdict.DeadlineUnreachable, "the wait for a slot is longer than the time left")
--- a/pkg/sidecar/coldstart.go
+++ b/pkg/sidecar/coldstart.go
@@ -121,7 +121,7 @@
 			la.deps.log.event("endpoint_warmth", fields{"endpoint": ea.endpoint.ID, "state": state.String(), "slots": slots})
 		}
 		if query, ok := w.DueQuery(now, limits); ok {
-			go la.queryWarmth(ea, query)
+			go la.queryWarmth(ea, ea.endpoint, query)
 		}
 	}
 	if slots != ea.queue.Slots() {
@@ -130,14 +130,14 @@
 }
 
 // queryWarmth asks an endpoint through its health check whether it is cold.
-func (la *localAdmission) queryWarmth(ea *endpointAdmission, query coldstart.Query) {
+func (la *localAdmission) queryWarmth(ea *endpointAdmission, e *mesh.LocalEndpoint, query coldstart.Query) {
 	h, path := la.deps.headers, ""
-	if snapshot := la.deps.snapshot.Load(); snapshot != nil && snapshot.Service(ea.endpoint.Service) != nil {
-		path = snapshot.Service(ea.endpoint.Service).HealthCheckPath
+	if snapshot := la.deps.snapshot.Load(); snapshot != nil && snapshot.Service(e.Service) != nil {
+		path = snapshot.Service(e.Service).HealthCheckPath
 	}
 	remaining, err := healthquery.Check{
-		Address: ea.endpoint.Address, Path: path, RemainingHeader: h.ColdRemaining,
-		Header: http.Header{"User-Agent": {""}, h.ExpectedEndpoint: {ea.endpoint.ID}},
+		Address: e.Address, Path: path, RemainingHeader: h.ColdRemaining,
+		Header: http.Header{"User-Agent": {""}, h.ExpectedEndpoint: {e.ID}},
 	}.Query(context.Background(), ea.pool)
 	result := "warm"
 	la.mu.Lock()
@@ -145,7 +145,7 @@
 	case err != nil:
 		result = "failed"
 		ea.warmth.Failed(la.deps.now())
-		la.deps.log.event("warmth_query_failed", fields{"endpoint": ea.endpoint.ID, "error": err.Error()})
+		la.deps.log.event("warmth_query_failed", fields{"endpoint": e.ID, "error": err.Error()})
 	default:
 		if remaining > 0 {
 			result = "cold"
@@ -163,20 +163,26 @@
 	if la.deps.snapshot.Load() == nil && la.deps.settings.hasColdLimits() {
 		return verdict.NotRunErrorf(verdict.NoTarget, "the node does not know the limits of cold endpoints yet")
 	}
+	la.adjustSlots(ea)
+	wait := la.coldWait(ea, c, now)
+	if wait == 0 || wait <= la.maxColdWait(ea, c, now) {
+		return nil
+	}
+	return la.rejectCold(wait)
+}
+
+// coldWait returns how long a call would wait for the limit of a cold endpoint behind those
+// that wait already; la.mu must be held.
+func (la *localAdmission) coldWait(ea *endpointAdmission, c *call, now time.Time) time.Duration {
 	limits := la.deps.coldLimits(c.Service)
 	if !limits.IsLimited() {
-		return nil
+		return 0
 	}
-	la.adjustSlots(ea)
 	position := ea.warmth.waiting + 1
 	if !c.Nested {
 		position += ea.queue.Waiting()
 	}
-	wait := ea.warmth.Wait(now, limits, position)
-	if wait == 0 || wait <= la.maxColdWait(ea, c, now) {
-		return nil
-	}
-	return la.rejectCold(wait)
+	return ea.warmth.Wait(now, limits, position)
 }
 
 // maxColdWait returns the longest useful wait of a call for the limit of a cold endpoint.
--- a/pkg/sidecar/coldstart_test.go
+++ b/pkg/sidecar/coldstart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -295,3 +296,41 @@
 	_, _, failure = g.la.run(t.Context(), g.call(time.Second))
 	assert.Assert(t, failure == nil, "%v", failure)
 }
+
+// A call whose body arrives late must be counted when it is sent, and must not be sent to a
+// domain that was evacuated meanwhile.
+func TestLateBodyIsCheckedAgain(t *testing.T) {
+	g := newTestGate(t, coldService, nil)
+	g.announce(12, g.start, 10*time.Second)
+	late := func(during func()) *verdict.Error {
+		c := g.call(5 * time.Second)
+		c.method, c.contentLength = http.MethodPost, 4
+		isRead := false
+		c.remainingBody = &streamedBody{source: readerFunc(func(p []byte) (int, error) {
+			if isRead {
+				return 0, io.EOF
+			}
+			isRead = true
+			time.Sleep(2 * lateSendTime)
+			if during != nil {
+				during()
+			}
+			return copy(p, "body"), io.EOF
+		})}
+		resp, _, failure := g.la.run(t.Context(), c)
+		if failure == nil {
+			failure = discardFailure(resp)
+		}
+		return failure
+	}
+	assert.Assert(t, late(nil) == nil)
+	g.la.mu.Lock()
+	limits := g.la.deps.coldLimits("s")
+	wait := g.la.admissions["e"].warmth.Wait(time.Now(), limits, 15)
+	g.la.mu.Unlock()
+	assert.Assert(t, wait > 0, "the call counts twice")
+	failure := late(func() { g.tracker.apply(platform.KindEvacuation, put(evacuationObject("d", 11))) })
+	assert.Equal(t, failure.Code, verdict.NoTarget)
+	assert.Equal(t, failure.Verdict, verdict.NotRun)
+	assert.Equal(t, g.mostArrivals(), 1)
+}
--- a/pkg/sidecar/evacuations_test.go
+++ b/pkg/sidecar/evacuations_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -300,5 +302,11 @@
 	assert.Equal(t, failure.Code, verdict.NoTarget)
 	assert.Equal(t, failure.Verdict, verdict.NotRun)
 	assert.Equal(t, statusOf(failure), http.StatusServiceUnavailable)
+	x.r = httptest.NewRequest(http.MethodPost, "/x", iotest.ErrReader(io.ErrUnexpectedEOF))
+	x.route.WeightedServices = []mesh.WeightedService{{Service: "s", Weight: 1}}
+	early := x.checkEligible()
+	assert.Equal(t, early.Verdict, verdict.NotRun, "before the body is read")
+	x.route.AllowedRegions = []string{"r"}
+	assert.Assert(t, x.checkEligible() == nil)
 	assert.Assert(t, failure.RetryAfter > 0 && strings.Contains(failure.Error(), "no endpoint"))
 }
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -126,6 +126,9 @@
 	if err := x.setDeadline(); err != nil {
 		return nil, err
 	}
+	if err := x.checkEligible(); err != nil {
+		return nil, err
+	}
 	if err := x.readBody(); err != nil {
 		return nil, err
 	}
