--- a/pkg/mesh/coldstart/coldstart_test.go
+++ b/pkg/mesh/coldstart/coldstart_test.go
@@ -241,3 +241,12 @@
 		}
 	}
 }
+
+func BenchmarkTake(b *testing.B) {
+	l, now := New(), epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		l.Take(now, failback)
+	}
+}
