Spread the tries of senders at a cold endpoint

Each of many senders tried a cold endpoint again as soon as the wait that it had been told was over.

--- a/pkg/mesh/placement/stats.go
+++ b/pkg/mesh/placement/stats.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -19,8 +20,14 @@
 )
 
 // reducedSlotsLifetime is how long a reported number of slots counts: an endpoint is cold
-// for some seconds.
-const reducedSlotsLifetime = time.Second
+// for some seconds. maxBusyWait bounds the wait that a rejection told, to which a random
+// part of the spread is added; both must be over before the slots count no more.
+const (
+	reducedSlotsLifetime = 2500 * time.Millisecond
+	maxBusyWait          = time.Second
+	minBusySpread        = 250 * time.Millisecond
+	maxBusySpread        = 1200 * time.Millisecond
+)
 
 // failureWeight is the weight of a new outcome in the failure rate (EWMA).
 const failureWeight = 0.15
@@ -54,9 +61,11 @@
 	otherNodesLoad float64
 	reportedAt     time.Time
 	// reportedSlots is the number of slots at reportedAt; it is lower than that of the entry
-	// while the endpoint is cold. busyUntil is when it may take a further request then.
+	// while the endpoint is cold. busyUntil is when a further request may be tried then, and
+	// rejections the number of those that were rejected since one was served.
 	reportedSlots  int
 	busyUntil      time.Time
+	rejections     int
 	serviceTime    sample
 	routeLatencies map[string]sample
 	failureRate    float64
@@ -124,11 +133,15 @@
 
 // RecordRejection records that the endpoint's node has rejected a request and told the
 // wait for a slot. It matters while the node reports fewer slots than the entry has:
-// without it, all requests of a busy sender would be tried there and rejected.
+// without it, all requests of a busy sender would be tried there and rejected. The time
+// without a further try is spread wider with each, because many senders wait for the same
+// few slots.
 func (s *Stats) RecordRejection(now time.Time, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.busyUntil = now.Add(min(wait, reducedSlotsLifetime))
+	spread := min(minBusySpread<<min(s.rejections, 8), maxBusySpread)
+	s.rejections++
+	s.busyUntil = now.Add(min(wait, maxBusyWait) + rand.N(spread))
 }
 
 // RecordOutcome updates the failure rate with the outcome of a request.
@@ -137,6 +150,9 @@
 	defer s.mu.Unlock()
 	s.failureRate = UpdateFailureRate(s.decayedFailureRate(now), success)
 	s.failureRateAt = now
+	if success {
+		s.rejections = 0
+	}
 }
 
 // UpdateFailureRate returns a failure rate (EWMA) after one more outcome.
