--- a/pkg/mesh/configuration.go
+++ b/pkg/mesh/configuration.go
@@ -132,6 +132,7 @@
 	// leastTenantPriority and leastRoutePriority are the priorities of the least urgent
 	// tenant and route.
 	leastTenantPriority, leastRoutePriority int
+	regionScores                            map[string]regionScores
 }
 
 // Compile validates a configuration and returns its snapshot. One invalid route
@@ -153,6 +154,7 @@
 		return nil, eris.Wrapf(err, "version %d", c.Version)
 	}
 	s.indexKeys()
+	s.scoreRegions()
 	for _, routes := range s.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -45,4 +45,18 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("key_checks").Inc(1)
 }
 
+func (m *metrics) evacuationRejection(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("evacuation_rejections").Inc(1)
+}
+
+func (m *metrics) coldRejection() { m.scope.Counter("cold_rejections").Inc(1) }
+
+func (m *metrics) warmthDoubted(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("warmth_doubts").Inc(1)
+}
+
+func (m *metrics) warmthQuery(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("warmth_queries").Inc(1)
+}
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/pkg/sidecar/tenants_test.go
+++ b/pkg/sidecar/tenants_test.go
@@ -152,7 +152,7 @@
 	tr, logText := newTestTracker(t)
 	t.Cleanup(func() { logText() })
 	ea := &endpointAdmission{
-		endpoint: &mesh.LocalEndpoint{Announcement: mesh.Announcement{ID: "e", Service: "s", Version: "v"}}, queue: gate.NewQueue(slots),
+		endpoint: &mesh.LocalEndpoint{Announcement: mesh.Announcement{ID: "e", Service: "s", Version: "v", Slots: slots}}, queue: gate.NewQueue(slots),
 		waiting: make(map[uint64]chan *verdict.Error),
 	}
 	tr.admission.admissions["e"] = ea
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/evacuation"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/mesh/tenant"
@@ -34,7 +35,7 @@
 	inUsePrefix    = "version-"
 )
 
-// trackedKinds are the kinds of objects that a node follows.
+// trackedKinds are the kinds of objects that every node follows.
 var trackedKinds = []platform.Kind{platform.KindConfiguration, platform.KindRollout, platform.KindMeshState}
 
 // DocumentCodec decodes and encodes the documents that operators write to the store.
@@ -65,6 +66,9 @@
 	instances map[string]mesh.Instance
 	rollouts  map[string]mesh.Rollout
 	progress  map[string]rollout.Progress
+	// kinds are the kinds that this node follows, and evacuated the evacuated failure domains.
+	kinds     []platform.Kind
+	evacuated map[string]bool
 	// resourceVersions holds the version of each object that was read last, decoded or
 	// not.
 	resourceVersions map[platform.Kind]map[string]string
@@ -124,10 +128,14 @@
 		asOf:        make(map[platform.Kind]uint64), removals: make(map[platform.Kind]map[string]uint64),
 		removalsFrom: make(map[platform.Kind]uint64), viewChanged: make(chan struct{}), lostKinds: make(map[platform.Kind]time.Time),
 		eras: make(map[platform.Kind]uint64), lostWrites: make(map[string]lostWrite), lostWritesWake: make(chan struct{}, 1),
+		kinds: kindsOf(deps.settings), evacuated: make(map[string]bool),
 		upstream:    upstream.NewSelector(deps.settings.Instance),
 		publishWake: make(chan struct{}, 1), rolloutWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), published: make(chan struct{}),
 	}
-	for _, kind := range trackedKinds {
+	if deps.settings.EvacuationTimeout <= 0 {
+		deps.evacuations.Store(evacuation.None)
+	}
+	for _, kind := range t.kinds {
 		t.resourceVersions[kind], t.objects[kind] = make(map[string]string), make(map[string]platform.Object)
 		t.removals[kind] = make(map[string]uint64)
 	}
@@ -251,6 +259,9 @@
 		// this one get it from here.
 		o.Value = known.Value
 	}
+	if kind == platform.KindEvacuation {
+		o.Value = evacuationValue
+	}
 	t.objects[kind][o.Name] = o
 	if kind == platform.KindMeshState {
 		delete(t.lostWrites, o.Name)
@@ -287,6 +298,9 @@
 		return t.activate(o)
 	case kind == platform.KindRollout:
 		return t.putRollout(o)
+	case kind == platform.KindEvacuation:
+		t.putEvacuation(o)
+		return nil
 	}
 	return t.putState(o)
 }
@@ -349,6 +363,8 @@
 	switch kind {
 	case platform.KindRollout:
 		delete(t.rollouts, name)
+	case platform.KindEvacuation:
+		delete(t.evacuated, name)
 	case platform.KindMeshState:
 		delete(t.lostWrites, name)
 		delete(t.instances, name)
@@ -385,6 +401,8 @@
 // refresh rebuilds what is derived from the objects of a kind.
 func (t *tracker) refresh(kind platform.Kind) {
 	switch kind {
+	case platform.KindEvacuation:
+		t.refreshEvacuations()
 	case platform.KindRollout, platform.KindMeshState:
 		t.mu.Lock()
 		rollouts := make([]mesh.Rollout, 0, len(t.rollouts))
@@ -448,7 +466,8 @@
 func (t *tracker) isLoaded() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.loadedKinds[platform.KindRollout] && t.loadedKinds[platform.KindMeshState] && t.deps.snapshot.Load() != nil
+	return t.loadedKinds[platform.KindRollout] && t.loadedKinds[platform.KindMeshState] && t.deps.snapshot.Load() != nil &&
+		t.deps.evacuations.Load() != nil
 }
 
 // endpointsChanged applies a change of the local endpoints.
