Weight expected times by the speed that endpoints report

Endpoints on shared machines change their speed many times a second; the mean service time follows too late for the queue and for senders. Without a figure all results stay the same.

--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -34,7 +35,8 @@
 	Deadline     time.Time
 	// MaxWait is the longest wait that the sender prefers to another endpoint.
 	MaxWait time.Duration
-	// ServiceTime is the usual time of such a request at this endpoint; 0 if unknown.
+	// ServiceTime is the time that such a request takes at this endpoint at usual speed; 0 if
+	// unknown.
 	ServiceTime time.Duration
 	// startBy is the time until which the request is likely to meet its soft deadline.
 	startBy time.Time
@@ -52,9 +54,9 @@
 
 // latestStart returns the time until which r is likely to meet its soft deadline.
 func (q *Queue) latestStart(now time.Time, r *Request) time.Time {
-	serviceTime := r.ServiceTime
+	serviceTime := q.atSpeed(now, r.ServiceTime)
 	if serviceTime <= 0 {
-		serviceTime = q.expectedServiceTime()
+		serviceTime = q.ExpectedServiceTime(now)
 	}
 	limit := max(serviceTime, time.Duration(maxMarginFraction*float64(r.SoftDeadline.Sub(now))))
 	return r.SoftDeadline.Add(-min(startMargin*serviceTime, limit))
@@ -78,9 +80,11 @@
 // longer than MaxWait are rejected at once, so that their senders choose another
 // endpoint or tell the client when to retry.
 type Queue struct {
-	slots           int
-	running         int
+	slots   int
+	running int
+	// meanServiceTime is the mean at usual speed, slowdown the latest speed.
 	meanServiceTime time.Duration
+	slowdown        mesh.Slowdown
 	waiting         []waiter
 	// lateShare is the share of requests that could no longer be in time among those that
 	// waited and got a slot lately.
@@ -104,14 +108,31 @@
 // Slots returns the number of slots.
 func (q *Queue) Slots() int { return q.slots }
 
-// MeanServiceTime returns the mean time that a request holds a slot; 0 if unknown.
+// MeanServiceTime returns the mean time that a request holds a slot at usual speed; 0 if
+// unknown.
 func (q *Queue) MeanServiceTime() time.Duration { return q.meanServiceTime }
 
-func (q *Queue) expectedServiceTime() time.Duration {
+// Slowdown returns the latest speed of the endpoint.
+func (q *Queue) Slowdown() mesh.Slowdown { return q.slowdown }
+
+// SetSlowdown sets the current speed of the endpoint.
+func (q *Queue) SetSlowdown(s mesh.Slowdown) { q.slowdown = s }
+
+// ExpectedServiceTime returns the time for which a request is expected to hold a slot at
+// the current speed.
+func (q *Queue) ExpectedServiceTime(now time.Time) time.Duration {
 	if q.meanServiceTime == 0 {
 		return defaultServiceTime
 	}
-	return q.meanServiceTime
+	return q.atSpeed(now, q.meanServiceTime)
+}
+
+// atSpeed returns the time that work takes at the current speed.
+func (q *Queue) atSpeed(now time.Time, usual time.Duration) time.Duration {
+	if !q.slowdown.IsKnown() {
+		return usual
+	}
+	return time.Duration(float64(usual) * q.slowdown.Estimate(now))
 }
 
 // Resize changes the number of slots and returns the requests that are now decided.
@@ -149,6 +170,9 @@
 func (q *Queue) Release(now time.Time, serviceTime time.Duration) []Decision {
 	q.running--
 	if serviceTime > 0 {
+		if q.slowdown.IsKnown() {
+			serviceTime = time.Duration(float64(serviceTime) / q.slowdown.Estimate(now))
+		}
 		if q.meanServiceTime == 0 {
 			q.meanServiceTime = serviceTime
 		}
@@ -194,7 +218,7 @@
 	if now.After(r.startBy) {
 		share = max(q.lateShare, minLateShare)
 	}
-	return time.Duration(float64(ahead+1) / float64(max(q.slots, 1)) * float64(q.expectedServiceTime()) / share)
+	return time.Duration(float64(ahead+1) / float64(max(q.slots, 1)) * float64(q.ExpectedServiceTime(now)) / share)
 }
 
 // precedes reports whether a is admitted before b.
@@ -262,7 +286,7 @@
 // only a share of the slots. Their callers learn it at once instead of at the deadline.
 func (q *Queue) rejectHopeless(now time.Time) []Decision {
 	var decisions []Decision
-	serviceTime := q.expectedServiceTime()
+	serviceTime := q.ExpectedServiceTime(now)
 	perStart := float64(serviceTime) / float64(max(q.slots, 1)) / max(q.lateShare, minLateShare)
 	lateAhead := 0
 	remaining := q.waiting[:0]
--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -222,6 +222,8 @@
 	if v.serviceTimeWeight == 0 && now.Before(s.endpoint.warmUntil) {
 		routeLatency *= warmupFactor
 	}
+	serviceTime *= v.speed
+	routeLatency *= v.speed
 	slots := float64(s.endpoint.Slots)
 	s.latency = time.Duration(routeLatency * (1 + saturationSlowdown*min(v.load/slots, 1)))
 	if v.load >= slots {
--- a/pkg/mesh/placement/stats.go
+++ b/pkg/mesh/placement/stats.go
@@ -6,6 +6,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/azurespring/azurespring/pkg/mesh"
 )
 
 // Lifetimes of the observations of an endpoint. Loads change within a service time,
@@ -37,6 +39,8 @@
 	// mean time until the response on the route of the request; 0 if unknown.
 	MeanServiceTime  time.Duration
 	MeanRouteLatency time.Duration
+	// Slowdown is the speed that both are at.
+	Slowdown mesh.Slowdown
 	// FailureRate is the fraction of the latest requests of all nodes that the endpoint
 	// failed or turned away.
 	FailureRate float64
@@ -49,6 +53,8 @@
 	outstanding    int
 	otherNodesLoad float64
 	reportedAt     time.Time
+	slowdown       mesh.Slowdown
+	// serviceTime and routeLatencies are at usual speed.
 	serviceTime    sample
 	routeLatencies map[string]sample
 	failureRate    float64
@@ -100,14 +106,16 @@
 	defer s.mu.Unlock()
 	s.otherNodesLoad = math.Max(float64(load.Running+load.Waiting-s.outstanding), 0)
 	s.reportedAt, s.reportedFailureRate = now, load.FailureRate
+	s.slowdown = load.Slowdown
+	speed := load.Slowdown.Estimate(now)
 	if load.MeanServiceTime > 0 {
-		s.serviceTime = sample{load.MeanServiceTime, now}
+		s.serviceTime = sample{scale(load.MeanServiceTime, 1/speed), now}
 	}
 	if load.MeanRouteLatency > 0 {
 		if s.routeLatencies == nil {
 			s.routeLatencies = make(map[string]sample)
 		}
-		s.routeLatencies[route] = sample{load.MeanRouteLatency, now}
+		s.routeLatencies[route] = sample{scale(load.MeanRouteLatency, 1/speed), now}
 	}
 	s.ejections = 0
 	s.ejectedUntil = time.Time{}
@@ -174,13 +182,14 @@
 
 // view is a consistent copy of the values that the selection uses. The weights give
 // the confidence in the durations, from 0 to 1; route is the latency on the requested
-// route.
+// route. Both durations are at usual speed and take speed times as long now.
 type view struct {
 	load              float64
 	serviceTime       time.Duration
 	serviceTimeWeight float64
 	route             time.Duration
 	routeWeight       float64
+	speed             float64
 	failureRate       float64
 	ejected           bool
 }
@@ -191,7 +200,7 @@
 	latency := s.routeLatencies[route]
 	v := view{
 		load: float64(s.outstanding), serviceTime: s.serviceTime.value, serviceTimeWeight: s.serviceTime.weight(now),
-		route: latency.value, routeWeight: latency.weight(now),
+		route: latency.value, routeWeight: latency.weight(now), speed: s.slowdown.Estimate(now),
 		failureRate: max(s.decayedFailureRate(now), decayed(s.reportedFailureRate, now.Sub(s.reportedAt))),
 		ejected:     s.unreachable || now.Before(s.ejectedUntil),
 	}
@@ -200,3 +209,11 @@
 	}
 	return v
 }
+
+// scale returns d multiplied by factor. A factor of 1 leaves every duration as it is.
+func scale(d time.Duration, factor float64) time.Duration {
+	if factor == 1 {
+		return d
+	}
+	return time.Duration(factor * float64(d))
+}
