Decide by load which requests leave the failure domain

The cost of leaving was a fraction of the target latency, whatever the load elsewhere and the bytes, and many attempts went to full endpoints in other regions. A controller for each service now decides which share of the requests leaves the zone and the region, from the waits and speeds that responses tell, the bytes of the route and the refusals there; in a tier, the better one of two endpoints drawn by capacity is chosen. It acts where endpoints state their speed or the configuration has tenants; -zone-overflow overrides that.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// zoneOverflowEnvVar is the environment variable of -zone-overflow.
+const zoneOverflowEnvVar = "AZURESPRING_ZONE_OVERFLOW"
+
 // runSidecar runs the sidecar for the users' platform and returns the exit code.
 func runSidecar(args []string) int {
 	// Signals are handled during the whole life of the process: without a handler, a
@@ -112,6 +115,8 @@
 	flags := flag.NewFlagSet("azurespring-node "+sidecarCommand, flag.ContinueOnError)
 	settingsPath := flags.String("settings", os.Getenv(platform.SettingsEnvVar),
 		"path of the platform's settings file (environment: "+platform.SettingsEnvVar+")")
+	zoneOverflow := flags.String("zone-overflow", os.Getenv(zoneOverflowEnvVar),
+		"whether the load decides what leaves the zone: auto, on or off (environment: "+zoneOverflowEnvVar+")")
 	check := flags.Bool("check", false, "check the settings file and exit")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -124,6 +129,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	if settings.ZoneOverflow, err = sidecar.ParseZoneOverflow(*zoneOverflow); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
 	settings = settings.WithDefaults()
 	settings.FirstReadSpread = firstReadHeartbeats * settings.HeartbeatInterval
 	if *check {
--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -3,6 +3,7 @@
 package gate
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -54,7 +55,7 @@
 
 // latestStart returns the time until which r is likely to meet its soft deadline.
 func (q *Queue) latestStart(now time.Time, r *Request) time.Time {
-	serviceTime := q.atSpeed(now, r.ServiceTime)
+	serviceTime := q.AtSpeed(now, r.ServiceTime)
 	if serviceTime <= 0 {
 		serviceTime = q.ExpectedServiceTime(now)
 	}
@@ -82,9 +83,11 @@
 type Queue struct {
 	slots   int
 	running int
-	// meanServiceTime is the mean at usual speed, slowdown the latest speed.
+	// meanServiceTime is the mean at usual speed. meanSlowdown is the mean speed of the last
+	// seconds, 0 if unknown, and slowdown the latest speed relative to that.
 	meanServiceTime time.Duration
 	slowdown        mesh.Slowdown
+	meanSlowdown    float64
 	waiting         []waiter
 	// lateShare is the share of requests that could no longer be in time among those that
 	// waited and got a slot lately.
@@ -112,11 +115,27 @@
 // unknown.
 func (q *Queue) MeanServiceTime() time.Duration { return q.meanServiceTime }
 
-// Slowdown returns the latest speed of the endpoint.
+// Slowdown returns the latest speed of the endpoint relative to its mean speed.
 func (q *Queue) Slowdown() mesh.Slowdown { return q.slowdown }
 
-// SetSlowdown sets the current speed of the endpoint.
-func (q *Queue) SetSlowdown(s mesh.Slowdown) { q.slowdown = s }
+// meanSlowdownTime is the time constant of the mean speed. Speeds change several times
+// within it; an endpoint that is slow for longer must not count as fast again as soon as
+// its last figure is too old.
+const meanSlowdownTime = 3 * time.Second
+
+// SetSlowdown sets the current speed of the endpoint as the endpoint states it. It is
+// ignored if it is unknown.
+func (q *Queue) SetSlowdown(s mesh.Slowdown) {
+	if !s.IsKnown() {
+		return
+	}
+	if q.meanSlowdown == 0 {
+		q.meanSlowdown = s.Factor
+	}
+	elapsed := max(s.At.Sub(q.slowdown.At), 0)
+	q.meanSlowdown += (1 - math.Exp(-float64(elapsed)/float64(meanSlowdownTime))) * (s.Factor - q.meanSlowdown)
+	q.slowdown = mesh.Slowdown{Factor: s.Factor / q.meanSlowdown, At: s.At}
+}
 
 // ExpectedServiceTime returns the time for which a request is expected to hold a slot at
 // the current speed.
@@ -124,15 +143,24 @@
 	if q.meanServiceTime == 0 {
 		return defaultServiceTime
 	}
-	return q.atSpeed(now, q.meanServiceTime)
+	return q.AtSpeed(now, q.meanServiceTime)
 }
 
-// atSpeed returns the time that work takes at the current speed.
-func (q *Queue) atSpeed(now time.Time, usual time.Duration) time.Duration {
+// AtSpeed returns the time that work takes at the current speed, given its usual time.
+func (q *Queue) AtSpeed(now time.Time, usual time.Duration) time.Duration {
 	if !q.slowdown.IsKnown() {
 		return usual
 	}
-	return time.Duration(float64(usual) * q.slowdown.Estimate(now))
+	return time.Duration(float64(usual) * q.meanSlowdown * q.slowdown.Estimate(now))
+}
+
+// AtUsualSpeed returns the usual time of work that took the given time at the current
+// speed.
+func (q *Queue) AtUsualSpeed(now time.Time, took time.Duration) time.Duration {
+	if !q.slowdown.IsKnown() {
+		return took
+	}
+	return time.Duration(float64(took) / (q.meanSlowdown * q.slowdown.Estimate(now)))
 }
 
 // Resize changes the number of slots and returns the requests that are now decided.
@@ -170,9 +198,7 @@
 func (q *Queue) Release(now time.Time, serviceTime time.Duration) []Decision {
 	q.running--
 	if serviceTime > 0 {
-		if q.slowdown.IsKnown() {
-			serviceTime = time.Duration(float64(serviceTime) / q.slowdown.Estimate(now))
-		}
+		serviceTime = q.AtUsualSpeed(now, serviceTime)
 		if q.meanServiceTime == 0 {
 			q.meanServiceTime = serviceTime
 		}
--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/overflow"
 )
 
 // Penalties for the distance of an endpoint, as fractions of the latency target. Traffic
@@ -43,6 +44,13 @@
 // estimates do not all choose the same endpoint.
 const tieBreakSpan = 2 * time.Millisecond
 
+// minServiceSeconds bounds the service time that capacities are computed with.
+const minServiceSeconds = 0.0001
+
+// failureDiscount reduces the capacity of failing endpoints: at a failure rate of one half,
+// endpoints are drawn a twenty-sixth as often, so that two of them rarely meet.
+const failureDiscount = 50
+
 // Request holds what the endpoint selection depends on.
 type Request struct {
 	// Route groups requests with similar latencies.
@@ -57,6 +65,11 @@
 	// Rejections lists the rejections by admission queues with the waits that they
 	// reported, which are more accurate than the estimates here.
 	Rejections []Rejection
+	// Overflow decides which failure domains the request may go to; with nil, the distance
+	// is part of the costs.
+	Overflow *overflow.Decision
+	// Random is the source of random numbers; nil means the global one.
+	Random *rand.Rand
 }
 
 // Rejection is the wait for a slot that an admission queue reported.
@@ -81,10 +94,13 @@
 	wait     time.Duration
 	latency  time.Duration
 	// fixedCost is the part of the cost that does not depend on the latency.
-	fixedCost   time.Duration
-	cost        time.Duration
-	failureRate float64
-	ejected     bool
+	fixedCost time.Duration
+	cost      time.Duration
+	// load is the estimated number of requests at the endpoint, capacity what it serves in
+	// a second.
+	load, capacity float64
+	failureRate    float64
+	ejected        bool
 }
 
 // wasAttempted reports whether the request was sent to e. A rebuilt table holds a new
@@ -126,6 +142,11 @@
 // responses from the local region are likely to be late.
 func Choose(now time.Time, candidates []*Endpoint, r Request) (choice Choice, ok bool) {
 	scores := scoreCandidates(now, candidates, r)
+	if r.Overflow != nil {
+		if choice, ok = chooseInTier(scores, r); ok {
+			return choice, true
+		}
+	}
 	best, second := -1, -1
 	better := func(a, b scored) bool {
 		if a.ejected != b.ejected {
@@ -144,7 +165,7 @@
 	if best < 0 {
 		return Choice{}, false
 	}
-	if i, ok := explore(scores, r); ok && i != best {
+	if i, ok := explore(scores, r); r.Overflow == nil && ok && i != best {
 		return Choice{Endpoint: scores[i].endpoint, QueueWait: scores[i].wait, ExpectedLatency: scores[i].wait + scores[i].latency}, true
 	}
 	b := scores[best]
@@ -234,10 +255,15 @@
 			s.wait = max(s.wait, rejection.QueueWait)
 		}
 	}
-	if s.endpoint.Distance == OtherRegion {
+	s.load = v.load
+	s.capacity = slots / max(serviceTime/float64(time.Second), minServiceSeconds) / (1 + failureDiscount*v.failureRate)
+	switch {
+	case s.endpoint.Distance == OtherRegion:
 		s.latency += roundTripOtherRegion
+	case r.Overflow != nil:
+		s.latency += s.endpoint.Distance.Tier().RoundTrip()
 	}
-	s.fixedCost = s.endpoint.penalty(r) + time.Duration(v.failureRate*float64(failurePenalty)) + rand.N(tieBreakSpan)
+	s.fixedCost = s.endpoint.penalty(r) + time.Duration(v.failureRate*float64(failurePenalty)) + time.Duration(r.random()*float64(tieBreakSpan))
 	s.cost = s.fixedCost + r.latencyCost(s.wait+s.latency)
 }
 
@@ -245,6 +271,8 @@
 func (e *Endpoint) penalty(r Request) time.Duration {
 	fraction := 0.0
 	switch {
+	case r.Overflow != nil:
+		fraction = r.Overflow.Prices[e.Distance.Tier()]
 	case e.Distance == SameRegion && r.Kind.Large():
 		fraction = penaltyLargeSameRegion
 	case e.Distance == SameRegion:
--- a/pkg/mesh/placement/stats.go
+++ b/pkg/mesh/placement/stats.go
@@ -39,7 +39,7 @@
 	// mean time until the response on the route of the request; 0 if unknown.
 	MeanServiceTime  time.Duration
 	MeanRouteLatency time.Duration
-	// Slowdown is the speed that both are at.
+	// Slowdown is the speed that both are at, relative to the endpoint's mean speed.
 	Slowdown mesh.Slowdown
 	// FailureRate is the fraction of the latest requests of all nodes that the endpoint
 	// failed or turned away.
@@ -54,7 +54,7 @@
 	otherNodesLoad float64
 	reportedAt     time.Time
 	slowdown       mesh.Slowdown
-	// serviceTime and routeLatencies are at usual speed.
+	// serviceTime and routeLatencies are at the endpoint's mean speed.
 	serviceTime    sample
 	routeLatencies map[string]sample
 	failureRate    float64
@@ -182,7 +182,7 @@
 
 // view is a consistent copy of the values that the selection uses. The weights give
 // the confidence in the durations, from 0 to 1; route is the latency on the requested
-// route. Both durations are at usual speed and take speed times as long now.
+// route. Both durations are at the endpoint's mean speed and take speed times as long now.
 type view struct {
 	load              float64
 	serviceTime       time.Duration
--- a/pkg/mesh/slowdown.go
+++ b/pkg/mesh/slowdown.go
@@ -14,7 +14,7 @@
 )
 
 // Slowdown tells how long work takes on an endpoint's machine at some moment, as a multiple
-// of the usual time: 1 is as usual, 2.5 is slower. The zero value is unknown.
+// of the usual or mean time: 1 is as usual, 2.5 is slower. The zero value is unknown.
 type Slowdown struct {
 	Factor float64
 	// At is the time of the figure on the clock of the reading process.
--- a/pkg/mesh/slowdown_test.go
+++ b/pkg/mesh/slowdown_test.go
@@ -16,7 +16,8 @@
 		age    time.Duration
 		want   float64
 	}{
-		{0, 0, 1}, {2.5, 0, 2.5},
+		{0, 0, 1},
+		{2.5, 0, 2.5},
 		{2.5, 200 * time.Millisecond, 1.75},
 		{2.5, 300 * time.Millisecond, 1.375},
 		{2.5, time.Second, 1},
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -68,8 +68,8 @@
 	// value on a channel admits the call.
 	waiting  map[uint64]chan *verdict.Error
 	analyzer *rollout.Analyzer
-	// routeLatencies holds the mean latency until the response header and responseSizes
-	// the mean size of the response body in bytes, both by route.
+	// routeLatencies holds the mean latency until the response header at usual speed and
+	// responseSizes the mean size of the response body in bytes, both by route.
 	routeLatencies map[string]time.Duration
 	responseSizes  map[string]int64
 	// failureRate is the fraction of the latest calls that the endpoint failed or turned
@@ -98,10 +98,10 @@
 	}
 }
 
-func (ea *endpointAdmission) load(route string) placement.Load {
+func (ea *endpointAdmission) load(now time.Time, route string) placement.Load {
 	return placement.Load{
-		Running: ea.queue.Running(), Waiting: ea.queue.Waiting(), Slots: ea.queue.Slots(), MeanServiceTime: ea.queue.MeanServiceTime(),
-		MeanRouteLatency: ea.routeLatencies[route], FailureRate: ea.failureRate,
+		Running: ea.queue.Running(), Waiting: ea.queue.Waiting(), Slots: ea.queue.Slots(), MeanServiceTime: ea.queue.AtSpeed(now, ea.queue.MeanServiceTime()),
+		MeanRouteLatency: ea.queue.AtSpeed(now, ea.routeLatencies[route]), Slowdown: ea.queue.Slowdown(), FailureRate: ea.failureRate,
 	}
 }
 
@@ -227,7 +227,7 @@
 	ea := la.admissions[c.Endpoint]
 	expected := egress.ExpectedResponse{Deadline: c.deadline}
 	if ea != nil {
-		expected.Bytes, expected.TimeToFirstByte = ea.responseSizes[c.Route], ea.routeLatencies[c.Route]
+		expected.Bytes, expected.TimeToFirstByte = ea.responseSizes[c.Route], ea.queue.AtSpeed(la.deps.now(), ea.routeLatencies[c.Route])
 	}
 	la.mu.Unlock()
 	if expected.Bytes < largeResponseBytes {
@@ -283,7 +283,7 @@
 	la.recordOutcome(ea, !resp.notRun && resp.status < http.StatusInternalServerError)
 	if !resp.notRun {
 		la.mu.Lock()
-		ea.updateRouteLatency(c.Route, resp.headerLatency)
+		ea.updateRouteLatency(c.Route, ea.queue.AtUsualSpeed(la.deps.now(), resp.headerLatency))
 		la.mu.Unlock()
 	}
 	la.analyzeResponse(ea, c, resp)
@@ -327,7 +327,7 @@
 func (la *localAdmission) loadOf(ea *endpointAdmission, route string) placement.Load {
 	la.mu.Lock()
 	defer la.mu.Unlock()
-	return ea.load(route)
+	return ea.load(la.deps.now(), route)
 }
 
 // rejectionMargin is the time before its deadline at which a call without a slot is
@@ -349,7 +349,7 @@
 		return nil, placement.Load{}, verdict.NotRunErrorf(verdict.NoTarget, "endpoint %q is of another service or version", c.Endpoint)
 	}
 	if !la.deps.rollouts.isAllowed(c.Service, c.Version) {
-		load := ea.load(c.Route)
+		load := ea.load(now, c.Route)
 		la.mu.Unlock()
 		return nil, load, verdict.NotRunErrorf(verdict.VersionClosed, "version %q takes no requests", c.Version)
 	}
@@ -362,7 +362,7 @@
 		ServiceTime:  ea.routeLatencies[c.Route],
 	})
 	if admitted || rejection != nil {
-		load := ea.load(c.Route)
+		load := ea.load(now, c.Route)
 		la.mu.Unlock()
 		return ea, load, rejection
 	}
@@ -433,6 +433,7 @@
 	if failure != nil {
 		return nil, exchangeFailure(ctx, failure, "the endpoint")
 	}
+	la.recordSpeed(ea, httpResponse.Header.Get(h.ServerLoad))
 	resp := &endpointResponse{
 		status: httpResponse.StatusCode, header: forwardableHeader(httpResponse.Header),
 		contentLength: httpResponse.ContentLength, body: httpResponse.Body,
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -167,8 +167,10 @@
 		}
 		candidates = table.InstanceEndpoints(x.service, s.TrialInstance)
 	}
-	choice, ok := placement.Choose(now, x.eligible(candidates), placement.Request{
+	candidates = x.eligible(candidates)
+	choice, ok := placement.Choose(now, candidates, placement.Request{
 		Route: x.route.Name, Kind: x.route.Kind, Timeout: remaining, SoftTimeout: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.attempted, Rejections: x.rejectedBy,
+		Overflow: x.decideOverflow(now, candidates),
 	})
 	if !ok {
 		err := verdict.NotRunErrorf(verdict.NoTarget, "service %q has no endpoint for the request", x.service)
@@ -261,6 +263,7 @@
 		result.endpoint.RecordLoad(now, x.route.Name, load)
 	}
 	result.endpoint.EndAttempt()
+	x.observeOverflow(now, result, load)
 	x.deliverResult(result)
 }
 
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -156,6 +156,7 @@
 	hopLacksStateHeader      = hopHeaderPrefix + "Lacks-State"
 	hopNotRunHeader          = hopHeaderPrefix + "Not-Run"
 	hopFailurePercentHeader  = hopHeaderPrefix + "Failure-Percent"
+	hopSlowdownHeader        = hopHeaderPrefix + "Slowdown"
 )
 
 // hopError is a rejection or failure that the node of an endpoint reports to the entry
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -35,12 +35,15 @@
 	retryBudgets       map[string]*placement.RetryBudget
 	baselines          map[string]time.Duration
 	routeRequestCounts map[string]uint64
+
+	overflow *overflowControllers
 }
 
 func newEntry(deps *shared, admission *localAdmission, hops *hopClient) *EntryHandler {
 	return &EntryHandler{
 		deps: deps, admission: admission, hops: hops, unlimitedUplink: newUplink(deps.now, 0), retryBudgets: make(map[string]*placement.RetryBudget),
 		baselines: make(map[string]time.Duration), routeRequestCounts: make(map[string]uint64),
+		overflow: newOverflowControllers(),
 	}
 }
 
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -182,6 +182,9 @@
 	}
 	load := parseLoad(httpResponse.Header.Get(hopLoadHeader))
 	load.FailureRate = parseFailurePercent(httpResponse.Header.Get(hopFailurePercentHeader))
+	if h.deps.settings.ZoneOverflow != OverflowOff {
+		load.Slowdown = parseSlowdown(h.deps.now(), httpResponse.Header.Get(hopSlowdownHeader))
+	}
 	h.deps.recordRemoteRevisions(parseRevision(httpResponse.Header.Get(hopConfigVersionHeader)), parseRevision(httpResponse.Header.Get(hopRolloutRevisionHeader)), address)
 	if httpResponse.Header.Get(hopLacksStateHeader) != "" {
 		h.sendStateIfDue(address)
@@ -251,11 +254,14 @@
 
 // setLoad sets the headers that tell the load of an endpoint. The failure rate is not part
 // of the first, whose format older nodes know, and is left out while it is low.
-func setLoad(header http.Header, load placement.Load) {
+func setLoad(header http.Header, now time.Time, load placement.Load) {
 	header.Set(hopLoadHeader, formatLoad(load))
 	if percent := int(100 * load.FailureRate); percent >= minFailurePercent {
 		header.Set(hopFailurePercentHeader, strconv.Itoa(percent))
 	}
+	if load.Slowdown.IsKnown() {
+		header.Set(hopSlowdownHeader, formatSlowdown(now, load.Slowdown))
+	}
 }
 
 // minFailurePercent is above the failures of sound endpoints, some in a thousand.
@@ -340,7 +346,7 @@
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // Prevents net/http from guessing one.
 	}
-	setLoad(header, load)
+	setLoad(header, s.deps.now(), load)
 	header.Set(hopLatencyHeader, strconv.FormatInt(resp.headerLatency.Microseconds(), 10))
 	if resp.notRun {
 		header.Set(hopNotRunHeader, "1")
@@ -395,7 +401,7 @@
 func (s *hopServer) reject(w http.ResponseWriter, load placement.Load, failure *verdict.Error) {
 	header := w.Header()
 	header.Set(hopErrorHeader, encodeHopHeader(newHopError(failure)))
-	setLoad(header, load)
+	setLoad(header, s.deps.now(), load)
 	header.Set("Content-Length", "0")
 	s.deps.uplink.countHeader(header)
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -32,6 +32,10 @@
 	m.scope.Tagged(map[string]string{"service": service, "allowed": allowed}).Counter("repeats").Inc(1)
 }
 
+func (m *metrics) overflowShare(service, distance string, share float64) {
+	m.scope.Tagged(map[string]string{"service": service, "distance": distance}).Gauge("overflow_share").Update(share)
+}
+
 func (m *metrics) endpointConnection() { m.scope.Counter("endpoint_connections_opened").Inc(1) }
 
 func (m *metrics) nodeConnection() { m.scope.Counter("node_connections_opened").Inc(1) }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -229,6 +229,7 @@
 	m.gauge("configuration_version", float64(n.shared.configVersion()))
 	m.gauge("requests_in_flight", float64(n.inFlight()))
 	m.gauge("log_lines_dropped", float64(n.shared.log.output.dropped.Load()))
+	n.entry.overflow.updateGauges(n.shared)
 	if table := n.shared.table.Load(); table != nil {
 		m.gauge("instances_known", float64(len(table.Instances())))
 	}
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -81,6 +81,9 @@
 	rejections      int
 	rejectedBy      []placement.Rejection
 	attempts        int
+	// overflowDraw is the random number that decides about leaving the failure domain; 0
+	// before the first attempt.
+	overflowDraw float64
 	// cancels holds the cancel functions of the attempts that have not ended, by
 	// number.
 	cancels map[int]context.CancelFunc
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -65,6 +65,8 @@
 	QuotaWindow  time.Duration
 	QuotaOverage float64
 	QuotaSlack   float64
+	// ZoneOverflow says who decides which requests leave the failure domain.
+	ZoneOverflow ZoneOverflow
 	// ZoneRegions maps each failure domain to its region; nil if unknown.
 	ZoneRegions map[string]string
 
@@ -138,5 +140,8 @@
 	if s.RetryBudgetRatio <= 0 {
 		s.RetryBudgetRatio = defaultRetryBudgetRatio
 	}
+	if s.ZoneOverflow == "" {
+		s.ZoneOverflow = OverflowAuto
+	}
 	return s
 }
