--- a/pkg/sidecar/overflow_test.go
+++ b/pkg/sidecar/overflow_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/gate"
 	"github.com/azurespring/azurespring/pkg/mesh/overflow"
@@ -148,3 +149,24 @@
 		assert.Equal(t, load.MeanRouteLatency, want, mode)
 	}
 }
+
+// The speed that an endpoint states in its response must reach the load that its gate
+// reports, also when the endpoint did not run the request.
+func TestSpeedIsReadFromResponses(t *testing.T) {
+	names := HeaderNames{RequestID: "Id", ServerLoad: "Server-Load", Signature: "Signed", NotRun: "Not-Run", Deadline: "Deadline"}
+	for _, marker := range []string{names.Signature, names.NotRun} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(names.ServerLoad, "1,0,2,250")
+			w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+			w.Header().Set(marker, "1")
+		}))
+		defer server.Close()
+		la := newLocalAdmission(&shared{headers: names, now: time.Now})
+		ea := &endpointAdmission{queue: gate.NewQueue(2), pool: exchange.NewPool(server.Listener.Addr().String(), exchange.Dialer{Timeout: time.Second}, func() {})}
+		defer ea.pool.Close()
+		c := &call{method: http.MethodGet, uri: "/x", host: "h", header: http.Header{names.RequestID: {"1"}}, deadline: time.Now().Add(testTimeout)}
+		_, failure := la.send(t.Context(), ea, c)
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Assert(t, ea.load(time.Now(), "r").Slowdown.IsKnown(), marker)
+	}
+}
