--- a/pkg/mesh/overflow/fleet_test.go
+++ b/pkg/mesh/overflow/fleet_test.go
@@ -19,7 +19,7 @@
 	zones, zonesPerRegion, endpointsPerZone = 6, 2, 7
 	senderCount, slots                      = 80, 6
 	work, target, timeout                   = 60 * time.Millisecond, 500 * time.Millisecond, 1500 * time.Millisecond
-	duration, settling                      = 6 * time.Second, 2 * time.Second
+	duration, settling                      = 7 * time.Second, 2 * time.Second
 	capacity                                = float64(endpointsPerZone*slots) / 0.060 // Of a zone, requests per second.
 )
 
@@ -97,9 +97,14 @@
 func (f *fleet) time() time.Time                  { return time.Unix(0, 0).Add(f.now) }
 func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now + d, do}) }
 func (f *fleet) total(r *request) *totals         { return &f.zones[r.from.zone] }
-func (f *fleet) load(g *gateModel) placement.Load { return loadOf(g, f.time()) }
-func (f *fleet) isCounted(r *request) bool        { return r.started >= settling }
-func way(from *sender, e *placement.Endpoint) (w time.Duration) {
+
+// isCounted reports whether the request has ended by the end of the replay, however it does.
+func (f *fleet) isCounted(r *request) bool {
+	return r.started >= settling && r.started < max(f.lasts, duration)-timeout
+}
+
+// way returns the latency to an endpoint, one way.
+func way(e *placement.Endpoint) time.Duration {
 	return []time.Duration{0, 200 * time.Microsecond, 1400 * time.Microsecond, 8 * time.Millisecond}[e.Distance]
 }
 
@@ -180,7 +185,7 @@
 	}
 	e, g := choice.Endpoint, f.gates[choice.Endpoint.ID]
 	e.BeginAttempt()
-	f.after(way(r.from, e), func() {
+	f.after(way(e), func() {
 		f.nextID++
 		id := f.nextID
 		decided := func(rejection *verdict.Error) {
@@ -188,8 +193,8 @@
 				f.run(r, e, g)
 				return
 			}
-			load := f.load(g)
-			f.after(way(r.from, e), func() { f.respond(r, e, load, rejection) })
+			load := loadOf(g, f.time())
+			f.after(way(e), func() { f.respond(r, e, load, rejection) })
 		}
 		admitted, rejection := g.Admit(f.time(), gate.Request{
 			ID: id, SoftDeadline: time.Unix(0, 0).Add(r.started + target), Deadline: time.Unix(0, 0).Add(r.started + timeout), MaxWait: choice.MaxQueueWait,
@@ -217,8 +222,8 @@
 			delete(g.waiting, d.ID)
 			decided(d.Rejection)
 		}
-		load := f.load(g)
-		f.after(way(r.from, e), func() { f.respond(r, e, load, nil) })
+		load := loadOf(g, f.time())
+		f.after(way(e), func() { f.respond(r, e, load, nil) })
 	})
 }
 
--- a/pkg/mesh/overflow/overflow_test.go
+++ b/pkg/mesh/overflow/overflow_test.go
@@ -167,10 +167,10 @@
 func TestOverloadEverywhereStays(t *testing.T) {
 	for _, load := range []float64{1, 1.3, 1.7} {
 		off, on, _ := compare(t, fmt.Sprintf("all zones at %.1f", load), scenario{load: everywhere(load)}, allZones...)
-		assert.Assert(t, on.inTime >= off.inTime-0.025, "%+v, off %+v", on, off)
-		assert.Assert(t, on.leftRegion < 0.015 && on.left < 0.08 && on.wasted < 0.06, "%+v", on)
+		assert.Assert(t, on.inTime >= off.inTime-0.015, "%+v, off %+v", on, off)
+		assert.Assert(t, on.leftRegion < 0.01 && on.left < 0.05 && on.wasted < 0.05, "%+v", on)
 		if load == 1.7 {
-			assert.Assert(t, on.leftRegion < 0.008, "%+v", on)
+			assert.Assert(t, on.leftRegion < 0.006 && on.wasted < off.wasted/20, "%+v, off %+v", on, off)
 		}
 	}
 }
--- a/pkg/mesh/placement/overflow.go
+++ b/pkg/mesh/placement/overflow.go
@@ -2,8 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/azurespring/azurespring/pkg/mesh/overflow"
 )
 
@@ -69,16 +72,23 @@
 // hasRoom reports whether r would probably be in time at a candidate in another failure
 // domain, and is not known to be refused there.
 func (s *scored) hasRoom(r Request) bool {
-	for _, rejection := range r.Rejections {
-		if rejection.Endpoint.Stats == s.endpoint.Stats {
-			return false
-		}
-	}
-	return s.load < maxFillPerSlot*float64(s.endpoint.Slots) && s.wait+s.latency <= scale(r.latencyTarget(), overflow.MaxArrival)
+	return !r.wasRejectedBy(s.endpoint) && s.load < maxFillPerSlot*float64(s.endpoint.Slots) && s.wait+s.latency <= scale(r.latencyTarget(), overflow.MaxArrival)
+}
+
+// wasRejectedBy reports whether the admission queue of e has rejected r.
+func (r Request) wasRejectedBy(e *Endpoint) bool {
+	return slices.ContainsFunc(r.Rejections, func(rejection Rejection) bool { return rejection.Endpoint.Stats == e.Stats })
 }
 
 // chooseOfTwo returns the better one of two members that are drawn by their capacity.
 func (r Request) chooseOfTwo(scores []scored, members []int, tier overflow.Tier) Choice {
+	if len(r.Rejections) > 0 {
+		// Another one of the queues that have rejected r would cost an attempt again.
+		fresh := lo.Reject(members, func(i, _ int) bool { return r.wasRejectedBy(scores[i].endpoint) })
+		if len(fresh) > 0 {
+			members = fresh
+		}
+	}
 	first := r.draw(scores, members, -1)
 	best, other := first, -1
 	if len(members) > 1 {
--- a/pkg/mesh/placement/overflow_test.go
+++ b/pkg/mesh/placement/overflow_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -103,3 +104,33 @@
 	c, _ = Choose(epoch, b.EndpointsByVersion("s")["v1"], r)
 	assert.Assert(t, c.MaxQueueWait+c.ExpectedLatency < time.Second, "%v", c.MaxQueueWait)
 }
+
+// BenchmarkChoose measures a choice among the most candidates that a service can have, with
+// fixed penalties and under overflow control.
+func BenchmarkChoose(b *testing.B) {
+	var instances []mesh.Instance
+	for i := range 3 * maxCandidates {
+		name, domain, region := fmt.Sprint("e", i), fmt.Sprint("d", 1+i%2), "r1"
+		if i%3 == 0 {
+			domain, region = "d9", "r2"
+		}
+		instances = append(instances, instance(name, domain, region, endpoint(name)))
+	}
+	candidates := table(instances...).EndpointsByVersion("s")["v1"]
+	for _, e := range candidates {
+		e.RecordLoad(epoch, "", Load{Slots: 4, MeanServiceTime: 20 * time.Millisecond, MeanRouteLatency: 20 * time.Millisecond})
+	}
+	for name, isControlled := range map[string]bool{"Penalties": false, "Overflow": true} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			controller, r := overflow.New(), baseRequest
+			for range b.N {
+				if isControlled {
+					d := controller.Decide(epoch, overflow.Request{Target: r.SoftTimeout, Usable: UsableTiers(epoch, candidates, nil)})
+					r.Overflow = &d
+				}
+				Choose(epoch, candidates, r)
+			}
+		})
+	}
+}
