Let large requests leave a zone whose links are full

The controller knows the waits for slots only: a download that the links of its zone reject would have been sent back to them until its rejections were used up. Responses on routes without a target latency no longer count as late; they had kept the allowance at its least (9 instead of more than 500 of 1,000 requests left a full zone).

--- a/pkg/mesh/placement/overflow.go
+++ b/pkg/mesh/placement/overflow.go
@@ -53,6 +53,11 @@
 // by the draw already.
 func chooseInTier(scores []scored, r Request) (Choice, bool) {
 	order := [...]overflow.Tier{r.Overflow.Tier, overflow.Zone, overflow.Region, overflow.Elsewhere}
+	if r.Kind.Large() && r.isRejectedByZone(scores) {
+		// The links of the zone are full, which the controller does not know.
+		order = [...]overflow.Tier{r.Overflow.Tier, overflow.Region, overflow.Elsewhere, overflow.Zone}
+		order[0] = max(order[0], overflow.Region)
+	}
 	for _, mustBeInTime := range []bool{true, false} {
 		for _, tier := range order {
 			members := make([]int, 0, len(scores))
@@ -80,6 +85,26 @@
 	return slices.ContainsFunc(r.Rejections, func(rejection Rejection) bool { return rejection.Endpoint.Stats == e.Stats })
 }
 
+// maxZoneRejections is the number of endpoints of the zone after whose rejections a large
+// request leaves it, so that some attempts are left for the others.
+const maxZoneRejections = 3
+
+// isRejectedByZone reports whether all endpoints of the zone, or maxZoneRejections of them,
+// have rejected r.
+func (r Request) isRejectedByZone(scores []scored) bool {
+	rejected, others := 0, 0
+	for i := range scores {
+		switch e := scores[i].endpoint; {
+		case scores[i].ejected || e.Distance.Tier() != overflow.Zone:
+		case r.wasRejectedBy(e):
+			rejected++
+		default:
+			others++
+		}
+	}
+	return rejected >= maxZoneRejections || rejected > 0 && others == 0
+}
+
 // chooseOfTwo returns the better one of two members that are drawn by their capacity.
 func (r Request) chooseOfTwo(scores []scored, members []int, tier overflow.Tier) Choice {
 	if len(r.Rejections) > 0 {
--- a/pkg/mesh/placement/overflow_test.go
+++ b/pkg/mesh/placement/overflow_test.go
@@ -68,6 +68,23 @@
 	choose(t, b, epoch, 20, false, overflowTo(overflow.Zone))
 }
 
+// A download that the full links of its zone reject must go to another zone: the controller
+// knows the waits for slots only, and the client would get the last rejection.
+func TestLargeRequestsLeaveFullLinks(t *testing.T) {
+	for kind, want := range map[mesh.RequestKind]string{mesh.Download: "same-region", mesh.Upload: "same-region", mesh.Safe: "same-domain"} {
+		b := threeDistances()
+		r := overflowTo(overflow.Zone)
+		r.Kind = kind
+		assert.DeepEqual(t, choose(t, b, epoch, 20, false, r), map[string]int{"same-domain": 20})
+		r.Rejections = []Rejection{{findEndpoint(t, b, "same-domain"), 40 * time.Millisecond}}
+		assert.DeepEqual(t, choose(t, b, epoch, 20, false, r), map[string]int{want: 20})
+		r.Rejections = append(r.Rejections, Rejection{findEndpoint(t, b, "same-region"), 40 * time.Millisecond})
+		if kind.Large() {
+			assert.DeepEqual(t, choose(t, b, epoch, 20, false, r), map[string]int{"other-region": 20})
+		}
+	}
+}
+
 // Requests for which leaving does not pay must not be spread over other failure domains to
 // explore them: each costs its bytes.
 func TestNoExplorationUnderOverflowControl(t *testing.T) {
--- a/pkg/sidecar/overflow.go
+++ b/pkg/sidecar/overflow.go
@@ -156,7 +156,7 @@
 	}
 	c.Observe(now, result.endpoint.Distance.Tier(), overflow.Observation{
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, ServiceTime: load.MeanServiceTime, RouteLatency: load.MeanRouteLatency,
-		Slowdown: load.Slowdown, Route: x.route.Name, Refused: isRefused, Late: x.isLate(),
+		Slowdown: load.Slowdown, Route: x.route.Name, Refused: isRefused, Late: x.route.TargetLatency > 0 && x.isLate(),
 	})
 	if r := result.response; r != nil && result.failure == nil {
 		size := r.contentLength
--- a/pkg/sidecar/overflow_test.go
+++ b/pkg/sidecar/overflow_test.go
@@ -131,6 +131,28 @@
 	assert.Assert(t, served > 300 && refused < 20 && canceled > refused, "%d served, %d refused, %d canceled", served, refused, canceled)
 }
 
+// Responses on routes without a target latency must not count as late, or no request of
+// their service would leave a full zone.
+func TestResponsesWithoutTargetAreNotLate(t *testing.T) {
+	x, now := overflowRequest(t, OverflowOn), time.Now()
+	x.route.TargetLatency = 0
+	x.started = now.Add(-time.Second)
+	near := &placement.Endpoint{Stats: &placement.Stats{}, Distance: placement.SameFailureDomain}
+	far := &placement.Endpoint{Stats: &placement.Stats{}, Distance: placement.SameRegion}
+	full := placement.Load{Running: 4, Waiting: 40, Slots: 4, MeanServiceTime: 3 * time.Second, MeanRouteLatency: 3 * time.Second}
+	left := 0
+	for i := range 1000 {
+		now = now.Add(20 * time.Millisecond)
+		x.observeOverflow(now, attemptResult{endpoint: near, response: &endpointResponse{}}, full)
+		x.observeOverflow(now, attemptResult{endpoint: far, response: &endpointResponse{}}, placement.Load{Slots: 4})
+		x.overflowDraw = float64(i+1) / 1001
+		if x.decideOverflow(now, []*placement.Endpoint{near, far}).Tier == overflow.Region {
+			left++
+		}
+	}
+	assert.Assert(t, left > 500, "%d of 1000", left)
+}
+
 // The gate must use the figure of its endpoint and report times at the current speed, which
 // older nodes use as they are; with the mode off it must ignore it.
 func TestGateReportsTheSpeed(t *testing.T) {
