--- a/cmd/azurespring-node/sidecar_test.go
+++ b/cmd/azurespring-node/sidecar_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -49,3 +51,27 @@
 		assert.Assert(t, late <= rounds/200, "in %d rounds with %d nodes, no node polled in time in %d", rounds, instances, late)
 	}
 }
+
+// A mistyped mode of -zone-overflow must end the start, whether it comes by flag or by
+// environment; the flag wins.
+func TestZoneOverflowFlag(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	text := "self: {node: n, zone: z, region: r, service: s}\n" +
+		`network: {listen_addresses: {inbound: "127.0.0.1:1", outbound: "127.0.0.1:2", readiness: "127.0.0.1:3", control: "127.0.0.1:4"}}` + "\n" +
+		`platform: {platform: {address: "127.0.0.1:5"}}` + "\n" + "terms: {}\n"
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	for _, c := range []struct {
+		variable string
+		args     []string
+		want     int
+	}{
+		{"", nil, 0},
+		{"off", nil, 0},
+		{"maybe", nil, exitUsage},
+		{"", []string{"-zone-overflow", "maybe"}, exitUsage},
+		{"maybe", []string{"-zone-overflow", "on"}, 0},
+	} {
+		t.Setenv(zoneOverflowEnvVar, c.variable)
+		assert.Equal(t, runSidecar(append([]string{"-check", "-settings", path}, c.args...)), c.want, "%q %v", c.variable, c.args)
+	}
+}
