--- a/pkg/mesh/gate/fairness.go
+++ b/pkg/mesh/gate/fairness.go
@@ -260,7 +260,7 @@
 
 // timeOf returns the time until the given number of requests have got slots.
 func (q *Queue) timeOf(count int) time.Duration {
-	return time.Duration(float64(count) / float64(max(q.slots, 1)) * float64(q.expectedServiceTime()))
+	return time.Duration(float64(count) / float64(max(q.slots, 1)) * float64(q.ExpectedServiceTime(q.fair.now)))
 }
 
 // estimateFairWait estimates the wait of a new request in the order between tenants. Of
--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -3,9 +3,11 @@
 package gate
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -34,7 +36,8 @@
 	Deadline     time.Time
 	// MaxWait is the longest wait that the sender prefers to another endpoint.
 	MaxWait time.Duration
-	// ServiceTime is the usual time of such a request at this endpoint; 0 if unknown.
+	// ServiceTime is the time that such a request takes at this endpoint at usual speed; 0 if
+	// unknown.
 	ServiceTime time.Duration
 	// Route names the kind of the request. Tenant names its tenant, "" for none, and
 	// TenantPriority ranks that before the priority of the route; 0 is the most urgent.
@@ -57,9 +60,9 @@
 
 // latestStart returns the time until which r is likely to meet its soft deadline.
 func (q *Queue) latestStart(now time.Time, r *Request) time.Time {
-	serviceTime := r.ServiceTime
+	serviceTime := q.AtSpeed(now, r.ServiceTime)
 	if serviceTime <= 0 {
-		serviceTime = q.expectedServiceTime()
+		serviceTime = q.ExpectedServiceTime(now)
 	}
 	limit := max(serviceTime, time.Duration(maxMarginFraction*float64(r.SoftDeadline.Sub(now))))
 	return r.SoftDeadline.Add(-min(startMargin*serviceTime, limit))
@@ -86,9 +89,13 @@
 // Once it has seen a request of a tenant, the priority of tenants goes before that of
 // routes, and equally urgent tenants get turns (see fairness).
 type Queue struct {
-	slots           int
-	running         int
+	slots   int
+	running int
+	// meanServiceTime is the mean at usual speed. meanSlowdown is the mean speed of the last
+	// seconds, 0 if unknown, and slowdown the latest speed relative to that.
 	meanServiceTime time.Duration
+	slowdown        mesh.Slowdown
+	meanSlowdown    float64
 	waiting         []waiter
 	// lateShare is the share of requests that could no longer be in time among those that
 	// waited and got a slot lately.
@@ -119,14 +126,56 @@
 // Slots returns the number of slots.
 func (q *Queue) Slots() int { return q.slots }
 
-// MeanServiceTime returns the mean time that a request holds a slot; 0 if unknown.
+// MeanServiceTime returns the mean time that a request holds a slot at usual speed; 0 if
+// unknown.
 func (q *Queue) MeanServiceTime() time.Duration { return q.meanServiceTime }
 
-func (q *Queue) expectedServiceTime() time.Duration {
+// Slowdown returns the latest speed of the endpoint relative to its mean speed.
+func (q *Queue) Slowdown() mesh.Slowdown { return q.slowdown }
+
+// meanSlowdownTime is the time constant of the mean speed. Speeds change several times
+// within it; an endpoint that is slow for longer must not count as fast again as soon as
+// its last figure is too old.
+const meanSlowdownTime = 3 * time.Second
+
+// SetSlowdown sets the current speed of the endpoint as the endpoint states it. It is
+// ignored if it is unknown.
+func (q *Queue) SetSlowdown(s mesh.Slowdown) {
+	if !s.IsKnown() {
+		return
+	}
+	if q.meanSlowdown == 0 {
+		q.meanSlowdown = s.Factor
+	}
+	elapsed := max(s.At.Sub(q.slowdown.At), 0)
+	q.meanSlowdown += (1 - math.Exp(-float64(elapsed)/float64(meanSlowdownTime))) * (s.Factor - q.meanSlowdown)
+	q.slowdown = mesh.Slowdown{Factor: s.Factor / q.meanSlowdown, At: s.At}
+}
+
+// ExpectedServiceTime returns the time for which a request is expected to hold a slot at
+// the current speed.
+func (q *Queue) ExpectedServiceTime(now time.Time) time.Duration {
 	if q.meanServiceTime == 0 {
 		return defaultServiceTime
 	}
-	return q.meanServiceTime
+	return q.AtSpeed(now, q.meanServiceTime)
+}
+
+// AtSpeed returns the time that work takes at the current speed, given its usual time.
+func (q *Queue) AtSpeed(now time.Time, usual time.Duration) time.Duration {
+	if !q.slowdown.IsKnown() {
+		return usual
+	}
+	return time.Duration(float64(usual) * q.meanSlowdown * q.slowdown.Estimate(now))
+}
+
+// AtUsualSpeed returns the usual time of work that took the given time at the current
+// speed.
+func (q *Queue) AtUsualSpeed(now time.Time, took time.Duration) time.Duration {
+	if !q.slowdown.IsKnown() {
+		return took
+	}
+	return time.Duration(float64(took) / (q.meanSlowdown * q.slowdown.Estimate(now)))
 }
 
 // Resize changes the number of slots and returns the requests that are now decided.
@@ -167,6 +216,7 @@
 func (q *Queue) Release(now time.Time, serviceTime time.Duration) []Decision {
 	q.running--
 	if serviceTime > 0 {
+		serviceTime = q.AtUsualSpeed(now, serviceTime)
 		if q.meanServiceTime == 0 {
 			q.meanServiceTime = serviceTime
 		}
@@ -213,7 +263,7 @@
 	if now.After(r.startBy) {
 		share = max(q.lateShare, minLateShare)
 	}
-	return time.Duration(float64(ahead+1) / float64(max(q.slots, 1)) * float64(q.expectedServiceTime()) / share)
+	return time.Duration(float64(ahead+1) / float64(max(q.slots, 1)) * float64(q.ExpectedServiceTime(now)) / share)
 }
 
 // precedes reports whether a is admitted before b.
@@ -295,7 +345,7 @@
 // only a share of the slots. Their callers learn it at once instead of at the deadline.
 func (q *Queue) rejectHopeless(now time.Time) []Decision {
 	var decisions []Decision
-	serviceTime := q.expectedServiceTime()
+	serviceTime := q.ExpectedServiceTime(now)
 	perStart := float64(serviceTime) / float64(max(q.slots, 1)) / max(q.lateShare, minLateShare)
 	var late lateCounts
 	remaining := q.waiting[:0]
--- a/pkg/sidecar/attempts.go
+++ b/pkg/sidecar/attempts.go
@@ -172,8 +172,10 @@
 			return 0, quarantined(s, max(s.TrialDelay(), minTrialInterval)) // The request may not go where its trial is due.
 		}
 	}
-	choice, ok := placement.Choose(now, x.eligible(candidates), placement.Request{
+	candidates = x.eligible(candidates)
+	choice, ok := placement.Choose(now, candidates, placement.Request{
 		Route: x.route.Name, Kind: x.route.Kind, Timeout: remaining, SoftTimeout: x.started.Add(x.route.TargetLatency).Sub(now), Tried: x.attempted, Rejections: x.rejectedBy,
+		Overflow: x.decideOverflow(now, candidates),
 	})
 	if !ok {
 		return 0, noEndpoint(x.service)
@@ -267,6 +269,7 @@
 		result.endpoint.RecordLoad(now, x.route.Name, load)
 	}
 	result.endpoint.EndAttempt()
+	x.observeOverflow(now, result, load)
 	x.deliverResult(result)
 }
 
