--- a/pkg/sidecar/overflow.go
+++ b/pkg/sidecar/overflow.go
@@ -111,7 +111,7 @@
 	case OverflowOn:
 		return true
 	}
-	return c.KnowsSpeeds() || len(x.snapshot.Tenants()) > 0
+	return c.KnowsSpeeds() || x.hasTenants
 }
 
 // decideOverflow decides where an attempt may go; nil if no controller decides about it.
--- a/pkg/sidecar/overflow_test.go
+++ b/pkg/sidecar/overflow_test.go
@@ -62,11 +62,9 @@
 // overflowRequest returns a request whose node runs in the given mode.
 func overflowRequest(t *testing.T, mode ZoneOverflow, tenants ...mesh.Tenant) *request {
 	t.Helper()
-	snapshot, err := mesh.Compile(mesh.Configuration{Tenants: tenants})
-	assert.NilError(t, err)
 	deps := &shared{settings: Settings{ZoneOverflow: mode}, now: time.Now}
 	return &request{
-		entry: newEntry(deps, nil, nil), r: httptest.NewRequest(http.MethodGet, "/x", nil), service: "s", snapshot: snapshot,
+		entry: newEntry(deps, nil, nil), r: httptest.NewRequest(http.MethodGet, "/x", nil), service: "s", hasTenants: len(tenants) > 0,
 		route: &mesh.Route{Name: "r", TargetLatency: time.Second}, started: deps.now(), deadline: deps.now().Add(time.Minute),
 	}
 }
