Keep quotas of tenants over the port between nodes

A request of a tenant with a limit is admitted before its body is read, waits up to 100 ms for a grant, and is refused with 429 and a Retry-After. One that has certainly not run gives its admission back. A node that stops returns its shares and its terms within the shutdown schedule. Followers do not rebuild their tables for terms.

--- a/pkg/mesh/quota/fleet_test.go
+++ b/pkg/mesh/quota/fleet_test.go
@@ -12,6 +12,9 @@
 // simStep is the resolution of the simulated time.
 const simStep = 5 * time.Millisecond
 
+// maxCheckedNodes bounds the fleets of which the sum of the shares is checked.
+const maxCheckedNodes = 10
+
 // maxGrantWait is how long the simulated requests wait for a grant.
 const maxGrantWait = 100 * time.Millisecond
 
@@ -71,6 +74,9 @@
 	// totalDemand is what loadOnly spreads.
 	totalDemand float64
 
+	// mostShared is the largest sum of the shares in use and of the rest that a granter's
+	// bucket fills with.
+	mostShared   float64
 	record       Record
 	version      int
 	hasRecord    bool
@@ -277,6 +283,7 @@
 		for len(f.queue) > 0 && f.queue[0].at <= f.now {
 			heap.Pop(&f.queue).(simEvent).run()
 		}
+		f.addShares()
 		for _, n := range f.nodes {
 			if n.isDead || f.now < n.pausedUntil {
 				continue
@@ -299,6 +306,28 @@
 	}
 }
 
+// addShares updates mostShared. A paused node may still use its shares when it goes on,
+// until their leases end; a granter that is paused grants nothing meanwhile.
+func (f *simFleet) addShares() {
+	if len(f.nodes) > maxCheckedNodes {
+		return
+	}
+	sum := 0.0
+	for _, n := range f.nodes {
+		if n.isDead {
+			continue
+		}
+		if s := n.holder.shares[f.tenant]; s != nil && f.clock(n) < s.leaseEnd {
+			sum += s.fraction
+		}
+		g := n.granters[SlotOf(f.tenant)]
+		if t := g.tenants[f.tenant]; t != nil && g.term.grants(f.clock(n)) && f.now >= n.pausedUntil {
+			sum += g.rest(t)
+		}
+	}
+	f.mostShared = max(f.mostShared, sum)
+}
+
 // admit offers the requests of a node that are due to its holder.
 func (f *simFleet) admit(n *simNode, now time.Duration) {
 	still := n.waiting[:0]
--- a/pkg/mesh/quota/granter.go
+++ b/pkg/mesh/quota/granter.go
@@ -149,6 +149,10 @@
 func (g *Granter) Receive(now time.Duration, r Request) Response {
 	response := Response{Slot: g.slot, Sequence: r.Sequence}
 	g.term.highest = max(g.term.highest, r.Term)
+	if g.term.isReleasing {
+		response.Status = StatusStopping
+		return response
+	}
 	if !g.term.grants(now) || r.Term > g.term.number {
 		g.term.wantedUntil = now + wantedTime
 		response.Status, response.RetryMs = StatusRetry, retryTime.Milliseconds()
--- a/pkg/mesh/quota/holder.go
+++ b/pkg/mesh/quota/holder.go
@@ -404,6 +404,10 @@
 	if !s.isPending || r.Sequence != s.sequence {
 		return
 	}
+	if r.Status == StatusStopping {
+		h.Fail(now, r.Slot, r.Sequence)
+		return
+	}
 	s.isPending = false
 	retryAt := now + min(max(time.Duration(r.RetryMs)*time.Millisecond, minSendInterval), renewInterval)
 	switch {
--- a/pkg/mesh/quota/message.go
+++ b/pkg/mesh/quota/message.go
@@ -43,6 +43,8 @@
 	StatusRetry
 	// StatusIgnored is the response to a request that is older than another one.
 	StatusIgnored
+	// StatusStopping is the response of a node that stops; another node is to be asked.
+	StatusStopping
 )
 
 // Response is the response to a request.
--- a/pkg/mesh/quota/rule_test.go
+++ b/pkg/mesh/quota/rule_test.go
@@ -142,6 +142,9 @@
 			f.run(time.Duration(rapid.IntRange(0, 6000).Draw(t, "pauseMs")) * time.Millisecond)
 		}
 		f.run(5 * time.Second)
+		if f.mostShared > 1+1e-6 {
+			t.Fatalf("the shares in use summed to %f", f.mostShared)
+		}
 		most := f.maxInWindow(0, testRule.Window)
 		if float64(most) > limit.Allowed() {
 			t.Fatalf("%d requests in a window, %.0f allowed", most, limit.Allowed())
--- a/pkg/mesh/quota/term.go
+++ b/pkg/mesh/quota/term.go
@@ -73,12 +73,20 @@
 	return g.term.number, g.term.grants(now)
 }
 
+// Slot returns the slot of the granter.
+func (g *Granter) Slot() int { return g.slot }
+
+// IsActive reports whether Step has to be called regularly.
+func (g *Granter) IsActive(now time.Duration) bool {
+	return g.term.number > 0 || g.term.isCalling || now < g.term.wantedUntil
+}
+
+// UnknownRecord returns the record of a term that cannot be read.
+func UnknownRecord() Record { return Record{State: StateHeld, Node: "?", Sharing: sharing{All: true}} }
+
 // Release ends the term at the next call of Step. Another node may take over then.
 func (g *Granter) Release() { g.term.isReleasing = true }
 
-// IsReleased reports whether no term is left to release.
-func (g *Granter) IsReleased() bool { return g.term.number == 0 && !g.term.isCalling }
-
 // Step returns the call of the store that is due; Complete takes its result.
 func (g *Granter) Step(now time.Duration) (StoreCall, bool) {
 	t := &g.term
@@ -113,10 +121,13 @@
 // stepTerm sets the call that a granter needs.
 func (g *Granter) stepTerm(now time.Duration, call *StoreCall) bool {
 	t := &g.term
-	if now < t.writeAt {
+	if now < t.writeAt && (!t.isReleasing || t.grantUntil == 0) {
 		return false
 	}
 	t.writeAt = now + writeInterval
+	if t.isReleasing {
+		t.grantUntil = 0
+	}
 	if t.isUncertain {
 		call.Verb = StoreGet
 		return true
--- a/pkg/sidecar/changes.go
+++ b/pkg/sidecar/changes.go
@@ -89,7 +89,9 @@
 		} else {
 			t.applyDelta(c, objects)
 		}
-		t.refresh(c.Kind)
+		if c.IsFull || len(c.Objects) > 0 || len(c.Removed) > 0 {
+			t.refresh(c.Kind)
+		}
 	}
 	return nil
 }
--- a/pkg/sidecar/entry.go
+++ b/pkg/sidecar/entry.go
@@ -117,6 +117,7 @@
 		x.releaseHeld()
 	}()
 	resp, failure := x.run()
+	x.returnQuota(failure)
 	if e.deps.isShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
@@ -231,7 +232,7 @@
 // status that says so, unless it has no route or is malformed.
 func statusOf(failure *verdict.Error) int {
 	switch {
-	case failure.Code == verdict.UnknownRoute, failure.Code == verdict.BadRequest:
+	case failure.Code == verdict.UnknownRoute, failure.Code == verdict.BadRequest, failure.Code == verdict.QuotaExceeded:
 		return failure.Code.HTTPStatus()
 	case failure.Verdict == verdict.NotRun:
 		return http.StatusServiceUnavailable
@@ -244,7 +245,7 @@
 func (x *request) sendProblem(failure *verdict.Error) {
 	header := x.w.Header()
 	x.status = statusOf(failure)
-	if x.status == http.StatusServiceUnavailable {
+	if x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests {
 		retryAfter := max(failure.RetryAfter, minRetryAfter)
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -17,6 +17,7 @@
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh/egress"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/quotasync"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -294,6 +295,10 @@
 		s.serveFollower(w, r) // Not in flight: a shutdown does not wait for followers.
 		return
 	}
+	if quotasync.IsMessage(r) {
+		s.deps.quota.ServeHTTP(w, r) // Not in flight: a shutdown does not wait for other nodes.
+		return
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	if r.Method == http.MethodPost && r.RequestURI == statePath {
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -120,6 +120,7 @@
 	n.shared.onEndpointsChanged = n.tracker.endpointsChanged
 	n.shared.hasNodeAt = n.tracker.hasNodeAt
 	n.shared.isLoaded, n.shared.encodeState, n.shared.applyState = n.tracker.isLoaded, n.tracker.encodeState, n.tracker.applyState
+	n.shared.quota = newQuota(n.shared, n.tracker, n.hopClient)
 	n.shared.awaitPublished = n.tracker.awaitPublished
 	n.shared.onNewerRevision = func() { notify(n.tracker.fetchWake) }
 	return n, nil
@@ -183,6 +184,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { n.tracker.run(background) })
 	running.Go(func() { n.maintain(background) })
+	running.Go(func() { n.shared.quota.Run(background) })
 	for _, server := range servers {
 		running.Go(func() {
 			if err := server.http.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -14,6 +14,7 @@
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/mesh/quota"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -58,10 +59,12 @@
 	snapshot *mesh.Snapshot
 	route    *mesh.Route
 	// tenant is nil for requests without a tenant.
-	tenant  *mesh.Tenant
-	service string
-	ctx     context.Context
-	cancel  context.CancelFunc
+	tenant *mesh.Tenant
+	// quotaPermit is the admission under the quota of the tenant.
+	quotaPermit quota.Permit
+	service     string
+	ctx         context.Context
+	cancel      context.CancelFunc
 	// deadline is that of the attempts. It is earlier than that of ctx if the node shuts
 	// down before.
 	deadline      time.Time
@@ -126,6 +129,9 @@
 	if err := x.setDeadline(); err != nil {
 		return nil, err
 	}
+	if err := x.takeQuota(); err != nil {
+		return nil, err
+	}
 	if err := x.readBody(); err != nil {
 		return nil, err
 	}
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/quotasync"
 )
 
 // shared holds what the components of a node have in common.
@@ -58,6 +59,8 @@
 	isLoaded    func() bool
 	encodeState func() ([]byte, error)
 	applyState  func(encoded []byte) error
+	// quota bounds the requests of tenants over all nodes.
+	quota *quotasync.Service
 	// awaitPublished reports whether all changes so far of this node's entry are stored
 	// within the given time.
 	awaitPublished func(wait time.Duration) bool
--- a/pkg/sidecar/shutdown.go
+++ b/pkg/sidecar/shutdown.go
@@ -72,6 +72,11 @@
 	n.awaitRequests(schedule)
 	n.shared.endRequests()
 	var shutdowns sync.WaitGroup
+	shutdowns.Go(func() {
+		returning, cancel := context.WithTimeout(context.Background(), quotaStopTimeout)
+		defer cancel()
+		n.shared.quota.Stop(returning)
+	})
 	for _, server := range servers {
 		wait := closeTimeout
 		if _, ok := server.http.(*clientServer); ok {
@@ -99,6 +104,7 @@
 		now := n.shared.now()
 		if !now.Before(schedule.closeInboundAt) && !n.shared.isInboundClosed.Swap(true) {
 			n.tracker.markStopping()
+			n.shared.quota.Release()
 		}
 		if !now.Before(schedule.attemptsEndAt) {
 			n.admission.rejectWaiting()
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -16,6 +16,7 @@
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/mesh/upstream"
 	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/quotasync"
 )
 
 // Pauses between two attempts to read a kind or to publish while the store is
@@ -77,6 +78,8 @@
 	asOf         map[platform.Kind]uint64
 	removals     map[platform.Kind]map[string]uint64
 	removalsFrom map[platform.Kind]uint64
+	// isRefreshDue is set for kinds of which a batch of changes has been applied in part.
+	isRefreshDue map[platform.Kind]bool
 	// viewChanged is closed and replaced whenever the view of a kind has changed.
 	viewChanged chan struct{}
 	frames      frameCache
@@ -112,6 +115,7 @@
 		objects:     make(map[platform.Kind]map[string]platform.Object),
 		loadedKinds: make(map[platform.Kind]bool),
 		asOf:        make(map[platform.Kind]uint64), removals: make(map[platform.Kind]map[string]uint64),
+		isRefreshDue: make(map[platform.Kind]bool),
 		removalsFrom: make(map[platform.Kind]uint64), viewChanged: make(chan struct{}), lostKinds: make(map[platform.Kind]time.Time),
 		upstream:    upstream.NewSelector(deps.settings.Instance),
 		publishWake: make(chan struct{}, 1), rolloutWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), published: make(chan struct{}),
@@ -193,11 +197,15 @@
 		t.remove(kind, event.Object.Name)
 		t.recordRemoval(kind, event.Object.Name, asOf)
 	}
+	// The terms of granters change each second, and nothing is derived from them.
+	t.isRefreshDue[kind] = t.isRefreshDue[kind] || !isQuotaTerm(kind, event.Object.Name)
+	isDue := t.isRefreshDue[kind] && !event.MoreFollow
 	if !event.MoreFollow {
 		t.asOf[kind] = max(t.asOf[kind], asOf)
+		t.isRefreshDue[kind] = false
 	}
 	t.mu.Unlock()
-	if !event.MoreFollow {
+	if isDue {
 		t.refresh(kind)
 	}
 }
@@ -236,6 +244,12 @@
 	return true
 }
 
+// isQuotaTerm reports whether an object is the term of a granter of quotas, which is read
+// only by nodes that take over.
+func isQuotaTerm(kind platform.Kind, name string) bool {
+	return kind == platform.KindMeshState && strings.HasPrefix(name, quotasync.ObjectPrefix)
+}
+
 func (t *tracker) decode(kind platform.Kind, o platform.Object) error {
 	switch {
 	case o.Name == "":
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -50,6 +50,7 @@
 	BadRequest          Code = "bad-request"
 	RateLimited         Code = "rate-limited"
 	ConcurrencyLimited  Code = "concurrency-limited"
+	QuotaExceeded       Code = "quota-exceeded"
 	TooDeep             Code = "too-deep"
 	NoTarget            Code = "no-target"
 	Overloaded          Code = "overloaded"
@@ -80,6 +81,7 @@
 	BadRequest:          http.StatusBadRequest,
 	RateLimited:         http.StatusTooManyRequests,
 	ConcurrencyLimited:  http.StatusTooManyRequests,
+	QuotaExceeded:       http.StatusTooManyRequests,
 	TooDeep:             http.StatusLoopDetected,
 	NoTarget:            http.StatusServiceUnavailable,
 	Overloaded:          http.StatusServiceUnavailable,
