Write the terms of all slots at the same moments

Each write of a term wakes the readers of mesh state, whose polls are billed. With four granters at four moments a reader would poll more than twice a second; at the same moments, once.

--- a/pkg/mesh/quota/granter.go
+++ b/pkg/mesh/quota/granter.go
@@ -47,6 +47,7 @@
 	name        string
 	incarnation uint64
 	limits      map[string]Limit
+	phase       time.Duration
 	nodeSince   map[string]time.Duration
 	order       []string
 
--- a/pkg/mesh/quota/term.go
+++ b/pkg/mesh/quota/term.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// minWriteInterval is the shortest time between two writes of a term.
+	minWriteInterval = 300 * time.Millisecond
 	// wantedTime is how long a node that was asked for a grant tries to become granter.
 	wantedTime = 2 * time.Second
 	// retryTime is when a holder asks again while a node takes over, waitRetryTime while
@@ -118,13 +120,27 @@
 	return call, true
 }
 
+// SetPhase sets the time that is added to the clock for the times of writes. If it is the
+// same time of day at all nodes, the granters write at about the same moments, so that those
+// who watch the kind are woken once for all slots.
+func (g *Granter) SetPhase(phase time.Duration) { g.phase = phase }
+
+// nextWrite returns when to write after a write at now.
+func (g *Granter) nextWrite(now time.Duration) time.Duration {
+	wait := writeInterval - (now+g.phase)%writeInterval
+	if wait < minWriteInterval {
+		wait += writeInterval
+	}
+	return now + wait
+}
+
 // stepTerm sets the call that a granter needs.
 func (g *Granter) stepTerm(now time.Duration, call *StoreCall) bool {
 	t := &g.term
 	if now < t.writeAt && (!t.isReleasing || t.grantUntil == 0) {
 		return false
 	}
-	t.writeAt = now + writeInterval
+	t.writeAt = g.nextWrite(now)
 	if t.isReleasing {
 		t.grantUntil = 0
 	}
@@ -222,7 +238,7 @@
 		g.completeRenewal(now, call, result)
 	case result.Outcome == StoreOK:
 		isFresh := t.isFreshStart()
-		t.number, t.version, t.grantUntil, t.writeAt = call.Record.Term, result.Version, call.started+TermTime, call.started+writeInterval
+		t.number, t.version, t.grantUntil, t.writeAt = call.Record.Term, result.Version, call.started+TermTime, g.nextWrite(call.started)
 		t.highest = max(t.highest, t.number)
 		t.isUncertain, t.hasObserved = false, false
 		t.declared, t.undeclared = make(map[uint32]bool), make(map[uint32]bool)
--- a/pkg/quotasync/service.go
+++ b/pkg/quotasync/service.go
@@ -98,6 +98,7 @@
 	}
 	for slot := range s.granters {
 		s.granters[slot] = quota.NewGranter(slot, o.Node, o.Incarnation)
+		s.granters[slot].SetPhase(time.Duration(time.Now().UnixNano()%int64(time.Hour)) - o.Now()%time.Hour + time.Hour)
 	}
 	return s
 }
--- a/pkg/sidecar/quota_test.go
+++ b/pkg/sidecar/quota_test.go
@@ -9,10 +9,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/azurespring/azurespring/pkg/mesh"
@@ -69,13 +69,80 @@
 	snapshot, err := mesh.Compile(mesh.Configuration{Version: 1, Tenants: []mesh.Tenant{tenant}})
 	assert.NilError(t, err)
 	tracker.deps.snapshot.Store(snapshot)
+	return runQuota(t, tracker)
+}
+
+// runQuota runs the quota of a node and returns its entry.
+func runQuota(t *testing.T, tracker *tracker) *EntryHandler {
+	t.Helper()
 	hops := newHopClient(tracker.deps)
-	tracker.deps.metrics = &metrics{scope: tally.NoopScope}
 	tracker.deps.quota = newQuota(tracker.deps, tracker, hops)
 	go tracker.deps.quota.Run(t.Context())
 	return newEntry(tracker.deps, tracker.admission, hops)
 }
 
+// Nodes must share a quota over the port between nodes: the demand of a single node must
+// be served although it is above its part, and the sum must obey the rule.
+func TestNodesShareAQuotaOverTheirPort(t *testing.T) {
+	const count, window = 4, 5 * time.Second
+	tenant := &mesh.Tenant{Name: "w", RatePerSecond: 100, Burst: 20}
+	snapshot, err := mesh.Compile(mesh.Configuration{Version: 1, Tenants: []mesh.Tenant{*tenant}})
+	assert.NilError(t, err)
+	store := &termStore{objects: make(map[string]platform.Object)}
+	var trackers []*tracker
+	var entries []*EntryHandler
+	var objects []platform.Object
+	for i := range count {
+		tracker := newFollower(t)
+		tracker.store = store
+		tracker.deps.settings.Instance = "n" + strconv.Itoa(i)
+		tracker.deps.settings.QuotaWindow, tracker.deps.settings.QuotaOverage, tracker.deps.settings.QuotaSlack = window, 0.1, 20
+		tracker.deps.snapshot.Store(snapshot)
+		entries = append(entries, runQuota(t, tracker))
+		trackers = append(trackers, tracker)
+		entry, err := mesh.Instance{
+			Name: tracker.deps.settings.Instance, Address: peerServer(t, tracker), FailureDomain: "d", Region: "r",
+		}.Encode()
+		assert.NilError(t, err)
+		objects = append(objects, stateObject(instancePrefix+tracker.deps.settings.Instance, i+1, string(entry)))
+	}
+	for _, tracker := range trackers {
+		tracker.replace(platform.KindMeshState, objects)
+	}
+	var admitted, offered atomic.Int64
+	var running sync.WaitGroup
+	send := func(entry *EntryHandler, perSecond int, d time.Duration) {
+		running.Go(func() {
+			ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+			defer ticker.Stop()
+			for begin := time.Now(); time.Since(begin) < d; <-ticker.C {
+				offered.Add(1)
+				running.Go(func() {
+					if newQuotaRequest(entry, tenant).takeQuota() == nil {
+						admitted.Add(1)
+					}
+				})
+			}
+		})
+	}
+	send(entries[0], 80, 2*time.Second)
+	running.Wait()
+	assert.Assert(t, admitted.Load() >= offered.Load()*8/10, "%d of %d requests below the limit were admitted", admitted.Load(), offered.Load())
+	for _, entry := range entries {
+		send(entry, 100, 2500*time.Millisecond)
+	}
+	running.Wait()
+	// The whole test is within one window.
+	limit := (tenant.RatePerSecond*window.Seconds()+tenant.Burst)*1.1 + 20
+	t.Logf("admitted %d of %d, %.0f allowed in a window", admitted.Load(), offered.Load(), limit)
+	assert.Assert(t, float64(admitted.Load()) <= limit)
+	for _, tracker := range trackers {
+		ctx, cancel := context.WithTimeout(t.Context(), quotaStopTimeout)
+		tracker.deps.quota.Stop(ctx)
+		cancel()
+	}
+}
+
 // newQuotaRequest returns a request of a tenant that has a second left.
 func newQuotaRequest(entry *EntryHandler, tenant *mesh.Tenant) *request {
 	now := time.Now()
