--- a/pkg/mesh/quota/holder.go
+++ b/pkg/mesh/quota/holder.go
@@ -153,7 +153,7 @@
 	s.demand += 1 / demandTime.Seconds()
 	s.slowDemand = min(s.slowDemand+1/slowDemandTime.Seconds(), max(slowDemandPart*limit.Rate, 1/slowDemandTime.Seconds()))
 	if s.waiters == 0 {
-		if permit, ok := s.take(now, tenant); ok {
+		if permit, ok := s.take(tenant); ok {
 			return Outcome{Admitted: true, Permit: permit}
 		}
 	}
@@ -174,7 +174,7 @@
 		return Outcome{Admitted: true}
 	}
 	s.advance(now, limit)
-	if permit, ok := s.take(now, tenant); ok {
+	if permit, ok := s.take(tenant); ok {
 		s.waiters = max(s.waiters-1, 0)
 		return Outcome{Admitted: true, Permit: permit}
 	}
@@ -264,12 +264,13 @@
 	return s.demandUpdatedAt + time.Duration(demandTime.Seconds()*math.Log(s.demand/needed)*float64(time.Second)), true
 }
 
-func (s *share) take(now time.Duration, tenant string) (Permit, bool) {
+// take takes a token. advance must have been called for the same time.
+func (s *share) take(tenant string) (Permit, bool) {
 	switch {
 	case s.bucket.tokens >= 1:
 		s.bucket.tokens--
 		return Permit{tenant: tenant, generation: s.generation}, true
-	case s.extra > 0 && now < s.extraEnd:
+	case s.extra > 0:
 		s.extra--
 		return Permit{}, true
 	}
--- a/pkg/mesh/quota/messages_test.go
+++ b/pkg/mesh/quota/messages_test.go
@@ -114,6 +114,12 @@
 	granted.Sequence = r.Sequence
 	h.Accept(begin+2*time.Millisecond, granted)
 	assert.Equal(t, h.shares["t"].fraction, 0.0, "a share of an earlier term was accepted")
+	sendings := h.Poll(begin + time.Second)
+	assert.Equal(t, len(sendings), 1)
+	assert.Equal(t, sendings[0].To, "g2")
+	granted.Sequence = sendings[0].Request.Sequence
+	h.Accept(begin+time.Second, granted)
+	assert.Equal(t, h.shares["t"].fraction, 0.0, "a share of an earlier term was accepted")
 	_, ok = h.Announced(begin+time.Millisecond, Announcement{Slot: r.Slot, Term: 1, Granter: "g1"})
 	assert.Assert(t, !ok)
 }
