--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -121,6 +121,7 @@
 	n.shared.hasNodeAt = n.tracker.hasNodeAt
 	n.shared.isCertain = n.tracker.isCertain
 	n.shared.isLoaded, n.shared.encodeState, n.shared.applyState = n.tracker.isLoaded, n.tracker.encodeState, n.tracker.applyState
+	n.shared.quota = newQuota(n.shared, n.tracker, n.hopClient)
 	n.shared.awaitPublished = n.tracker.awaitPublished
 	n.shared.onNewerRevision = func() { notify(n.tracker.fetchWake) }
 	return n, nil
@@ -184,6 +185,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { n.tracker.run(background) })
 	running.Go(func() { n.maintain(background) })
+	running.Go(func() { n.shared.quota.Run(background) })
 	for _, server := range servers {
 		running.Go(func() {
 			if err := server.http.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -14,6 +14,7 @@
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
+	"github.com/azurespring/azurespring/pkg/mesh/quota"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -61,9 +62,11 @@
 	// tenants.
 	tenant     *mesh.Tenant
 	hasTenants bool
-	service    string
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// quotaPermit is the admission under the quota of the tenant.
+	quotaPermit quota.Permit
+	service     string
+	ctx         context.Context
+	cancel      context.CancelFunc
 	// deadline is that of the attempts. It is earlier than that of ctx if the node shuts
 	// down before.
 	deadline      time.Time
@@ -137,6 +140,9 @@
 	if err := x.checkEligible(); err != nil {
 		return nil, err
 	}
+	if err := x.takeQuota(); err != nil {
+		return nil, err
+	}
 	if err := x.readBody(); err != nil {
 		return nil, err
 	}
