Store the terms of granters as a kind of their own

A term is written each second. As mesh state it woke every watch of the entries and sent frames to all followers, which is paid for by call.

--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -38,6 +38,9 @@
 	// KindMeshState holds the state that nodes share: instance entries and the progress
 	// of rollouts.
 	KindMeshState Kind = "meshstate"
+	// KindQuotaTerm holds the terms of the nodes that grant shares of quotas. They change
+	// each second and are a kind of their own, so that no watch reports them.
+	KindQuotaTerm Kind = "quotaterm"
 )
 
 // Object is one stored value. ResourceVersion is opaque and changes with each write.
--- a/pkg/quotasync/wire.go
+++ b/pkg/quotasync/wire.go
@@ -22,7 +22,7 @@
 	TermPath  = "/azurespring-hop/quota-term"
 )
 
-// ObjectPrefix begins the names of the objects with the terms, of the kind mesh state.
+// ObjectPrefix begins the names of the objects with the terms.
 const ObjectPrefix = "quota-"
 
 const (
@@ -127,12 +127,12 @@
 	var o platform.Object
 	switch call.Verb {
 	case quota.StoreGet:
-		o, err = s.options.Store.Get(ctx, platform.KindMeshState, name)
+		o, err = s.options.Store.Get(ctx, platform.KindQuotaTerm, name)
 	case quota.StoreCreate:
-		o, err = s.options.Store.Create(ctx, platform.KindMeshState, name, value)
+		o, err = s.options.Store.Create(ctx, platform.KindQuotaTerm, name, value)
 	default:
 		o, err = s.options.Store.Update(ctx, platform.Object{
-			Kind: platform.KindMeshState, Name: name, ResourceVersion: call.Version, Value: value,
+			Kind: platform.KindQuotaTerm, Name: name, ResourceVersion: call.Version, Value: value,
 		})
 	}
 	result := quota.StoreResult{Outcome: quota.StoreOK, Version: o.ResourceVersion}
--- a/pkg/sidecar/changes.go
+++ b/pkg/sidecar/changes.go
@@ -95,9 +95,7 @@
 		} else {
 			t.applyDelta(c, objects)
 		}
-		if c.IsFull || len(c.Objects) > 0 || len(c.Removed) > 0 {
-			t.refresh(c.Kind)
-		}
+		t.refresh(c.Kind)
 	}
 	return nil
 }
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -18,7 +18,6 @@
 	"github.com/azurespring/azurespring/pkg/mesh/tenant"
 	"github.com/azurespring/azurespring/pkg/mesh/upstream"
 	"github.com/azurespring/azurespring/pkg/platform"
-	"github.com/azurespring/azurespring/pkg/quotasync"
 )
 
 // Pauses between two attempts to read a kind or to publish while the store is
@@ -83,8 +82,6 @@
 	asOf         map[platform.Kind]uint64
 	removals     map[platform.Kind]map[string]uint64
 	removalsFrom map[platform.Kind]uint64
-	// isRefreshDue is set for kinds of which a batch of changes has been applied in part.
-	isRefreshDue map[platform.Kind]bool
 	// viewChanged is closed and replaced whenever the view of a kind has changed.
 	viewChanged chan struct{}
 	frames      frameCache
@@ -129,7 +126,6 @@
 		objects:     make(map[platform.Kind]map[string]platform.Object),
 		loadedKinds: make(map[platform.Kind]bool),
 		asOf:        make(map[platform.Kind]uint64), removals: make(map[platform.Kind]map[string]uint64),
-		isRefreshDue: make(map[platform.Kind]bool),
 		removalsFrom: make(map[platform.Kind]uint64), viewChanged: make(chan struct{}), lostKinds: make(map[platform.Kind]time.Time),
 		eras: make(map[platform.Kind]uint64), lostWrites: make(map[string]lostWrite), lostWritesWake: make(chan struct{}, 1),
 		kinds: kindsOf(deps.settings), evacuated: make(map[string]bool),
@@ -224,15 +220,11 @@
 		t.remove(kind, event.Object.Name)
 		t.recordRemoval(kind, event.Object.Name, asOf)
 	}
-	// The terms of granters change each second, and nothing is derived from them.
-	t.isRefreshDue[kind] = t.isRefreshDue[kind] || !isQuotaTerm(kind, event.Object.Name)
-	isDue := t.isRefreshDue[kind] && !event.MoreFollow
 	if !event.MoreFollow {
 		t.asOf[kind] = max(t.asOf[kind], asOf)
-		t.isRefreshDue[kind] = false
 	}
 	t.mu.Unlock()
-	if isDue {
+	if !event.MoreFollow {
 		t.refresh(kind)
 	}
 }
@@ -298,12 +290,6 @@
 	return true
 }
 
-// isQuotaTerm reports whether an object is the term of a granter of quotas, which is read
-// only by nodes that take over.
-func isQuotaTerm(kind platform.Kind, name string) bool {
-	return kind == platform.KindMeshState && strings.HasPrefix(name, quotasync.ObjectPrefix)
-}
-
 func (t *tracker) decode(kind platform.Kind, o platform.Object) error {
 	switch {
 	case o.Name == "":
