--- a/test/sidecar/harness_test.go
+++ b/test/sidecar/harness_test.go
@@ -42,6 +42,8 @@
 	version int
 	// maxBodyBytes is the limit in the configurations.
 	maxBodyBytes int
+	// processLimits are the limits of the instance of a node that runs as a process.
+	processLimits string
 	// firstReadSpread is a setting of the nodes.
 	firstReadSpread time.Duration
 }
@@ -84,7 +86,13 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	t.Parallel()
-	f := &fleet{t: t, store: platformtest.NewStore(), maxBodyBytes: 64 << 20}
+	return newSerialFleet(t)
+}
+
+// newSerialFleet returns a fleet for a test that must not run beside others.
+func newSerialFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: platformtest.NewStore(), maxBodyBytes: 64 << 20, processLimits: "memory_mb: 284"}
 	f.server = httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		for _, n := range f.nodes {
--- a/test/sidecar/program_test.go
+++ b/test/sidecar/program_test.go
@@ -49,15 +49,16 @@
 	done    chan error
 }
 
-func settingsText(n *testNode) string {
+func settingsText(n *testNode, limits string) string {
 	s := n.settings
 	return fmt.Sprintf(`
-self: {node: %q, zone: %q, region: %q, application_address: %q, service: %q, limits: {cores: 1, memory_mb: 284}}
+self: {node: %q, zone: %q, region: %q, application_address: %q, service: %q, limits: {cores: 1, %s}}
 network:
+  internal_port_range: [%d]
   listen_addresses: {inbound: %q, outbound: %q, readiness: %q, control: %q}
 platform: {heartbeat_interval: "1s", platform: {address: %q}}
 terms: {bounds: {drain: "2s", grace_period: "6s", configuration_apply: "2s", retry_budget_ratio: 0.2, budget_window: "10s", retry_budget_slack: 50}}
-`, s.Instance, s.FailureDomain, s.Region, n.endpoint.Address(), s.Service, s.InboundAddress, s.OutboundAddress, s.ReadinessAddress, s.ControlAddress, s.StoreAddress)
+`, s.Instance, s.FailureDomain, s.Region, n.endpoint.Address(), s.Service, limits, s.MetricsPort, s.InboundAddress, s.OutboundAddress, s.ReadinessAddress, s.ControlAddress, s.StoreAddress)
 }
 
 func startProcess(t *testing.T, settings string) *process {
@@ -82,7 +83,15 @@
 	n := f.addNode("a", e)
 	n.stop()
 	<-n.done
-	p := startProcess(f.t, settingsText(n))
+	return n, f.startNodeProcess(n)
+}
+
+// startNodeProcess starts the node n, which does not run, as a process and waits until it
+// serves requests.
+func (f *fleet) startNodeProcess(n *testNode) *process {
+	f.t.Helper()
+	e := n.endpoint
+	p := startProcess(f.t, settingsText(n, f.processLimits))
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
 	f.waitUntil("the process accepts announcements", func() bool {
@@ -91,7 +100,7 @@
 	})
 	go announceRepeatedly(ctx, n)
 	f.waitUntil("the process serves requests", func() bool { return n.get("/safe/probe", "probe").status == http.StatusOK })
-	return n, p
+	return p
 }
 
 // Signals during a graceful shutdown must not interrupt requests. If the signal handler
