Fail exchanges whose response has no status

Every status below 200 counted as an interim response, and what followed was read as the response: the body of a response with status 000 that looked like a signed 200 reached the client as one. 600 to 999 were passed on, and the writer of the hop closes its connection for them or the client gets a status that is none.

A status below 100 or above 599 fails the exchange now, and so do 1xx other than 100, 102 and 103 (101: no request asks for an upgrade), an interim response that announces a body, and more than 16 interim responses. The request may have run; the connection is closed, so that nothing behind is read. This holds for the endpoint and for the hop between nodes, which use the same code. A connection ends after a 204 whose header announces a body, and after a 204 or 304 in chunks: net/http ignores that body and the next exchange would read it.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -241,18 +241,26 @@
 	c.input.RemainingBytes = maxResponseHeaderBytes
 	defer func() { c.input.RemainingBytes = math.MaxInt64 }()
 	remainingStaleBytes := int64(maxStaleResponseBytes)
-	mayOmitID := c.requestCount == 1
+	mayOmitID, interimResponses := c.requestCount == 1, 0
 	for {
 		response, err := http.ReadResponse(c.reader, r.Request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode == http.StatusContinue {
-			onContinue()
+		isInterim, err := checkStatus(response)
+		if err != nil {
+			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if isInterim {
+			if interimResponses++; interimResponses > maxInterimResponses {
+				return nil, errTooManyInterim
+			}
+			if response.StatusCode == http.StatusContinue {
+				onContinue()
+			}
 			continue
 		}
+		response.Close = response.Close || mayBytesFollow(response)
 		if r.IDHeader == "" {
 			return response, nil
 		}
