Take only final statuses for responses of targets and stores

pkg/proxy passed 600 to 999 on to the client, and its server would panic for a status below 100. A call whose response has no status from 200 to 599 fails now; it may have run.

Before: TestResponseWithoutStatusIsNotPassedOn failed, "600" reached the client. It passes with the change. The clients of the stores have no test of their own for this.

--- a/pkg/platform/objectapi/client.go
+++ b/pkg/platform/objectapi/client.go
@@ -252,7 +252,7 @@
 	if int64(len(data)) > c.options.MaxResponseBytes {
 		return eris.Wrapf(errResponseTooLarge, "%s %s", method, requestURL.Path)
 	}
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		return statusError(response.StatusCode, response.Header, data)
 	}
 	if result == nil {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -62,6 +62,11 @@
 		return f.attemptError(err, verdict.TargetFailed)
 	}
 	defer response.Body.Close()
+	if status := response.StatusCode; status < http.StatusOK || status > maxStatus {
+		// net/http passes such a response on, and its server panics for a status below 100. The
+		// connection is closed with the body that nobody reads.
+		return verdict.MayHaveRunErrorf(verdict.TargetFailed, nil, "the target responded with %d, which is no final status", status)
+	}
 	f.status = response.StatusCode
 	if isShed(response) {
 		_, _ = io.CopyN(io.Discard, response.Body, transport.MaxCallFrameBytes)
@@ -70,6 +75,9 @@
 	return f.forwardResponse(response)
 }
 
+// maxStatus is the highest status of RFC 9110, 15.
+const maxStatus = 599
+
 func isShed(response *http.Response) bool {
 	return response.StatusCode == http.StatusServiceUnavailable &&
 		response.Header.Get(headerShed) == verdict.NotRun.String()
