Bound what clients may hold, and end slow ones while it is short

Crowds of clients that stop half-way took a node beyond the memory and the descriptors of its instance: header sections were parsed while they arrived (15 KB of short fields take 300 KB), each connection held 16 KB of write buffer and up to 160 KB for a body, any number of state transfers was read at once, and a body that never ended kept its connection at the inbound listener open for ever.

pkg/mesh/overload decides: one memory budget for all clients (a quarter of the instance's memory), the descriptors of each listener, and which connections end while one of them is short (slow ones that hold most, then unused, then idle ones; other nodes last). pkg/clientlimit wraps all listeners and keeps header sections unparsed until they are complete. The budget counts header sections, running requests, buffered bodies, read-ahead of requests and responses, responses held back and state transfers. A connection holds no read or write buffer while it waits. Each limit is a flag with an environment variable, checked by -check.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -113,17 +113,23 @@
 	settingsPath := flags.String("settings", os.Getenv(platform.SettingsEnvVar),
 		"path of the platform's settings file (environment: "+platform.SettingsEnvVar+")")
 	check := flags.Bool("check", false, "check the settings file and exit")
-	if err := flags.Parse(args); err != nil {
+	clientLimits := clientFlags(flags)
+	if err := parseFlags(flags, args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
 		}
+		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
 	settings, err := platform.LoadSettings(*settingsPath)
+	if err == nil {
+		err = clientLimits.Validate()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	settings.Clients = *clientLimits
 	settings = settings.WithDefaults()
 	settings.FirstReadSpread = firstReadHeartbeats * settings.HeartbeatInterval
 	if *check {
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -82,7 +82,7 @@
 func newLocalAdmission(deps *shared) *localAdmission {
 	la := &localAdmission{
 		deps: deps, registry: mesh.NewEndpointRegistry(deps.settings.HeartbeatInterval), admissions: make(map[string]*endpointAdmission),
-		announcementCounts: make(map[string]announcementCount), readAhead: newReadAheadPool(), crashes: newCrashRecorder(deps),
+		announcementCounts: make(map[string]announcementCount), readAhead: newReadAheadPool(deps.settings.maxReadAheadBytes(), deps.guard), crashes: newCrashRecorder(deps),
 	}
 	la.crashes.isInUse, la.crashes.onCrash = la.isInUse, la.removeCrashed
 	return la
--- a/pkg/sidecar/bufferedbody.go
+++ b/pkg/sidecar/bufferedbody.go
@@ -36,11 +36,27 @@
 	if x.isDecided {
 		return false // Another attempt has been chosen, or the request has ended.
 	}
-	if x.entry.heldBytes.Add(n) > maxHeldTotalBytes {
+	if x.entry.heldBytes.Add(n) > x.entry.deps.settings.maxHeldBytes() {
+		x.entry.heldBytes.Add(-n)
+		return false
+	}
+	if !x.entry.deps.guard.HoldShared(n) {
 		x.entry.heldBytes.Add(-n)
 		return false
 	}
 	x.heldBytes += n
+	x.sharedBytes += n
+	return true
+}
+
+// holdStart reserves memory for the start of a response until the request has ended.
+func (x *request) holdStart(n int64) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.isDecided || !x.entry.deps.guard.HoldShared(n) {
+		return false
+	}
+	x.sharedBytes += n
 	return true
 }
 
@@ -49,7 +65,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.entry.heldBytes.Add(-x.heldBytes)
-	x.heldBytes = 0
+	x.entry.deps.guard.ReleaseShared(x.sharedBytes)
+	x.heldBytes, x.sharedBytes = 0, 0
 }
 
 // bufferBody reads the start of a response body, or all of a short one, so that a truncated
@@ -68,6 +85,9 @@
 		return size
 	}
 	size := withinLength(bufferedResponseBytes)
+	if !x.holdStart(size) {
+		size = min(size, streamedPrefixBytes)
+	}
 	resp.buffered = make([]byte, 0, size)
 	for {
 		if failure := resp.readTo(size); failure != nil || resp.isComplete {
--- a/pkg/sidecar/clientconn.go
+++ b/pkg/sidecar/clientconn.go
@@ -11,16 +11,17 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-)
 
-// maxReadAheadRequestBytes is the number of unread bytes from which a connection is not
-// read further until the server has taken some.
-const maxReadAheadRequestBytes = 64 << 10
+	"github.com/azurespring/azurespring/pkg/clientlimit"
+	"github.com/azurespring/azurespring/pkg/mesh/overload"
+)
 
 // clientConn reads ahead of the server, so that a close by the client is noticed while
 // pipelined requests wait.
 type clientConn struct {
 	net.Conn
+	// account counts what the connection holds.
+	account *clientlimit.Account
 	// ctx is canceled when either side has closed the connection. Its cause tells which.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -33,10 +34,13 @@
 	mu     sync.Mutex
 	buffer []byte
 	taken  int
-	// storage is the storage of buffer if it is taken from bufferStorage.
-	storage  *[]byte
-	err      error
-	deadline time.Time
+	// storage is the storage of buffer, of the size bufferSizes[sizeIndex], nil if there is
+	// none. isShort is set while there is no memory for a larger one.
+	storage   *[]byte
+	sizeIndex int
+	isShort   bool
+	err       error
+	deadline  time.Time
 	// changed is closed and replaced whenever bytes arrive, the connection ends or the
 	// deadline is set.
 	changed chan struct{}
@@ -52,90 +56,171 @@
 
 func newClientConn(c net.Conn) *clientConn {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	return &clientConn{
+	conn := &clientConn{
 		Conn: c, ctx: ctx, cancel: cancel, onInterrupted: func() {}, changed: make(chan struct{}), spaceFreed: make(chan struct{}, 1),
 	}
+	if counted, ok := c.(*clientlimit.Conn); ok {
+		conn.account = counted.Account()
+	}
+	return conn
 }
 
-// Sizes of one read from the connection: the first suffices for requests without a large
-// body, the second saves system calls where more arrives.
-const (
-	smallReadBytes = 4 << 10
-	largeReadBytes = 32 << 10
-)
-
 // readAhead copies bytes from the connection to the buffer until the connection ends.
 func (c *clientConn) readAhead() {
-	small := make([]byte, smallReadBytes)
-	chunk := small
+	socket := newSocketReader(c.Conn)
 	for {
-		n, err := c.Conn.Read(chunk)
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		room := c.awaitRoom()
+		if room == 0 {
+			return
+		}
+		err := socket.read(room, func(p []byte) {
+			c.account.Move(len(p))
+			c.mu.Lock()
+			c.put(p)
+			c.broadcast()
+			c.mu.Unlock()
+		})
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			_ = c.Conn.SetReadDeadline(time.Time{})
 			c.onInterrupted()
 			continue
 		}
-		c.mu.Lock()
-		c.put(chunk[:n])
 		if err != nil {
+			c.mu.Lock()
 			c.err = err
-		}
-		isFull := len(c.buffer)-c.taken >= maxReadAheadRequestBytes
-		c.broadcast()
-		c.mu.Unlock()
-		switch {
-		case n == len(small) && len(chunk) == len(small):
-			chunk = make([]byte, largeReadBytes)
-		case n < len(small):
-			chunk = small
-		}
-		if err != nil {
+			c.broadcast()
+			c.mu.Unlock()
+			if errors.Is(err, net.ErrClosed) {
+				c.cancel(errClosedByNode) // The connection was ended to make room for others.
+			}
 			c.cancel(errClosedByClient)
 			return
 		}
-		for isFull {
-			select {
-			case <-c.spaceFreed:
-			case <-c.ctx.Done():
-				c.mu.Lock()
-				c.err = net.ErrClosed
-				c.broadcast()
-				c.mu.Unlock()
-				return
-			}
-			isFull = c.unreadBytes() >= maxReadAheadRequestBytes
+	}
+}
+
+// awaitRoom waits until bytes can be put into the buffer and returns their number. It
+// returns 0 at the end of the connection.
+func (c *clientConn) awaitRoom() int {
+	for {
+		if room := c.room(); room > 0 {
+			return room
+		}
+		select {
+		case <-c.spaceFreed:
+		case <-c.ctx.Done():
+			c.mu.Lock()
+			c.err = net.ErrClosed
+			c.broadcast()
+			c.mu.Unlock()
+			return 0
 		}
 	}
 }
 
-// bufferStorage holds storage for buffers of connections on which a large body arrives.
-var bufferStorage = sync.Pool{New: func() any {
-	storage := make([]byte, 0, maxReadAheadRequestBytes+largeReadBytes)
+// bufferSizes are the sizes of the storage of a buffer: the first suffices for requests
+// without a large body, the second for any header section within the limits of the
+// configuration. Storage beyond the first size is counted.
+var bufferSizes = [...]int{4 << 10, 24 << 10, 72 << 10}
+
+var bufferStorage = [len(bufferSizes)]sync.Pool{}
+
+func newStorage(sizeIndex int) *[]byte {
+	if storage, ok := bufferStorage[sizeIndex].Get().(*[]byte); ok {
+		return storage
+	}
+	storage := make([]byte, 0, bufferSizes[sizeIndex])
 	return &storage
-}}
+}
 
-// put appends bytes to the buffer; c.mu must be held.
-func (c *clientConn) put(p []byte) {
-	unread := c.buffer[c.taken:]
-	if len(c.buffer)+len(p) > cap(c.buffer) {
-		if len(unread)+len(p) > smallReadBytes && c.storage == nil {
-			c.storage = bufferStorage.Get().(*[]byte)
-			c.buffer = append((*c.storage)[:0], unread...)
-		} else {
-			c.buffer = append(c.buffer[:0], unread...)
+// room returns the number of bytes that fit into the buffer, after it was enlarged if
+// little is left and there is memory for that.
+func (c *clientConn) room() int {
+	c.mu.Lock()
+	index := c.sizeIndex
+	room := bufferSizes[index] - len(c.buffer) + c.taken
+	c.mu.Unlock()
+	if index+1 == len(bufferSizes) || room >= bufferSizes[index]/4 {
+		return room
+	}
+	grown := bufferSizes[index+1] - bufferSizes[index]
+	isHeld := c.account.Hold(int64(grown))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isShort = !isHeld
+	switch {
+	case !isHeld:
+		c.broadcast()
+		return bufferSizes[c.sizeIndex] - len(c.buffer) + c.taken
+	case c.sizeIndex != index:
+		c.account.Release(int64(grown)) // The storage was released meanwhile.
+	default:
+		old := c.storage
+		c.sizeIndex++
+		c.storage = newStorage(c.sizeIndex)
+		c.buffer, c.taken = append((*c.storage)[:0], c.buffer[c.taken:]...), 0
+		if old != nil {
+			bufferStorage[index].Put(old)
 		}
+	}
+	return bufferSizes[c.sizeIndex] - len(c.buffer) + c.taken
+}
+
+// put appends bytes for which there is room to the buffer; c.mu must be held.
+func (c *clientConn) put(p []byte) {
+	if c.storage == nil {
+		c.storage = newStorage(c.sizeIndex)
+		c.buffer = append((*c.storage)[:0], c.buffer[c.taken:]...)
 		c.taken = 0
 	}
+	if len(c.buffer)+len(p) > cap(c.buffer) {
+		c.buffer, c.taken = append(c.buffer[:0], c.buffer[c.taken:]...), 0
+	}
 	c.buffer = append(c.buffer, p...)
 }
 
 // releaseStorage releases the storage of an empty buffer; c.mu must be held.
 func (c *clientConn) releaseStorage() {
-	c.buffer, c.taken = nil, 0
+	c.buffer, c.taken, c.isShort = nil, 0, false
 	if c.storage != nil {
-		bufferStorage.Put(c.storage)
+		bufferStorage[c.sizeIndex].Put(c.storage)
 		c.storage = nil
 	}
+	if c.sizeIndex > 0 {
+		c.account.Release(int64(bufferSizes[c.sizeIndex] - bufferSizes[0]))
+		c.sizeIndex = 0
+	}
+}
+
+// errNoMemory is the error of a request for which there is no memory.
+var errNoMemory = errors.New("the node is short of memory")
+
+// awaitHeader waits until the buffer holds the rest of a header section. It takes none of
+// it.
+func (c *clientConn) awaitHeader(scanner *overload.HeaderScanner) error {
+	scanned := 0
+	for {
+		c.mu.Lock()
+		n, isComplete, err := scanner.Scan(c.buffer[c.taken+scanned:])
+		scanned += n
+		isFull := len(c.buffer)-c.taken >= bufferSizes[c.sizeIndex]
+		isLargest := c.sizeIndex+1 == len(bufferSizes)
+		endError, changed, deadline, isShort := c.endError(), c.changed, c.deadline, c.isShort
+		c.mu.Unlock()
+		switch {
+		case isComplete || err != nil:
+			return err
+		case endError != nil:
+			return endError
+		case !deadline.IsZero() && !time.Now().Before(deadline):
+			return os.ErrDeadlineExceeded
+		case isFull && isShort:
+			return errNoMemory
+		case isFull && isLargest:
+			return overload.ErrHeaderTooLarge
+		}
+		awaitChange(changed, deadline)
+	}
 }
 
 // pastDeadline is a read deadline that ends a pending read.
--- a/pkg/sidecar/clientserver.go
+++ b/pkg/sidecar/clientserver.go
@@ -9,12 +9,13 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"sync"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/clientlimit"
 	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/overload"
 )
 
 // Limits of a client connection.
@@ -38,6 +39,11 @@
 	// bodyDrainTimeout bounds the time that this takes.
 	bodyDrainTimeout = 2 * time.Second
 	writeBufferBytes = 16 << 10
+	// acceptRetryDelay is the pause after a connection could not be accepted. net/http waits
+	// for between 5 ms and a second.
+	acceptRetryDelay = 20 * time.Millisecond
+	// requestBufferBytes is the size of the buffer that requests are parsed in.
+	requestBufferBytes = 4 << 10
 )
 
 // clientServer is an HTTP/1.1 server for clients. Unlike the server of net/http, it
@@ -53,6 +59,11 @@
 	// onCut is called when the server closes a connection on which a request has begun to
 	// arrive or has not been answered.
 	onCut func(cutConnection)
+	// headers bounds header sections, headerTimeout the time in which one arrives and
+	// maxPipelined the requests of one connection that are handled at the same time.
+	headers       overload.HeaderScanner
+	headerTimeout time.Duration
+	maxPipelined  int
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -65,6 +76,7 @@
 ) *clientServer {
 	return &clientServer{
 		handler: handler, limits: limits, onPanic: onPanic, onCut: onCut, sessions: make(map[*session]struct{}),
+		headers: overload.HeaderScanner{MaxBytes: maxClientHeaderBytes}, headerTimeout: clientHeaderTimeout, maxPipelined: maxPipelinedRequests,
 	}
 }
 
@@ -98,7 +110,7 @@
 			if s.isClosed() {
 				return http.ErrServerClosed
 			}
-			if !isTemporary(err) {
+			if !clientlimit.IsTemporary(err) {
 				return err
 			}
 			time.Sleep(acceptRetryDelay)
@@ -177,7 +189,8 @@
 	conn         *clientConn
 	headerReader *exchange.LimitedReader
 	reader       *bufio.Reader
-	writer       *bufio.Writer
+	// scanner finds the end of header sections, so that only complete ones are parsed.
+	scanner overload.HeaderScanner
 
 	// isReading is set while a request is arriving that has not been started, isLingering
 	// once the response that closes the connection has been sent.
@@ -214,6 +227,7 @@
 	// What follows the header may be the begin of the next request.
 	s.isReading = s.reader.Buffered() > 0 || !mayStartEarly(w.request)
 	s.lastResponse = w
+	s.conn.account.Enter(overload.Running)
 	w.startsEarly = mayStartEarly(w.request) && s.streaming == nil
 	s.inFlight++
 	return true
@@ -246,10 +260,20 @@
 	defer s.mu.Unlock()
 	s.inFlight--
 	if s.inFlight == 0 {
+		s.enterPhase()
 		s.startIdleTimer()
 	}
 }
 
+// enterPhase records what a connection without requests in flight does; s.mu must be held.
+func (s *session) enterPhase() {
+	if s.isReading {
+		s.conn.account.Enter(overload.Sending)
+	} else {
+		s.conn.account.Enter(overload.Idle)
+	}
+}
+
 // startIdleTimer arranges that the connection is closed after the idle timeout of the
 // configuration; s.mu must be held.
 func (s *session) startIdleTimer() {
@@ -336,7 +360,8 @@
 	headerReader := &exchange.LimitedReader{Source: conn, RemainingBytes: maxClientHeaderBytes, Err: errHeaderTooLarge}
 	s := &session{
 		server: server, conn: conn, headerReader: headerReader,
-		reader: bufio.NewReader(headerReader), writer: bufio.NewWriterSize(conn, writeBufferBytes), idleSince: time.Now(),
+		reader: bufio.NewReaderSize(headerReader, requestBufferBytes), idleSince: time.Now(),
+		scanner: overload.HeaderScanner{MaxBytes: server.headers.MaxBytes, MaxFields: server.headers.MaxFields},
 	}
 	conn.onInterrupted = s.closeInterrupted
 	return s
@@ -357,7 +382,7 @@
 	}()
 	earlierDone := make(chan struct{})
 	close(earlierDone)
-	pipelineSlots := make(chan struct{}, maxPipelinedRequests)
+	pipelineSlots := make(chan struct{}, s.server.maxPipelined)
 	s.mu.Lock()
 	s.startIdleTimer()
 	s.mu.Unlock()
@@ -369,7 +394,12 @@
 			return
 		}
 		pipelineSlots <- struct{}{}
-		w := &responseWriter{session: s, request: r, header: make(http.Header), previousDone: earlierDone, done: make(chan struct{})}
+		w := &responseWriter{session: s, request: r, header: make(http.Header), previousDone: earlierDone, done: make(chan struct{}), heldBytes: s.requestBytes()}
+		if !s.conn.account.BeginCall() {
+			<-earlierDone
+			s.rejectUnreadable(errNoDescriptor)
+			return
+		}
 		if !s.begin(w) {
 			<-earlierDone
 			return
@@ -377,6 +407,8 @@
 		earlierDone = w.done
 		end := func() {
 			<-pipelineSlots
+			s.conn.account.EndCall()
+			s.conn.account.Release(w.heldBytes)
 			s.end()
 		}
 		if !w.startsEarly {
@@ -418,7 +450,10 @@
 		}
 	}
 	s.setReading(true)
-	_ = s.conn.SetReadDeadline(time.Now().Add(clientHeaderTimeout))
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.server.headerTimeout))
+	if err := s.awaitHeader(); err != nil {
+		return nil, err
+	}
 	r, err := http.ReadRequest(s.reader)
 	if err != nil {
 		return nil, err
@@ -435,30 +470,62 @@
 	return r.WithContext(s.conn.ctx), nil
 }
 
+// awaitHeader waits until a header section is complete and counts the memory that its
+// request takes.
+func (s *session) awaitHeader() error {
+	s.scanner.Reset()
+	buffered, _ := s.reader.Peek(s.reader.Buffered())
+	_, isComplete, err := s.scanner.Scan(buffered)
+	if err == nil && !isComplete {
+		err = s.conn.awaitHeader(&s.scanner)
+	}
+	if err == nil && !s.conn.account.Hold(s.requestBytes()) {
+		err = errNoMemory
+	}
+	return err
+}
+
+// requestBytes is the memory that the request whose header section was scanned last takes.
+func (s *session) requestBytes() int64 {
+	return overload.RequestBytes(s.scanner.Bytes(), s.scanner.Fields())
+}
+
 func (s *session) setReading(isReading bool) {
 	s.mu.Lock()
 	s.isReading = isReading
+	if s.inFlight == 0 {
+		s.enterPhase()
+	}
 	s.mu.Unlock()
 }
 
+// errNoDescriptor is the error of a request that might need a descriptor that is not free.
+var errNoDescriptor = errors.New("too many requests run")
+
 var errMalformed = errors.New("malformed request")
 
 // rejectUnreadable sends the status for a request that could not be read, and ends the
 // connection.
 func (s *session) rejectUnreadable(err error) {
-	status := http.StatusBadRequest
+	status, reason := http.StatusBadRequest, ""
 	var netErr net.Error
 	switch {
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), s.conn.ctx.Err() != nil:
 		return
+	case errors.Is(err, errNoMemory):
+		status, reason = http.StatusServiceUnavailable, clientlimit.ReasonMemory
+	case errors.Is(err, errNoDescriptor):
+		status, reason = http.StatusServiceUnavailable, clientlimit.ReasonCalls
+	case errors.Is(err, errHeaderTooLarge), errors.Is(err, overload.ErrHeaderTooLarge), errors.Is(err, overload.ErrTooManyFields):
+		status, reason = http.StatusRequestHeaderFieldsTooLarge, clientlimit.ReasonHeader
 	case errors.As(err, &netErr):
-		status = http.StatusRequestTimeout
-	case errors.Is(err, errHeaderTooLarge):
-		status = http.StatusRequestHeaderFieldsTooLarge
+		status, reason = http.StatusRequestTimeout, clientlimit.ReasonSlowHeader
+	}
+	if reason != "" {
+		s.conn.account.Refuse(reason)
 	}
-	_, _ = io.WriteString(s.writer, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+
-		"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-	_ = s.writer.Flush()
+	_ = s.conn.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
+	_ = clientlimit.WriteRefusal(s.conn, status)
 	s.linger()
 }
 
--- a/pkg/sidecar/hop.go
+++ b/pkg/sidecar/hop.go
@@ -286,6 +286,8 @@
 	admission *localAdmission
 	tracker   *tracker
 	inFlight  atomic.Int64
+	// stateTransfers is the number of state transfers that are being received.
+	stateTransfers atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
@@ -296,6 +298,11 @@
 	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if r.Body != nil && r.Body != http.NoBody {
+		// net/http reads what is left of a body that was not read to its end.
+		controller := http.NewResponseController(w)
+		defer func() { _ = controller.SetReadDeadline(time.Now().Add(bodyDrainTimeout)) }()
+	}
 	if r.Method == http.MethodPost && r.RequestURI == statePath {
 		s.receiveState(w, r)
 		return
@@ -317,6 +324,15 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	bodyBytes := int64(0)
+	if r.ContentLength > 0 && r.ContentLength <= bufferedRequestBytes {
+		bodyBytes = r.ContentLength
+	}
+	if !s.deps.guard.HoldShared(bodyBytes) {
+		s.reject(w, placement.Load{}, verdict.NotRunErrorf(verdict.Overloaded, "the node is short of memory for the body"))
+		return
+	}
+	defer s.deps.guard.ReleaseShared(bodyBytes)
 	if failure := c.readBody(w, r); failure != nil {
 		s.reject(w, placement.Load{}, failure)
 		return
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -40,4 +40,8 @@
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("connections_cut").Inc(1)
 }
 
+func (m *metrics) clientRefused(listener, reason string) {
+	m.scope.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("clients_refused").Inc(1)
+}
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/azurespring/azurespring/pkg/admin"
 	"github.com/azurespring/azurespring/pkg/mesh"
+	"github.com/azurespring/azurespring/pkg/mesh/overload"
 	"github.com/azurespring/azurespring/pkg/platform"
 	"github.com/azurespring/azurespring/pkg/timeline"
 )
@@ -135,6 +136,7 @@
 	}, s.configVersion)
 	scope, handler, closer := admin.NewMetrics(s.log.logger)
 	s.metrics = &metrics{scope: scope, handler: handler, closer: closer}
+	s.guard = newClientGuard(s)
 	s.rollouts = newRolloutTracker(s.now, s.log, func() { notify(n.tracker.rolloutWake) })
 	return s, nil
 }
@@ -226,6 +228,8 @@
 	m.gauge("endpoints_running", running)
 	m.gauge("endpoints_waiting", waiting)
 	m.gauge("endpoints_slots", slots)
+	m.gauge("clients_held_bytes", float64(n.shared.guard.HeldBytes()))
+	m.gauge("clients_outbound_descriptors", float64(n.shared.guard.Descriptors(overload.Outbound)))
 	m.gauge("configuration_version", float64(n.shared.configVersion()))
 	m.gauge("requests_in_flight", float64(n.inFlight()))
 	m.gauge("log_lines_dropped", float64(n.shared.log.output.dropped.Load()))
@@ -242,16 +246,18 @@
 	s := n.shared.settings
 	type listenAddress struct {
 		address string
+		name    overload.Listener
 		http    httpServer
 	}
+	guard := n.shared.guard
 	addresses := []listenAddress{
-		{s.ControlAddress, newLocalServer(n.deps.NewAnnouncementHandler(n.admission))},
-		{s.InboundAddress, &http.Server{Handler: n.hopServer, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
-		{s.OutboundAddress, newClientServer(n.entry, n.limits, n.logPanic, n.logCut)},
-		{s.ReadinessAddress, newLocalServer(http.HandlerFunc(n.serveReadiness))},
+		{s.ControlAddress, overload.Control, guard.KeepHeaders(newLocalServer(n.deps.NewAnnouncementHandler(n.admission)))},
+		{s.InboundAddress, overload.Inbound, guard.KeepHeaders(&http.Server{Handler: n.hopServer, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes})},
+		{s.OutboundAddress, overload.Outbound, n.newOutboundServer()},
+		{s.ReadinessAddress, overload.Readiness, guard.KeepHeaders(newLocalServer(http.HandlerFunc(n.serveReadiness)))},
 	}
 	if address := metricsAddress(s); address != "" {
-		addresses = append(addresses, listenAddress{address, newLocalServer(n.shared.metrics.handler)})
+		addresses = append(addresses, listenAddress{address, overload.Metrics, guard.KeepHeaders(newLocalServer(n.shared.metrics.handler))})
 	}
 	var servers []server
 	for _, each := range addresses {
@@ -259,7 +265,7 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s", each.address)
 		}
-		servers = append(servers, server{http: each.http, listener: listener})
+		servers = append(servers, server{http: each.http, listener: guard.Listen(listener, each.name)})
 	}
 	return servers, nil
 }
--- a/pkg/sidecar/readahead.go
+++ b/pkg/sidecar/readahead.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"github.com/azurespring/azurespring/pkg/clientlimit"
 	"github.com/azurespring/azurespring/pkg/mesh/egress"
 )
 
@@ -25,10 +26,14 @@
 const largeResponseBytes = egress.ChunkBytes
 
 // readAheadPool bounds the memory of all read-ahead buffers of a node.
-type readAheadPool struct{ freeBytes *semaphore.Weighted }
+type readAheadPool struct {
+	freeBytes *semaphore.Weighted
+	// guard counts them as memory that clients hold.
+	guard *clientlimit.Guard
+}
 
-func newReadAheadPool() *readAheadPool {
-	return &readAheadPool{freeBytes: semaphore.NewWeighted(maxReadAheadTotalBytes)}
+func newReadAheadPool(totalBytes int64, guard *clientlimit.Guard) *readAheadPool {
+	return &readAheadPool{freeBytes: semaphore.NewWeighted(totalBytes), guard: guard}
 }
 
 // readAheadBuffer reads a response body as fast as the endpoint delivers it, so that
@@ -59,12 +64,17 @@
 	if size < largeResponseBytes || !p.freeBytes.TryAcquire(size) {
 		return source
 	}
+	if !p.guard.HoldShared(size) {
+		p.freeBytes.Release(size)
+		return source
+	}
 	b := &readAheadBuffer{source: source, cancel: cancel}
 	b.changed = sync.NewCond(&b.mu)
 	go func() {
 		b.fill()
 		_ = source.Close()
 		b.awaitReader()
+		p.guard.ReleaseShared(size)
 		p.freeBytes.Release(size)
 	}()
 	return b
--- a/pkg/sidecar/readahead_test.go
+++ b/pkg/sidecar/readahead_test.go
@@ -46,7 +46,7 @@
 // link or client.
 func TestSlotIsReleasedBeforeResponseIsSent(t *testing.T) {
 	source := newTrackedBody(bytes.NewReader(largeBody))
-	body := newReadAheadPool().wrap(source, int64(len(largeBody)), func() {})
+	body := newReadAheadPool(maxReadAheadTotalBytes, nil).wrap(source, int64(len(largeBody)), func() {})
 	awaitClosed(t, "the response was not read ahead", source.closed)
 	content, err := io.ReadAll(body)
 	assert.NilError(t, err)
@@ -59,7 +59,7 @@
 	broken := errors.New("connection reset")
 	for _, length := range []int64{int64(len(largeBody)) + 1, -1} {
 		source := newTrackedBody(io.MultiReader(bytes.NewReader(largeBody), iotest.ErrReader(broken)))
-		body := newReadAheadPool().wrap(source, length, func() {})
+		body := newReadAheadPool(maxReadAheadTotalBytes, nil).wrap(source, length, func() {})
 		var sent bytes.Buffer
 		err := newUplink(time.Now, 0).copyResponse(t.Context(), &sent, body, length, egress.Chunk{SoftDeadline: time.Now()})
 		assert.Assert(t, errors.Is(err, broken), "%v", err)
@@ -72,7 +72,7 @@
 // end early.
 func TestReadAheadOfLongResponseWaitsForReader(t *testing.T) {
 	const size = 5 * maxReadAheadResponseBytes
-	body := newReadAheadPool().wrap(newTrackedBody(io.LimitReader(endlessReader{}, size)), -1, func() {})
+	body := newReadAheadPool(maxReadAheadTotalBytes, nil).wrap(newTrackedBody(io.LimitReader(endlessReader{}, size)), -1, func() {})
 	buffer := body.(*readAheadBuffer)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		buffer.mu.Lock()
@@ -97,7 +97,7 @@
 // Verifies that the memory of responses that nobody reads to the end, and of those that
 // are read but not closed, is released.
 func TestReadAheadMemoryIsReleased(t *testing.T) {
-	pool := newReadAheadPool()
+	pool := newReadAheadPool(maxReadAheadTotalBytes, nil)
 	const responseBytes = maxReadAheadResponseBytes
 	for range 3 * maxReadAheadTotalBytes / responseBytes {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/sidecar/request.go
+++ b/pkg/sidecar/request.go
@@ -101,6 +101,8 @@
 	status           int
 	// heldBytes is the part of the entry's heldBytes that belongs to the request.
 	heldBytes int64
+	// sharedBytes is what the request holds of the memory for clients.
+	sharedBytes int64
 	// servedAttempt is the attempt whose response was chosen; it is empty if the client
 	// gets fallbackResponse.
 	servedAttempt attemptResult
@@ -197,6 +199,9 @@
 	return &exchange.LimitedReader{Source: x.r.Body, RemainingBytes: max(limit-n, 0), Err: errBodyTooLarge}
 }
 
+// memoryRetryAfter is the time within which requests end that hold the memory for clients.
+const memoryRetryAfter = time.Second
+
 // startRetryAfter is the usual time until a node that has just started has read its
 // configuration.
 const startRetryAfter = 200 * time.Millisecond
@@ -245,6 +250,11 @@
 	} else if length > 0 {
 		size = length
 	}
+	if !holdMemory(x.w, size) {
+		err := verdict.NotRunErrorf(verdict.Overloaded, "the node is short of memory for the body")
+		err.RetryAfter = memoryRetryAfter
+		return err
+	}
 	buffer := make([]byte, size)
 	n, err := fill(x.r.Body, buffer)
 	x.body = buffer[:n]
--- a/pkg/sidecar/requestbody.go
+++ b/pkg/sidecar/requestbody.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/azurespring/azurespring/pkg/mesh/overload"
 )
 
 // errBodyEnded is the error of a body that is read after its request has ended.
@@ -30,7 +32,14 @@
 	if b.isEnded.Load() {
 		return 0, errBodyEnded
 	}
+	waits := b.conn.unreadBytes() == 0
+	if waits {
+		b.conn.account.Enter(overload.Sending)
+	}
 	n, err := b.source.Read(p)
+	if waits {
+		b.conn.account.Enter(overload.Running)
+	}
 	if err != nil && err != io.EOF && b.isEnded.Load() {
 		err = errBodyEnded
 	}
--- a/pkg/sidecar/responsewriter.go
+++ b/pkg/sidecar/responsewriter.go
@@ -1,11 +1,14 @@
 package sidecar
 
 import (
+	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
+
+	"github.com/azurespring/azurespring/pkg/clientlimit"
 )
 
 // responseWriter is the http.ResponseWriter of one request. It holds the response back
@@ -32,6 +35,44 @@
 	contentLength int64
 	written       int64
 	err           error
+	// writer is nil before the header section and after the end. heldBytes is what the
+	// request holds of the account of its connection.
+	writer    *bufio.Writer
+	heldBytes int64
+}
+
+// responseBuffers holds buffers of responses that are being written.
+var responseBuffers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+func (w *responseWriter) releaseWriter() {
+	if w.writer != nil {
+		w.writer.Reset(nil)
+		responseBuffers.Put(w.writer)
+		w.writer = nil
+	}
+}
+
+// memoryHolder is implemented by the writer of a response whose request may hold memory.
+type memoryHolder interface {
+	// HoldMemory counts memory until the end of the request and reports whether there is
+	// room.
+	HoldMemory(bytes int64) bool
+}
+
+// holdMemory counts memory of the request of a response.
+func holdMemory(w http.ResponseWriter, bytes int64) bool {
+	holder, ok := w.(memoryHolder)
+	return !ok || holder.HoldMemory(bytes)
+}
+
+// HoldMemory implements memoryHolder. It is called by the goroutine of the request.
+func (w *responseWriter) HoldMemory(bytes int64) bool {
+	if !w.session.conn.account.Hold(bytes) {
+		w.session.conn.account.Refuse(clientlimit.ReasonMemory)
+		return false
+	}
+	w.heldBytes += bytes
+	return true
 }
 
 // Header implements http.ResponseWriter.
@@ -61,7 +102,9 @@
 	}
 	w.setFraming(status)
 	_ = w.session.conn.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
-	writer := w.session.writer
+	w.writer = responseBuffers.Get().(*bufio.Writer)
+	w.writer.Reset(w.session.conn)
+	writer := w.writer
 	_, _ = io.WriteString(writer, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n")
 	if err := w.header.Write(writer); err != nil {
 		w.err = err
@@ -112,7 +155,7 @@
 	if w.contentLength >= 0 && w.written+int64(len(p)) > w.contentLength {
 		return 0, http.ErrContentLength
 	}
-	writer := w.session.writer
+	writer := w.writer
 	if w.isChunked {
 		_, _ = io.WriteString(writer, strconv.FormatInt(int64(len(p)), 16)+"\r\n")
 	}
@@ -129,13 +172,14 @@
 // its Content-Length.
 func (w *responseWriter) finish() {
 	w.WriteHeader(http.StatusOK)
-	writer := w.session.writer
+	writer := w.writer
 	if w.isChunked && w.err == nil {
 		_, w.err = io.WriteString(writer, "0\r\n\r\n")
 	}
 	if w.err == nil {
 		w.err = writer.Flush()
 	}
+	w.releaseWriter()
 	body, hasBody := w.request.Body.(*requestBody)
 	if hasBody {
 		body.end()
@@ -162,12 +206,13 @@
 // abort closes the connection after a response that is not complete. If the end of the
 // connection is the end of the body, only a reset shows that.
 func (w *responseWriter) abort() {
+	defer w.releaseWriter()
 	if body, ok := w.request.Body.(*requestBody); ok {
 		body.end()
 		w.isBodyLeft = true
 	}
 	isDelimitedByClose := w.isHeaderWritten && !w.isChunked && !w.hasNoBody && w.contentLength < 0
-	if tcp, ok := w.session.conn.Conn.(*net.TCPConn); ok && isDelimitedByClose {
+	if tcp, ok := w.session.conn.Conn.(interface{ SetLinger(seconds int) error }); ok && isDelimitedByClose {
 		_ = tcp.SetLinger(0)
 	}
 	_ = w.session.conn.Close()
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -74,6 +74,9 @@
 	FileDescriptors int
 	// LinkBytesPerSecond is the bandwidth of the instance's own link; 0 if unknown.
 	LinkBytesPerSecond float64
+
+	// Clients bounds what clients may hold.
+	Clients ClientLimits
 }
 
 // isSameInstance reports whether a peer with the given address and port runs on the
@@ -138,5 +141,6 @@
 	if s.RetryBudgetRatio <= 0 {
 		s.RetryBudgetRatio = defaultRetryBudgetRatio
 	}
+	s.Clients = s.Clients.withDefaults(s.MemoryBytes, s.FileDescriptors)
 	return s
 }
--- a/pkg/sidecar/shared.go
+++ b/pkg/sidecar/shared.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/clientlimit"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/placement"
 )
@@ -19,6 +20,8 @@
 	log      *eventLog
 	metrics  *metrics
 	rollouts *rolloutTracker
+	// guard counts what clients hold; nil means no limits.
+	guard *clientlimit.Guard
 	// uplink schedules what this node sends on the link of its instance.
 	uplink *uplink
 	// snapshot and table are nil until the store has been read.
--- a/pkg/sidecar/statetransfer.go
+++ b/pkg/sidecar/statetransfer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -145,7 +146,8 @@
 
 // receiveState handles a state transfer from another node.
 func (s *hopServer) receiveState(w http.ResponseWriter, r *http.Request) {
-	encoded, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStateBytes))
+	encoded, release, err := s.readState(w, r)
+	defer release()
 	if err == nil {
 		err = s.deps.applyState(encoded)
 	}
@@ -154,3 +156,45 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
 }
+
+// errStateRefused is the error of a state transfer for which there is no memory. Its sender
+// sends again.
+var errStateRefused = errors.New("the node is short of memory for a state transfer")
+
+// Memory of a state transfer: it is read in pieces, and takes about three times its size
+// until it has been decoded. maxStateTransfers is the number that is read at the same time.
+const (
+	statePieceBytes   = 64 << 10
+	stateMemoryFactor = 3
+	maxStateTransfers = 4
+)
+
+// readState reads a state transfer. release must be called once it is no longer needed.
+func (s *hopServer) readState(w http.ResponseWriter, r *http.Request) (encoded []byte, release func(), err error) {
+	held := int64(0)
+	release = func() {
+		s.deps.guard.ReleaseShared(held)
+		s.stateTransfers.Add(-1)
+	}
+	if s.stateTransfers.Add(1) > maxStateTransfers {
+		return nil, release, errStateRefused
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(s.deps.now().Add(stateSendTimeout))
+	body := http.MaxBytesReader(w, r.Body, maxStateBytes)
+	piece := make([]byte, statePieceBytes)
+	for {
+		n, err := fill(body, piece)
+		if !s.deps.guard.HoldShared(stateMemoryFactor * int64(n)) {
+			return nil, release, errStateRefused
+		}
+		held += stateMemoryFactor * int64(n)
+		encoded = append(encoded, piece[:n]...)
+		switch {
+		case err == io.EOF:
+			_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+			return encoded, release, nil
+		case err != nil:
+			return nil, release, err
+		}
+	}
+}
--- a/test/sidecar/clients_test.go
+++ b/test/sidecar/clients_test.go
@@ -306,3 +306,44 @@
 	assert.Check(t, resident < crowdMemoryMB<<20, "%d MB", resident>>20)
 	assert.Check(t, most <= descriptors-descriptorsForFiles, "%d descriptors", most)
 }
+
+// 160 clients with kept connections and 16 pipelined requests each must not notice the
+// limits of the smallest instances.
+func TestOrdinaryClientsDoNotNoticeLimits(t *testing.T) {
+	const clients, rounds, requests = 160, 3, 16
+	f := newSerialFleet(t)
+	e := endpoint("e")
+	e.Slots = 12
+	f.processLimits = "memory_mb: 184, file_descriptors: 4100"
+	n := f.prepareNode("a", e)
+	t.Cleanup(e.Close)
+	p := f.startNodeProcess(n)
+	var running sync.WaitGroup
+	for i := range clients {
+		c := n.dial(t)
+		running.Go(func() {
+			for round := range rounds {
+				for k := range requests {
+					_, err := io.WriteString(c, requestStart("GET", "/safe/x", fmt.Sprintf("o%d-%d-%d", i, round, k))+"\r\n")
+					if !assert.Check(t, err) {
+						return
+					}
+				}
+				for range requests {
+					_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+					response, err := http.ReadResponse(c.reader, nil)
+					if !assert.Check(t, err) {
+						return
+					}
+					_, err = io.Copy(io.Discard, response.Body)
+					if !assert.Check(t, err) {
+						return
+					}
+				}
+			}
+		})
+	}
+	running.Wait()
+	assert.Equal(t, len(p.output.events("client_refused")), 0)
+	t.Logf("%d MB, %d descriptors", p.residentBytes(t)>>20, p.descriptors(t))
+}
