Take a client that stops for slow, whatever it took before

The mean rate of a client that had filled its socket's buffer stayed high for minutes, so that it was not ended while memory was short. The wait that a connection is in counts on its own now.

--- a/pkg/mesh/overload/ledger.go
+++ b/pkg/mesh/overload/ledger.go
@@ -28,11 +28,12 @@
 	// isPeer is set for connections of other nodes.
 	isPeer bool
 	phase  Phase
-	// since is when the phase began. Since the connection was idle last, the node has waited
-	// for its peer for the time waited, in earlier phases, and moved bytes were moved.
-	since  time.Time
-	waited time.Duration
-	moved  int64
+	// since is when the phase began, phaseMoved the bytes that were moved in it. Since the
+	// connection was idle last, the node has waited for its peer for the time waited, in
+	// earlier phases, and moved bytes were moved.
+	since             time.Time
+	waited            time.Duration
+	phaseMoved, moved int64
 	held   int64
 	calls  int
 	// hasServed is set once a request has ended.
@@ -122,7 +123,7 @@
 	if phase == Idle {
 		c.hasServed, c.waited, c.moved = true, 0, 0
 	}
-	c.phase, c.since = phase, now
+	c.phase, c.since, c.phaseMoved = phase, now, 0
 }
 
 // isWaiting reports whether the node waits for the peer of a connection.
@@ -132,6 +133,7 @@
 func (l *Ledger) Move(id ID, bytes int) {
 	if c := l.connections[id]; c != nil {
 		c.moved += int64(bytes)
+		c.phaseMoved += int64(bytes)
 	}
 }
 
@@ -213,11 +215,15 @@
 }
 
 // isSlow reports whether the peer of a connection owes bytes or room and has moved too
-// little for the time that the node has waited for it. The time in which the node did not
+// little for the time that the node has waited for it, now or since it was idle last. A
+// client that has taken much and stops would else keep its place for minutes. The time in which the node did not
 // read or write is not the peer's.
 func (l *Ledger) isSlow(now time.Time, c *connection) bool {
-	elapsed := c.waited + now.Sub(c.since)
-	return c.isWaiting() && elapsed >= l.limits.SlowAfter && float64(c.moved) < l.limits.MinBytesPerSecond*elapsed.Seconds()
+	isSlow := func(moved int64, elapsed time.Duration) bool {
+		return elapsed >= l.limits.SlowAfter && float64(moved) < l.limits.MinBytesPerSecond*elapsed.Seconds()
+	}
+	inPhase := now.Sub(c.since)
+	return c.isWaiting() && (isSlow(c.phaseMoved, inPhase) || isSlow(c.moved, c.waited+inPhase))
 }
 
 // victimBatch is the part of a limit that is freed at once, so that connections are not
--- a/pkg/mesh/overload/ledger_test.go
+++ b/pkg/mesh/overload/ledger_test.go
@@ -74,6 +74,22 @@
 	}
 }
 
+// A client that has taken much and then stops must not count as fast for long.
+func TestClientThatStopsIsSlow(t *testing.T) {
+	l := New(testLimits())
+	stopped := open(t, l, start, Outbound, false)
+	l.Enter(start, stopped, Reading)
+	l.Move(stopped, 1_000_000)
+	l.Enter(start, stopped, Running)
+	l.Enter(start, stopped, Reading)
+	for range 3 {
+		l.Enter(start, open(t, l, start, Outbound, false), Running)
+	}
+	_, victims, isAdmitted := l.Open(start.Add(time.Second), Outbound, false)
+	assert.Assert(t, isAdmitted)
+	assert.DeepEqual(t, victims, []ID{stopped})
+}
+
 // Idle connections that never sent anything must end before those of ordinary clients.
 func TestUnusedConnectionsEndBeforeKeptOnes(t *testing.T) {
 	l := New(testLimits())
