Let other nodes use descriptors that clients do not

A fleet of some 240 nodes may keep more connections to a node than 12% of its descriptors, and a refused connection of a node makes its calls fail as ones that may have run. Known nodes use what the outbound listener does not as well, up to half of it.

go test -count=3 ./pkg/mesh/overload ./pkg/clientlimit: ok (TestLedgerStaysWithinLimits: the sum of all listeners stays within the sum of their limits).

--- a/pkg/mesh/overload/ledger.go
+++ b/pkg/mesh/overload/ledger.go
@@ -67,14 +67,10 @@
 
 // Open admits a connection and returns those that have to be ended for it. Without room
 // and without one that may be ended, the connection is refused. Connections that are not of
-// other nodes use at most half of the descriptors of Inbound.
+// other nodes use at most half of the descriptors of Inbound; other nodes may also use those
+// that Outbound does not, up to half of them.
 func (l *Ledger) Open(now time.Time, listener Listener, isPeer bool) (id ID, victims []ID, isAdmitted bool) {
-	limit := l.limits.Descriptors[listener]
-	isShort := limit > 0 && l.descriptors[listener] >= limit
-	if listener == Inbound && limit > 0 && !isPeer {
-		isShort = isShort || l.descriptors[listener]-l.peers[listener] >= (limit+1)/2
-	}
-	if isShort {
+	if l.isShort(listener, isPeer) {
 		if victims = l.chooseForDescriptor(now, listener, isPeer); len(victims) == 0 {
 			return 0, nil, false
 		}
@@ -89,6 +85,23 @@
 	return c.id, victims, true
 }
 
+// isShort reports whether a listener has no descriptor for a further connection or request.
+func (l *Ledger) isShort(listener Listener, isPeer bool) bool {
+	limit, used := l.limits.Descriptors[listener], l.descriptors[listener]
+	outbound, inbound := l.limits.Descriptors[Outbound], l.limits.Descriptors[Inbound]
+	switch {
+	case limit <= 0:
+		return false
+	case listener == Outbound && inbound > 0:
+		return used >= limit-max(0, l.descriptors[Inbound]-inbound)
+	case listener != Inbound:
+		return used >= limit
+	case !isPeer:
+		return used-l.peers[Inbound] >= (limit+1)/2 || used >= limit && l.isShort(Inbound, true)
+	}
+	return used >= limit+min(outbound/2, max(0, outbound-l.descriptors[Outbound]))
+}
+
 // Close removes a connection with all that it holds.
 func (l *Ledger) Close(id ID) {
 	c := l.connections[id]
@@ -144,7 +157,7 @@
 	if c == nil || c.isEnding {
 		return nil, false
 	}
-	if limit := l.limits.Descriptors[c.listener]; limit > 0 && l.descriptors[c.listener] >= limit {
+	if l.isShort(c.listener, c.isPeer) {
 		if victims = l.chooseForDescriptor(now, c.listener, c.isPeer); len(victims) == 0 {
 			return nil, false
 		}
@@ -247,7 +260,7 @@
 	freed := 0
 	var victims []ID
 	for _, c := range candidates {
-		if freed > 0 && (freed >= l.limits.Descriptors[listener]/victimBatch || c.phase == Idle && c.hasServed) {
+		if freed > 0 && (freed >= l.limits.Descriptors[listener]/victimBatch || c.isPeer || c.phase == Idle && c.hasServed) {
 			break
 		}
 		freed += 1 + c.calls
