--- a/pkg/mesh/overload/ledger.go
+++ b/pkg/mesh/overload/ledger.go
@@ -34,8 +34,8 @@
 	since             time.Time
 	waited            time.Duration
 	phaseMoved, moved int64
-	held   int64
-	calls  int
+	held              int64
+	calls             int
 	// hasServed is set once a request has ended.
 	hasServed bool
 	// isEnding is set once the connection was chosen to be ended.
@@ -52,8 +52,15 @@
 	held, shared, ending int64
 	// descriptors counts by listener, peers those of other nodes.
 	descriptors, peers [listenerCount]int
+	// memoryChosenAt and descriptorsChosenAt are when there was last nothing to end.
+	memoryChosenAt      time.Time
+	descriptorsChosenAt [listenerCount]time.Time
 }
 
+// choiceInterval is the pause after no connection could be ended: comparing thousands for
+// each request that is refused would take more time than the requests.
+const choiceInterval = 20 * time.Millisecond
+
 // New returns an empty ledger.
 func New(limits Limits) *Ledger {
 	return &Ledger{limits: limits, connections: make(map[ID]*connection)}
@@ -247,6 +254,9 @@
 // slow ones, then idle ones that never had a request, then idle ones; those that use most
 // descriptors first, other nodes last. Those of other nodes end only for another node.
 func (l *Ledger) chooseForDescriptor(now time.Time, listener Listener, isPeer bool) []ID {
+	if now.Sub(l.descriptorsChosenAt[listener]) < choiceInterval && !isPeer {
+		return nil
+	}
 	var candidates []*connection
 	for _, c := range l.connections {
 		if c.listener == listener && !c.isEnding && (isPeer || !c.isPeer) && (c.phase == Idle || l.isSlow(now, c)) {
@@ -266,6 +276,9 @@
 		freed += 1 + c.calls
 		victims = append(victims, l.end(c))
 	}
+	if freed == 0 {
+		l.descriptorsChosenAt[listener] = now
+	}
 	return victims
 }
 
@@ -294,6 +307,9 @@
 // hold most first. It ends none that holds less than a fair part if the connection that
 // asks holds more than that itself.
 func (l *Ledger) chooseForMemory(now time.Time, bytes int64, asking *connection) []ID {
+	if now.Sub(l.memoryChosenAt) < choiceInterval {
+		return nil
+	}
 	var candidates []*connection
 	for _, c := range l.connections {
 		if c != asking && !c.isEnding && c.held > 0 && l.isSlow(now, c) {
@@ -313,6 +329,9 @@
 		freed += c.held
 		victims = append(victims, l.end(c))
 	}
+	if freed < bytes {
+		l.memoryChosenAt = now
+	}
 	return victims
 }
 
