Tell other nodes that a call refused at the inbound listener has not run

A 503 without the error that nodes report to each other was taken for a call that may have run, so that an unsafe one became a 502 and was not sent elsewhere.

--- a/pkg/clientlimit/gate.go
+++ b/pkg/clientlimit/gate.go
@@ -198,7 +198,7 @@
 // refuse answers a request that the server has not seen. It returns an error after which
 // net/http sends nothing.
 func (c *Conn) refuse(status int) error {
-	_ = WriteRefusal(c, status)
+	_ = WriteRefusal(c, status, c.account.guard.options.RefusalFields[c.account.listener])
 	return os.ErrDeadlineExceeded
 }
 
@@ -207,12 +207,14 @@
 const retryAfterSeconds = "1"
 
 // WriteRefusal writes a response that refuses a request and says that the connection ends.
-func WriteRefusal(w io.Writer, status int) error {
-	retryAfter := ""
+// fields are further header fields of a 503.
+func WriteRefusal(w io.Writer, status int, fields string) error {
 	if status == http.StatusServiceUnavailable {
-		retryAfter = "Retry-After: " + retryAfterSeconds + "\r\n"
+		fields += "Retry-After: " + retryAfterSeconds + "\r\n"
+	} else {
+		fields = ""
 	}
 	_, err := io.WriteString(w, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+
-		"\r\nConnection: close\r\n"+retryAfter+"Content-Length: 0\r\n\r\n")
+		"\r\nConnection: close\r\n"+fields+"Content-Length: 0\r\n\r\n")
 	return err
 }
--- a/pkg/clientlimit/guard.go
+++ b/pkg/clientlimit/guard.go
@@ -23,6 +23,9 @@
 	HeaderTimeout             time.Duration
 	// WriteStall is the time within which a peer takes the bytes of one write.
 	WriteStall time.Duration
+	// RefusalFields are header fields of 503 responses by listener, each with its line end:
+	// other nodes need more than the status to know that a call has not run.
+	RefusalFields map[overload.Listener]string
 }
 
 // Reasons of what a Guard refused or ended, in metrics and logs.
@@ -240,7 +243,7 @@
 		l.guard.onRefused(l.name, ReasonConnections)
 		// A new socket takes these bytes at once. The client may have sent a request.
 		_ = c.SetWriteDeadline(time.Now().Add(acceptRetryDelay))
-		_ = WriteRefusal(c, http.StatusServiceUnavailable)
+		_ = WriteRefusal(c, http.StatusServiceUnavailable, l.guard.options.RefusalFields[l.name])
 		_ = c.Close()
 	}
 }
--- a/pkg/sidecar/clientlimits.go
+++ b/pkg/sidecar/clientlimits.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurespring/azurespring/pkg/clientlimit"
 	"github.com/azurespring/azurespring/pkg/mesh/overload"
+	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
 // ClientLimits bounds what the clients of a node may hold and how slow they may be. Zero
@@ -121,6 +122,11 @@
 		Limits:      overload.Limits{MemoryBytes: c.MemoryBytes, SlowAfter: c.SlowAfter, MinBytesPerSecond: c.MinBytesPerSecond},
 		HeaderBytes: 2 * c.HeaderBytes, HeaderFields: 2 * c.HeaderFields, HeaderTimeout: c.HeaderTimeout, WriteStall: c.WriteStall,
 	}
+	refusal := verdict.NotRunErrorf(verdict.Overloaded, "the endpoint's node is short of memory or descriptors")
+	refusal.RetryAfter = memoryRetryAfter
+	options.RefusalFields = map[overload.Listener]string{
+		overload.Inbound: hopErrorHeader + ": " + encodeHopHeader(newHopError(refusal)) + "\r\n",
+	}
 	options.Descriptors[overload.Outbound], options.Descriptors[overload.Inbound] = c.OutboundDescriptors, c.InboundDescriptors
 	for _, local := range []overload.Listener{overload.Readiness, overload.Control, overload.Metrics} {
 		options.Descriptors[local] = c.LocalDescriptors
--- a/pkg/sidecar/requestreader.go
+++ b/pkg/sidecar/requestreader.go
@@ -97,6 +97,6 @@
 		s.conn.account.Refuse(reason)
 	}
 	_ = s.conn.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
-	_ = clientlimit.WriteRefusal(s.conn, status)
+	_ = clientlimit.WriteRefusal(s.conn, status, "")
 	s.linger()
 }
