--- a/test/sidecar/clients_test.go
+++ b/test/sidecar/clients_test.go
@@ -347,3 +347,20 @@
 	assert.Equal(t, len(p.output.events("client_refused")), 0)
 	t.Logf("%d MB, %d descriptors", p.residentBytes(t)>>20, p.descriptors(t))
 }
+
+// A single request of very many fields within the limits of the configuration must be
+// served, at the endpoint's own node and through another one.
+func TestSingleRequestOfManyFieldsIsServed(t *testing.T) {
+	e := endpoint("e")
+	f, entryNode := startRemoteEndpoint(t, e)
+	for _, n := range []*testNode{entryNode, f.nodes[0], f.nodes[1]} {
+		c := n.dial(t)
+		_, err := io.WriteString(c, requestStart("GET", "/safe/x", "many")+manyFields()+"\r\n")
+		assert.NilError(t, err)
+		got := c.read(t)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+		requests := e.Requests()
+		assert.Assert(t, len(requests[len(requests)-1].Header) > 2000, "%d fields arrived", len(requests[len(requests)-1].Header))
+	}
+}
