Report limits on clients that cannot be used together with faults of the settings

azurespring-node sidecar -check with AZURESPRING_CLIENT_HEADER_BYTES=999999 and sound settings: exit status 2. go test ./cmd/azurespring-node: ok.

--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -122,10 +122,7 @@
 		return exitUsage
 	}
 	settings, err := platform.LoadSettings(*settingsPath)
-	if err == nil {
-		err = clientLimits.Validate()
-	}
-	if err != nil {
+	if err := errors.Join(err, clientLimits.Validate()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
