--- a/cmd/azurespring-node/sidecar.go
+++ b/cmd/azurespring-node/sidecar.go
@@ -145,17 +145,20 @@
 	zoneOverflow := flags.String("zone-overflow", os.Getenv(zoneOverflowEnvVar),
 		"whether the load decides what leaves the zone: auto, on or off (environment: "+zoneOverflowEnvVar+")")
 	check := flags.Bool("check", false, "check the settings file and exit")
-	if err := flags.Parse(args); err != nil {
+	clientLimits := clientFlags(flags)
+	if err := parseFlags(flags, args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
 		}
+		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
 	settings, err := platform.LoadSettings(*settingsPath)
-	if err != nil {
+	if err := errors.Join(err, clientLimits.Validate()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	settings.Clients = *clientLimits
 	if settings.ZoneOverflow, err = sidecar.ParseZoneOverflow(*zoneOverflow); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -63,4 +63,8 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("warmth_queries").Inc(1)
 }
 
+func (m *metrics) clientRefused(listener, reason string) {
+	m.scope.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("clients_refused").Inc(1)
+}
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
