--- a/test/sidecar/overflow_test.go
+++ b/test/sidecar/overflow_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/azurespring/azurespring/pkg/sidecar"
+	"github.com/azurespring/azurespring/platform"
 )
 
 // The fourth figure of an endpoint's load must reach the entry nodes and put their overflow
@@ -24,7 +25,7 @@
 				e.Slots = slots
 				e.Handler = func(w http.ResponseWriter, r *http.Request) {
 					time.Sleep(60 * time.Millisecond)
-					w.Header().Set("X-Server-Load", fmt.Sprintf("1,0,%d,100", slots))
+					w.Header().Set(platform.HeaderNames().ServerLoad, fmt.Sprintf("1,0,%d,100", slots))
 					e.Sign(w, r)
 				}
 				n := f.prepareNode(fmt.Sprint("d", i), e)
