Keep evacuations in force that a restored store has lost

The first list of a new era of the store ended all evacuations that the copy lacks, so that requests went to the evacuated failure domain until the operator had written the object again and nodes had heard of it. Such an evacuation now stays in force for lostWritePeriod and the bound of evacuations; a second restore begins the time anew, and a deletion in the new era ends it at once. Each node keeps it by itself, as it does with entries.

TestEvacuationOutlivesRestoredStore failed before: only the domain in the copy was left.

--- a/pkg/sidecar/evacuations.go
+++ b/pkg/sidecar/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/azurespring/azurespring/pkg/mesh/evacuation"
 	"github.com/azurespring/azurespring/pkg/platform"
@@ -33,9 +34,43 @@
 // not matter.
 func (t *tracker) putEvacuation(o platform.Object) {
 	t.evacuated[o.Name] = true
+	delete(t.lostEvacuations, o.Name)
 	storeMax(&t.deps.newestEvacuationRevision, parseRevision(o.ResourceVersion))
 }
 
+// keepLostEvacuations keeps the evacuations in force that are not in the first list of an era
+// of the store; t.mu must be held. The operator has as much time to write one again as nodes
+// have for their entries, and then other nodes must have heard of it.
+func (t *tracker) keepLostEvacuations(listed map[string]bool) {
+	until := t.deps.now().Add(lostWritePeriod + t.deps.settings.EvacuationTimeout)
+	for domain := range t.evacuated {
+		if !listed[domain] {
+			t.lostEvacuations[domain] = until
+			delete(t.objects[platform.KindEvacuation], domain)
+			delete(t.resourceVersions[platform.KindEvacuation], domain)
+		}
+	}
+	notify(t.lostWritesWake)
+}
+
+// takeExpiredEvacuations forgets the evacuations that the operator has not written again in
+// time. next is when the next ones expire, zero if there are none.
+func (t *tracker) takeExpiredEvacuations() (next time.Time, expired bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.deps.now()
+	for domain, until := range t.lostEvacuations {
+		switch {
+		case !now.Before(until):
+			expired = true
+			t.remove(platform.KindEvacuation, domain)
+		case next.IsZero() || until.Before(next):
+			next = until
+		}
+	}
+	return next, expired
+}
+
 // refreshEvacuations puts the known evacuations into force: first for new attempts and
 // calls, then for the calls that wait for a slot.
 func (t *tracker) refreshEvacuations() {
--- a/pkg/sidecar/restore.go
+++ b/pkg/sidecar/restore.go
@@ -73,7 +73,8 @@
 	notify(t.lostWritesWake)
 }
 
-// expireLostWrites ends the use of instance entries that their nodes have not stored again.
+// expireLostWrites ends the use of instance entries that their nodes, and of evacuations that
+// the operator has not stored again.
 func (t *tracker) expireLostWrites(ctx context.Context) {
 	for {
 		select {
@@ -86,6 +87,13 @@
 			if expired {
 				t.refresh(platform.KindMeshState)
 			}
+			nextEvacuation, expired := t.takeExpiredEvacuations()
+			if expired {
+				t.refresh(platform.KindEvacuation)
+			}
+			if next.IsZero() || !nextEvacuation.IsZero() && nextEvacuation.Before(next) {
+				next = nextEvacuation
+			}
 			if next.IsZero() {
 				break
 			}
--- a/pkg/sidecar/restore_test.go
+++ b/pkg/sidecar/restore_test.go
@@ -94,3 +94,43 @@
 	tracker.list(platform.KindMeshState, 2, 5)
 	assert.Equal(t, len(tracker.publishWake), 1, "the lost entry is not published")
 }
+
+// An evacuation must stay in force after the store was restored from a copy without it: the
+// operator needs some time to write it again, and nodes to hear of it. One that is not
+// written again must end.
+func TestEvacuationOutlivesRestoredStore(t *testing.T) {
+	tracker := newEvacuationTracker(t)
+	now := time.Now()
+	tracker.deps.now = func() time.Time { return now }
+	domains := func() []string { return tracker.deps.evacuations.Load().Domains() }
+	expire := func() (next time.Time) {
+		next, expired := tracker.takeExpiredEvacuations()
+		if expired {
+			tracker.refresh(platform.KindEvacuation)
+		}
+		return next
+	}
+	tracker.list(platform.KindEvacuation, 1, 10, inEra(1, evacuationObject("x", 3)), inEra(1, evacuationObject("y", 8)), inEra(1, evacuationObject("z", 9)))
+	tracker.list(platform.KindEvacuation, 2, 5, inEra(2, evacuationObject("x", 3)))
+	assert.DeepEqual(t, domains(), []string{"x", "y", "z"})
+	tracker.list(platform.KindEvacuation, 2, 6, inEra(2, evacuationObject("x", 3)))
+	assert.DeepEqual(t, domains(), []string{"x", "y", "z"}) // A list that is read again changes nothing.
+
+	// y is written again, and x ended as usual.
+	tracker.apply(platform.KindEvacuation, put(inEra(2, evacuationObject("y", 7))))
+	tracker.apply(platform.KindEvacuation, platform.Event{
+		Type: platform.EventDeleted, Object: inEra(2, evacuationObject("x", 3)), AsOf: inEra(2, evacuationObject("x", 8)).ResourceVersion,
+	})
+	assert.DeepEqual(t, domains(), []string{"y", "z"})
+
+	// A second restore gives the operator as much time again.
+	now = now.Add(lostWritePeriod)
+	tracker.list(platform.KindEvacuation, 3, 6)
+	hold := lostWritePeriod + tracker.deps.settings.EvacuationTimeout
+	assert.Assert(t, expire().Equal(now.Add(hold)))
+	assert.DeepEqual(t, domains(), []string{"y", "z"})
+	tracker.apply(platform.KindEvacuation, put(inEra(3, evacuationObject("y", 7))))
+	now = now.Add(hold)
+	assert.Assert(t, expire().IsZero())
+	assert.DeepEqual(t, domains(), []string{"y"})
+}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -94,6 +94,9 @@
 	eras           map[platform.Kind]uint64
 	lostWrites     map[string]lostWrite
 	lostWritesWake chan struct{}
+	// lostEvacuations holds the evacuations that are in force although the store has lost
+	// them, with the times until which they are.
+	lostEvacuations map[string]time.Time
 	// certainty tells when the configuration was last known to be the newest, and
 	// loggedCertain what of it was logged last.
 	certainty     tenant.Certainty
@@ -128,7 +131,7 @@
 		asOf:        make(map[platform.Kind]uint64), removals: make(map[platform.Kind]map[string]uint64),
 		removalsFrom: make(map[platform.Kind]uint64), viewChanged: make(chan struct{}), lostKinds: make(map[platform.Kind]time.Time),
 		eras: make(map[platform.Kind]uint64), lostWrites: make(map[string]lostWrite), lostWritesWake: make(chan struct{}, 1),
-		kinds: kindsOf(deps.settings), evacuated: make(map[string]bool),
+		kinds: kindsOf(deps.settings), evacuated: make(map[string]bool), lostEvacuations: make(map[string]time.Time),
 		upstream:    upstream.NewSelector(deps.settings.Instance),
 		publishWake: make(chan struct{}, 1), rolloutWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), published: make(chan struct{}),
 	}
@@ -189,6 +192,9 @@
 		listed[o.Name] = true
 		t.put(kind, o)
 	}
+	if isRestored && kind == platform.KindEvacuation {
+		t.keepLostEvacuations(listed)
+	}
 	for name, version := range t.resourceVersions[kind] {
 		// An object that this node wrote after the list was made is not in it.
 		switch {
@@ -365,6 +371,7 @@
 		delete(t.rollouts, name)
 	case platform.KindEvacuation:
 		delete(t.evacuated, name)
+		delete(t.lostEvacuations, name)
 	case platform.KindMeshState:
 		delete(t.lostWrites, name)
 		delete(t.instances, name)
