Send no call that waited for a cold endpoint after that has left

Calls that wait for the limit of a cold endpoint hold a slot already, so that the rejection of the queue when the endpoint leaves does not reach them. They were sent up to some seconds after a deregistration was acknowledged, or to the next process at the address without being counted for it. They are now refused as not run.

TestCallsWaitingForColdLimitEndWithTheEndpoint failed before: the call was sent.

--- a/pkg/sidecar/coldstart.go
+++ b/pkg/sidecar/coldstart.go
@@ -56,6 +56,11 @@
 	}
 }
 
+// isCurrent reports whether the endpoint of ea still takes calls; la.mu must be held.
+func (la *localAdmission) isCurrent(ea *endpointAdmission) bool {
+	return la.admissions[ea.endpoint.ID] == ea
+}
+
 // coldLimits returns the limits of a service while an endpoint is cold.
 func (s *shared) coldLimits(service string) coldstart.Limits {
 	limits := coldstart.Limits{Overage: s.settings.ColdOverage, Slack: s.settings.ColdSlack, HeartbeatInterval: s.settings.HeartbeatInterval}
@@ -213,6 +218,9 @@
 		la.adjustSlots(ea)
 	}()
 	for {
+		if !la.isCurrent(ea) {
+			return verdict.NotRunErrorf(verdict.Draining, "the endpoint has left while the call waited")
+		}
 		now := la.deps.now()
 		ok, wait := ea.warmth.Take(now, limits)
 		if ok {
--- a/pkg/sidecar/coldstart_test.go
+++ b/pkg/sidecar/coldstart_test.go
@@ -334,3 +334,38 @@
 	assert.Equal(t, failure.Verdict, verdict.NotRun)
 	assert.Equal(t, g.mostArrivals(), 1)
 }
+
+// A call that waits for the limit of a cold endpoint must not be sent after the endpoint has
+// deregistered, nor to the next process at its address, whose requests are counted apart.
+func TestCallsWaitingForColdLimitEndWithTheEndpoint(t *testing.T) {
+	for name, end := range map[string]func(g *testGate){
+		"deregistered": func(g *testGate) {
+			g.la.change("announcement", "e", "gone", func(now time.Time) bool { return g.la.registry.Deregister(now, "e", g.start) })
+		},
+		"replaced": func(g *testGate) { g.announce(12, g.start+5000, 10*time.Second) },
+	} {
+		g := newTestGate(t, coldService, nil)
+		g.announce(12, g.start, 10*time.Second)
+		for range 16 {
+			resp, _, failure := g.la.run(t.Context(), g.call(time.Second))
+			assert.Assert(t, failure == nil, "%s: %v", name, failure)
+			assert.Assert(t, discardFailure(resp) == nil)
+		}
+		ea := g.la.admissions["e"]
+		waiting := make(chan *verdict.Error, 1)
+		go func() {
+			_, _, failure := g.la.run(t.Context(), g.call(3*time.Second))
+			waiting <- failure
+		}()
+		waitFor(t, "a call waits", func() bool {
+			g.la.mu.Lock()
+			defer g.la.mu.Unlock()
+			return ea.warmth.waiting == 1
+		})
+		end(g)
+		failure := <-waiting
+		assert.Assert(t, failure != nil, name)
+		assert.Equal(t, failure.Verdict, verdict.NotRun, name)
+		assert.Equal(t, len(g.arrivals), 16, name)
+	}
+}
