Send no health queries to endpoints that have left

The end of a call, or a broken connection, let the gate ask an endpoint for its warmth that had deregistered before.

TestEndedEndpointGetsNoHealthQueries failed before: one query was sent.

--- a/pkg/sidecar/coldstart.go
+++ b/pkg/sidecar/coldstart.go
@@ -115,8 +115,12 @@
 }
 
 // adjustSlots fits the slots of an endpoint to its state, logs changes of that, and sends a
-// health query if one is due; la.mu must be held.
+// health query if one is due; la.mu must be held. Of an endpoint that has left, only calls
+// end.
 func (la *localAdmission) adjustSlots(ea *endpointAdmission) {
+	if !la.isCurrent(ea) {
+		return
+	}
 	now, limits := la.deps.now(), la.deps.coldLimits(ea.endpoint.Service)
 	w, slots := ea.warmth, ea.endpoint.Slots
 	if limits.IsLimited() {
--- a/pkg/sidecar/coldstart_test.go
+++ b/pkg/sidecar/coldstart_test.go
@@ -369,3 +369,22 @@
 		assert.Equal(t, len(g.arrivals), 16, name)
 	}
 }
+
+// An endpoint that has deregistered must get no health queries, although calls still end
+// there.
+func TestEndedEndpointGetsNoHealthQueries(t *testing.T) {
+	service := coldService
+	service.HealthCheckPath = "/healthy"
+	g := newTestGate(t, service, nil)
+	g.announce(12, g.start, 0)
+	for range 16 {
+		resp, _, failure := g.la.run(t.Context(), g.call(time.Second))
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Assert(t, discardFailure(resp) == nil)
+	}
+	ea := g.la.admissions["e"]
+	g.la.change("announcement", "e", "gone", func(now time.Time) bool { return g.la.registry.Deregister(now, "e", g.start) })
+	g.la.doubtAfterFailure(ea)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, g.healthChecks.Load(), int64(0))
+}
