Take the era of transferred objects for that of the view

A node that starts while the store is away gets the objects from other nodes. When the store came back from an older copy, the node took its first list for the first era, and dropped the entries and evacuations that the copy lacks at once.

TestTransferredStateOutlivesRestoredStore failed before: no evacuation was left.

--- a/pkg/sidecar/restore.go
+++ b/pkg/sidecar/restore.go
@@ -45,6 +45,17 @@
 	return true
 }
 
+// adoptEra records the era of objects that another node has sent to this one, which has read
+// none; t.mu must be held.
+func (t *tracker) adoptEra(kind platform.Kind, objects []platform.Object) {
+	if t.eras[kind] > 0 {
+		return
+	}
+	for _, o := range objects {
+		t.eras[kind] = max(t.eras[kind], platform.EraOf(o.ResourceVersion))
+	}
+}
+
 // keepsLostWrites reports whether the known object of a name is kept while the store has
 // lost it. What this node itself writes is compared with the store instead.
 func (t *tracker) keepsLostWrites(kind platform.Kind, name string) bool {
--- a/pkg/sidecar/restore_test.go
+++ b/pkg/sidecar/restore_test.go
@@ -134,3 +134,18 @@
 	assert.Assert(t, expire().IsZero())
 	assert.DeepEqual(t, domains(), []string{"y"})
 }
+
+// A node that started while the store was away knows the objects from other nodes. What the
+// store has lost when it is back must outlive that as well.
+func TestTransferredStateOutlivesRestoredStore(t *testing.T) {
+	tracker := newEvacuationTracker(t)
+	tracker.replaceView(platform.KindEvacuation, []platform.Object{inEra(1, evacuationObject("z", 9))}, 0)
+	tracker.refresh(platform.KindEvacuation)
+	tracker.list(platform.KindEvacuation, 2, 5)
+	assert.DeepEqual(t, tracker.deps.evacuations.Load().Domains(), []string{"z"})
+
+	tracker.replaceView(platform.KindMeshState, []platform.Object{inEra(1, entryOf(t, "a", 7))}, 0)
+	tracker.refresh(platform.KindMeshState)
+	tracker.list(platform.KindMeshState, 2, 5)
+	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true})
+}
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -187,6 +187,9 @@
 		return
 	}
 	isRestored := t.beginEra(kind, asOf)
+	if asOf == 0 {
+		t.adoptEra(kind, objects)
+	}
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
