Take speed figures below one percent for malformed

Times at usual speed are divided by the figure.

TestServerLoadIsDecodedTolerantly failed for it before.

--- a/pkg/sidecar/overflow.go
+++ b/pkg/sidecar/overflow.go
@@ -40,9 +40,11 @@
 }
 
 // usualPercent is the speed figure of an endpoint whose work takes as long as usual,
-// maxPercent the largest figure that is not taken for malformed.
+// minPercent and maxPercent are the smallest and largest figures that are not taken for
+// malformed: times are divided by them.
 const (
 	usualPercent = 100
+	minPercent   = 1
 	maxPercent   = 100_000
 )
 
@@ -55,7 +57,7 @@
 		return mesh.Slowdown{}
 	}
 	percent, err := strconv.ParseFloat(strings.TrimSpace(parts[3]), 64)
-	if err != nil || !(percent > 0 && percent <= maxPercent) {
+	if err != nil || !(percent >= minPercent && percent <= maxPercent) {
 		percent = usualPercent
 	}
 	return mesh.Slowdown{Factor: percent / usualPercent, At: now}
