Leave a zone whose endpoints are all cold and busy

Cold endpoints refuse requests without a queue, so that the overflow controller saw no wait in a zone that had just become cold, and a request tried one of them after the other there until its rejections were used up, although other zones had room. With a controller, a cold endpoint of the zone that has told a wait is now left out until that is over, in favor of room elsewhere. Endpoints that do not report fewer slots are chosen as before.

TestRequestsLeaveBusyColdEndpoints failed before: all requests stayed.

--- a/pkg/mesh/placement/choose.go
+++ b/pkg/mesh/placement/choose.go
@@ -101,6 +101,8 @@
 	load, capacity float64
 	failureRate    float64
 	ejected        bool
+	// isBusy is set if the endpoint is cold and has told a wait that is not over yet.
+	isBusy bool
 }
 
 // wasAttempted reports whether the request was sent to e. A rebuilt table holds a new
@@ -247,7 +249,7 @@
 	routeLatency *= v.speed
 	slots := float64(s.endpoint.Slots)
 	if v.slots > 0 && v.slots < s.endpoint.Slots {
-		slots, s.wait = float64(v.slots), max(v.busy, 0)
+		slots, s.wait, s.isBusy = float64(v.slots), max(v.busy, 0), v.busy > 0
 	}
 	s.latency = time.Duration(routeLatency * (1 + saturationSlowdown*min(v.load/slots, 1)))
 	if v.load >= slots {
--- a/pkg/mesh/placement/overflow.go
+++ b/pkg/mesh/placement/overflow.go
@@ -62,7 +62,7 @@
 		for _, tier := range order {
 			members := make([]int, 0, len(scores))
 			for i := range scores {
-				if s := &scores[i]; !s.ejected && s.endpoint.Distance.Tier() == tier && (!mustBeInTime || tier == overflow.Zone || s.hasRoom(r)) {
+				if s := &scores[i]; !s.ejected && s.endpoint.Distance.Tier() == tier && (!mustBeInTime || s.mayServe(tier, r)) {
 					members = append(members, i)
 				}
 			}
@@ -74,6 +74,16 @@
 	return Choice{}, false
 }
 
+// mayServe reports whether a candidate in a tier is used while others may serve r. In the zone
+// only cold endpoints that have told a wait are not: they refuse requests without a queue, so
+// that the controller sees no wait there.
+func (s *scored) mayServe(tier overflow.Tier, r Request) bool {
+	if tier == overflow.Zone {
+		return !s.isBusy
+	}
+	return s.hasRoom(r)
+}
+
 // hasRoom reports whether r would probably be in time at a candidate in another failure
 // domain, and is not known to be refused there.
 func (s *scored) hasRoom(r Request) bool {
--- a/pkg/mesh/placement/overflow_test.go
+++ b/pkg/mesh/placement/overflow_test.go
@@ -68,6 +68,32 @@
 	choose(t, b, epoch, 20, false, overflowTo(overflow.Zone))
 }
 
+// Cold endpoints refuse requests without a queue, which the controller takes for room. A
+// request must leave a zone whose endpoints are all cold and busy while there is room
+// elsewhere: it would be refused there until it fails. Otherwise it stays.
+func TestRequestsLeaveBusyColdEndpoints(t *testing.T) {
+	load := Load{Slots: 4, MeanServiceTime: 20 * time.Millisecond, MeanRouteLatency: 20 * time.Millisecond}
+	cold, full := load, load
+	cold.Slots = 1
+	full.Running, full.Waiting = 4, 8
+	for _, c := range []struct {
+		name string
+		far  Load
+		want string
+	}{{"room elsewhere", load, "same-region"}, {"full elsewhere", full, "same-domain"}} {
+		b := threeDistances()
+		near := findEndpoint(t, b, "same-domain")
+		near.RecordLoad(epoch, "", cold)
+		findEndpoint(t, b, "same-region").RecordLoad(epoch, "", c.far)
+		findEndpoint(t, b, "other-region").RecordLoad(epoch, "", full)
+		assert.DeepEqual(t, choose(t, b, epoch, 20, false, overflowTo(overflow.Zone)), map[string]int{"same-domain": 20})
+		near.RecordRejection(epoch, 300*time.Millisecond)
+		assert.DeepEqual(t, choose(t, b, epoch, 20, false, overflowTo(overflow.Zone)), map[string]int{c.want: 20})
+		// Once the told wait is over, the endpoint is tried again.
+		assert.DeepEqual(t, choose(t, b, epoch.Add(time.Second), 20, false, overflowTo(overflow.Zone)), map[string]int{"same-domain": 20})
+	}
+}
+
 // A download that the full links of its zone reject must go to another zone: the controller
 // knows the waits for slots only, and the client would get the last rejection.
 func TestLargeRequestsLeaveFullLinks(t *testing.T) {
