Notice the restore of a store that counts its eras from 0

The first era after 0 was taken for the first era that the store tells, so that entries, versions in use, decided rollouts and evacuations went with the copy; only configurations were kept. A view that was read before now counts as restored whenever the era rises. A store that begins to tell its era lists the same revisions, so that nothing is taken for lost.

TestRestoreAfterEraZeroIsNoticed and TestDecidedRolloutOutlivesRestoreAfterEraZero failed before.

--- a/pkg/mesh/restore.go
+++ b/pkg/mesh/restore.go
@@ -28,5 +28,5 @@
 // the copy that the store was restored from, and is older. An object that was written
 // again since the restore is newer, whatever its revision.
 func IsLostWrite(known, read ObjectVersion) bool {
-	return known.Era > 0 && known.Era < read.Era && read.WrittenIn < read.Era && read.Revision < known.Revision
+	return known.Era < read.Era && read.WrittenIn < read.Era && read.Revision < known.Revision
 }
--- a/pkg/mesh/rollout/restore_test.go
+++ b/pkg/mesh/rollout/restore_test.go
@@ -65,3 +65,12 @@
 	m.Step(now, rolloutsInEra(0))
 	assert.Equal(t, len(m.Policies()), 0)
 }
+
+// A store may count its eras from 0: a decided rollout must outlive the first restore too.
+func TestDecidedRolloutOutlivesRestoreAfterEraZero(t *testing.T) {
+	m, now := NewStateMachine(), time.Unix(0, 0)
+	m.Step(now, rolloutsInEra(0, mesh.Rollout{Service: "s", Version: "v2", State: mesh.RolloutRolledBack}))
+	m.Step(now, rolloutsInEra(1))
+	_, ok := m.Rollout("s")
+	assert.Assert(t, ok)
+}
--- a/pkg/mesh/rollout/statemachine.go
+++ b/pkg/mesh/rollout/statemachine.go
@@ -191,7 +191,7 @@
 
 func (m *StateMachine) replaceRollouts(now time.Time, rollouts []mesh.Rollout, era uint64) {
 	if era > m.era {
-		if m.era > 0 {
+		if m.era > 0 || len(m.rollouts) > 0 {
 			m.restoredAt = now
 		}
 		m.era = era
--- a/pkg/sidecar/restore.go
+++ b/pkg/sidecar/restore.go
@@ -35,8 +35,8 @@
 		return false
 	}
 	t.eras[kind] = era
-	if known == 0 {
-		return false
+	if !t.loadedKinds[kind] {
+		return false // The first view.
 	}
 	t.deps.log.event("store_restored", fields{"kind": string(kind), "era": era, "before": known})
 	// Followers get all objects: what they know of removals ends with the era.
--- a/pkg/sidecar/restore_test.go
+++ b/pkg/sidecar/restore_test.go
@@ -149,3 +149,16 @@
 	tracker.list(platform.KindMeshState, 2, 5)
 	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true})
 }
+
+// A store may count its eras from 0: the first restore must be noticed as well.
+func TestRestoreAfterEraZeroIsNoticed(t *testing.T) {
+	tracker := newEvacuationTracker(t)
+	tracker.list(platform.KindEvacuation, 0, 10, evacuationObject("z", 9))
+	tracker.list(platform.KindEvacuation, 1, 5)
+	assert.DeepEqual(t, tracker.deps.evacuations.Load().Domains(), []string{"z"})
+
+	stale := stateObject(instancePrefix+"b", 3, `{"name":"b","address":"10.0.0.1:80","failureDomain":"d","region":"r"}`)
+	tracker.list(platform.KindMeshState, 0, 10, entryOf(t, "a", 7), entryOf(t, "b", 8))
+	tracker.list(platform.KindMeshState, 1, 5, inEra(1, stale))
+	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true, "e-b": true})
+}
