--- a/pkg/mesh/placement/canary.go
+++ b/pkg/mesh/placement/canary.go
@@ -32,11 +32,15 @@
 // endpoints are ejected or evacuated.
 func (t *Table) CanaryEndpoint(service, version string, now time.Time, order CanaryOrder) *Endpoint {
 	var best *Endpoint
-	for _, e := range t.ranks[versionKey{service, version}] {
+	key, top := versionKey{service, version}, 0
+	if order.RegionScore != nil && len(t.regions[key]) > 0 {
+		top = lo.Max(lo.Map(t.regions[key], func(region string, _ int) int { return order.RegionScore(region) }))
+	}
+	for _, e := range t.ranks[key] {
 		if best != nil && order.score(e) <= order.score(best) || !order.Evacuations.Admits(e.FailureDomain) || e.view(now, "").ejected {
 			continue
 		}
-		if best = e; order.RegionScore == nil {
+		if best = e; order.score(e) >= top {
 			break
 		}
 	}
--- a/pkg/mesh/placement/restriction_test.go
+++ b/pkg/mesh/placement/restriction_test.go
@@ -140,3 +140,17 @@
 	choice, _ = Choose(epoch, []*Endpoint{warm}, request)
 	assert.Equal(t, choice.QueueWait, time.Duration(0), "rejections of warm endpoints count for their request only")
 }
+
+// Each first attempt looks for the canary endpoint while a version is tried. With region
+// lists it must not look at all endpoints of a large deployment.
+func TestCanaryEndpointIsFoundQuickly(t *testing.T) {
+	table := NewBuilder(Locality{Instance: "n0", FailureDomain: "d0", Region: "r0"}).Build(epoch, targetFleet())
+	calls := 0
+	order := CanaryOrder{Evacuations: evacuation.None, RegionScore: func(region string) int {
+		calls++
+		return map[string]int{"r1": 3, "r2": 2}[region]
+	}}
+	version := table.InstanceEndpoints("s", "n0")[0].Version
+	assert.Equal(t, table.CanaryEndpoint("s", version, epoch, order).Region, "r1")
+	assert.Assert(t, calls < 100, "%d", calls)
+}
--- a/pkg/mesh/placement/table.go
+++ b/pkg/mesh/placement/table.go
@@ -74,6 +74,8 @@
 	addresses map[string]bool
 	// ranks orders the endpoints of each service and version identically on all nodes.
 	ranks map[versionKey][]*Endpoint
+	// regions holds the regions with endpoints of each service and version.
+	regions map[versionKey][]string
 }
 
 type versionKey struct{ service, version string }
@@ -147,6 +149,7 @@
 	defer b.mu.Unlock()
 	table := &Table{
 		services: make(map[string]map[string][]*Endpoint), regional: make(map[string]map[string][]*Endpoint), ranks: make(map[versionKey][]*Endpoint), addresses: make(map[string]bool),
+		regions: make(map[versionKey][]string),
 	}
 	for i := range instances {
 		instance := &instances[i]
@@ -167,7 +170,13 @@
 	for service, versions := range table.services {
 		table.regional[service] = make(map[string][]*Endpoint, len(versions))
 		for version, endpoints := range versions {
-			table.ranks[versionKey{service, version}] = rankEndpoints(endpoints)
+			key := versionKey{service, version}
+			table.ranks[key] = rankEndpoints(endpoints)
+			for _, e := range endpoints {
+				if !slices.Contains(table.regions[key], e.Region) {
+					table.regions[key] = append(table.regions[key], e.Region)
+				}
+			}
 			versions[version], table.regional[service][version] = b.limitCandidates(endpoints)
 		}
 	}
