Let urgent calls go ahead of others at cold endpoints

A call was refused where the calls waiting at a cold endpoint would use up its limit for longer than the call can wait. That counted all waiting calls, also less urgent ones, which get their slots later: the call of an urgent tenant or route was refused although it would have been next.

TestUrgentCallGoesAheadAtColdEndpoint failed before: the call was refused as overloaded.

--- a/pkg/mesh/gate/queue.go
+++ b/pkg/mesh/gate/queue.go
@@ -178,6 +178,17 @@
 	return time.Duration(float64(took) / (q.meanSlowdown * q.slowdown.Estimate(now)))
 }
 
+// Ahead returns the number of waiting requests that are as urgent as r or more.
+func (q *Queue) Ahead(r Request) int {
+	ahead, w := 0, waiter{Request: r}
+	for i := range q.waiting {
+		if compareUrgency(&q.waiting[i], &w) <= 0 {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // Resize changes the number of slots and returns the requests that are now decided.
 func (q *Queue) Resize(now time.Time, slots int) []Decision {
 	q.slots = slots
--- a/pkg/sidecar/coldstart.go
+++ b/pkg/sidecar/coldstart.go
@@ -8,6 +8,7 @@
 	"github.com/azurespring/azurespring/pkg/healthquery"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/coldstart"
+	"github.com/azurespring/azurespring/pkg/mesh/gate"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -181,17 +182,14 @@
 }
 
 // coldWait returns how long a call would wait for the limit of a cold endpoint behind those
-// that wait already; la.mu must be held.
+// that wait already and are not less urgent; la.mu must be held.
 func (la *localAdmission) coldWait(ea *endpointAdmission, c *call, now time.Time) time.Duration {
 	limits := la.deps.coldLimits(c.Service)
 	if !limits.IsLimited() {
 		return 0
 	}
-	position := ea.warmth.waiting + 1
-	if !c.Nested {
-		position += ea.queue.Waiting()
-	}
-	return ea.warmth.Wait(now, limits, position)
+	ahead := ea.queue.Ahead(gate.Request{Nested: c.Nested, Priority: c.Priority, Tenant: c.Tenant, TenantPriority: c.TenantPriority})
+	return ea.warmth.Wait(now, limits, ea.warmth.waiting+ahead+1)
 }
 
 // maxColdWait returns the longest useful wait of a call for the limit of a cold endpoint.
--- a/pkg/sidecar/coldstart_test.go
+++ b/pkg/sidecar/coldstart_test.go
@@ -388,3 +388,45 @@
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, g.healthChecks.Load(), int64(0))
 }
+
+// A request that is more urgent than those that wait for a slot of a cold endpoint goes ahead
+// of them, and must not be refused because of them.
+func TestUrgentCallGoesAheadAtColdEndpoint(t *testing.T) {
+	isHeld, release := atomic.Bool{}, make(chan struct{})
+	defer close(release)
+	g := newTestGate(t, coldService, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Sig", "1")
+		if isHeld.Load() {
+			<-release
+		}
+	})
+	g.announce(1, g.start, 10*time.Second)
+	run := func() *verdict.Error {
+		c := g.call(3 * time.Second)
+		c.Priority, c.Tenant, c.TenantPriority = 2, "t", 5
+		resp, _, failure := g.la.run(t.Context(), c)
+		if failure == nil {
+			failure = discardFailure(resp)
+		}
+		return failure
+	}
+	for range 9 {
+		assert.Assert(t, run() == nil)
+	}
+	isHeld.Store(true)
+	for range 8 {
+		go run()
+	}
+	waitFor(t, "calls wait", func() bool { return g.la.loadOf(g.la.admissions["e"], "").Waiting == 7 })
+	for _, c := range []struct {
+		priority, tenantPriority int
+		nested, wantRejected     bool
+	}{{2, 5, false, true}, {3, 5, false, true}, {2, 4, false, false}, {1, 5, false, false}, {3, 6, true, false}} {
+		urgent := g.call(300 * time.Millisecond)
+		urgent.Priority, urgent.Tenant, urgent.TenantPriority, urgent.Nested = c.priority, "u", c.tenantPriority, c.nested
+		g.la.mu.Lock()
+		rejection := g.la.coldRejection(g.la.admissions["e"], urgent, time.Now())
+		g.la.mu.Unlock()
+		assert.Equal(t, rejection != nil, c.wantRejected, "%+v: %v", c, rejection)
+	}
+}
