Let entries that the store has lost expire while evacuations are kept

The loop that ends both slept until the evacuation was due when the entries were lost a moment later, so that they were used for 10 s instead of 5 s. It now looks again whenever something is lost.

TestLostEntriesExpireBeforeLostEvacuations failed before: the entry was used until the evacuation had ended.

--- a/pkg/sidecar/restore.go
+++ b/pkg/sidecar/restore.go
@@ -87,28 +87,26 @@
 // expireLostWrites ends the use of instance entries that their nodes, and of evacuations that
 // the operator has not stored again.
 func (t *tracker) expireLostWrites(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
+		next, expired := t.takeExpiredLostWrites()
+		if expired {
+			t.refresh(platform.KindMeshState)
+		}
+		nextEvacuation, expired := t.takeExpiredEvacuations()
+		if expired {
+			t.refresh(platform.KindEvacuation)
+		}
+		if next.IsZero() || !nextEvacuation.IsZero() && nextEvacuation.Before(next) {
+			next = nextEvacuation
+		}
+		var due <-chan time.Time // Never, without lost writes.
+		if !next.IsZero() {
+			due = time.After(next.Sub(t.deps.now()))
+		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-t.lostWritesWake:
-		}
-		for ctx.Err() == nil {
-			next, expired := t.takeExpiredLostWrites()
-			if expired {
-				t.refresh(platform.KindMeshState)
-			}
-			nextEvacuation, expired := t.takeExpiredEvacuations()
-			if expired {
-				t.refresh(platform.KindEvacuation)
-			}
-			if next.IsZero() || !nextEvacuation.IsZero() && nextEvacuation.Before(next) {
-				next = nextEvacuation
-			}
-			if next.IsZero() {
-				break
-			}
-			sleep(ctx, next.Sub(t.deps.now()))
+		case <-due:
 		}
 	}
 }
--- a/pkg/sidecar/restore_test.go
+++ b/pkg/sidecar/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,3 +163,22 @@
 	tracker.list(platform.KindMeshState, 1, 5, inEra(1, stale))
 	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true, "e-b": true})
 }
+
+// The entries that the store has lost must not be used for longer because evacuations are
+// kept for longer.
+func TestLostEntriesExpireBeforeLostEvacuations(t *testing.T) {
+	tracker := newEvacuationTracker(t)
+	var offset atomic.Int64
+	tracker.deps.now = func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }
+	tracker.list(platform.KindEvacuation, 1, 10, inEra(1, evacuationObject("z", 9)))
+	tracker.list(platform.KindMeshState, 1, 10, inEra(1, entryOf(t, "a", 7)))
+	go tracker.expireLostWrites(t.Context())
+	tracker.list(platform.KindEvacuation, 2, 5)
+	waitFor(t, "the evacuation is waited for", func() bool { return len(tracker.lostWritesWake) == 0 })
+	time.Sleep(50 * time.Millisecond)
+	offset.Store(int64(100*time.Millisecond - lostWritePeriod))
+	tracker.list(platform.KindMeshState, 2, 5)
+	offset.Store(0)
+	waitFor(t, "the entry is forgotten", func() bool { return len(knownEndpoints(tracker)) == 0 })
+	assert.DeepEqual(t, tracker.deps.evacuations.Load().Domains(), []string{"z"})
+}
