--- a/pkg/sidecar/coldstart.go
+++ b/pkg/sidecar/coldstart.go
@@ -8,6 +8,7 @@
 	"github.com/azurespring/azurespring/pkg/healthquery"
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/coldstart"
+	"github.com/azurespring/azurespring/pkg/mesh/gate"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
 
@@ -56,6 +57,11 @@
 	}
 }
 
+// isCurrent reports whether the endpoint of ea still takes calls; la.mu must be held.
+func (la *localAdmission) isCurrent(ea *endpointAdmission) bool {
+	return la.admissions[ea.endpoint.ID] == ea
+}
+
 // coldLimits returns the limits of a service while an endpoint is cold.
 func (s *shared) coldLimits(service string) coldstart.Limits {
 	limits := coldstart.Limits{Overage: s.settings.ColdOverage, Slack: s.settings.ColdSlack, HeartbeatInterval: s.settings.HeartbeatInterval}
@@ -110,8 +116,12 @@
 }
 
 // adjustSlots fits the slots of an endpoint to its state, logs changes of that, and sends a
-// health query if one is due; la.mu must be held.
+// health query if one is due; la.mu must be held. Of an endpoint that has left, only calls
+// end.
 func (la *localAdmission) adjustSlots(ea *endpointAdmission) {
+	if !la.isCurrent(ea) {
+		return
+	}
 	now, limits := la.deps.now(), la.deps.coldLimits(ea.endpoint.Service)
 	w, slots := ea.warmth, ea.endpoint.Slots
 	if limits.IsLimited() {
@@ -172,17 +182,14 @@
 }
 
 // coldWait returns how long a call would wait for the limit of a cold endpoint behind those
-// that wait already; la.mu must be held.
+// that wait already and are not less urgent; la.mu must be held.
 func (la *localAdmission) coldWait(ea *endpointAdmission, c *call, now time.Time) time.Duration {
 	limits := la.deps.coldLimits(c.Service)
 	if !limits.IsLimited() {
 		return 0
 	}
-	position := ea.warmth.waiting + 1
-	if !c.Nested {
-		position += ea.queue.Waiting()
-	}
-	return ea.warmth.Wait(now, limits, position)
+	ahead := ea.queue.Ahead(gate.Request{Nested: c.Nested, Priority: c.Priority, Tenant: c.Tenant, TenantPriority: c.TenantPriority})
+	return ea.warmth.Wait(now, limits, ea.warmth.waiting+ahead+1)
 }
 
 // maxColdWait returns the longest useful wait of a call for the limit of a cold endpoint.
@@ -213,6 +220,9 @@
 		la.adjustSlots(ea)
 	}()
 	for {
+		if !la.isCurrent(ea) {
+			return verdict.NotRunErrorf(verdict.Draining, "the endpoint has left while the call waited")
+		}
 		now := la.deps.now()
 		ok, wait := ea.warmth.Take(now, limits)
 		if ok {
--- a/pkg/sidecar/coldstart_test.go
+++ b/pkg/sidecar/coldstart_test.go
@@ -334,3 +334,99 @@
 	assert.Equal(t, failure.Verdict, verdict.NotRun)
 	assert.Equal(t, g.mostArrivals(), 1)
 }
+
+// A call that waits for the limit of a cold endpoint must not be sent after the endpoint has
+// deregistered, nor to the next process at its address, whose requests are counted apart.
+func TestCallsWaitingForColdLimitEndWithTheEndpoint(t *testing.T) {
+	for name, end := range map[string]func(g *testGate){
+		"deregistered": func(g *testGate) {
+			g.la.change("announcement", "e", "gone", func(now time.Time) bool { return g.la.registry.Deregister(now, "e", g.start) })
+		},
+		"replaced": func(g *testGate) { g.announce(12, g.start+5000, 10*time.Second) },
+	} {
+		g := newTestGate(t, coldService, nil)
+		g.announce(12, g.start, 10*time.Second)
+		for range 16 {
+			resp, _, failure := g.la.run(t.Context(), g.call(time.Second))
+			assert.Assert(t, failure == nil, "%s: %v", name, failure)
+			assert.Assert(t, discardFailure(resp) == nil)
+		}
+		ea := g.la.admissions["e"]
+		waiting := make(chan *verdict.Error, 1)
+		go func() {
+			_, _, failure := g.la.run(t.Context(), g.call(3*time.Second))
+			waiting <- failure
+		}()
+		waitFor(t, "a call waits", func() bool {
+			g.la.mu.Lock()
+			defer g.la.mu.Unlock()
+			return ea.warmth.waiting == 1
+		})
+		end(g)
+		failure := <-waiting
+		assert.Assert(t, failure != nil, name)
+		assert.Equal(t, failure.Verdict, verdict.NotRun, name)
+		assert.Equal(t, len(g.arrivals), 16, name)
+	}
+}
+
+// An endpoint that has deregistered must get no health queries, although calls still end
+// there.
+func TestEndedEndpointGetsNoHealthQueries(t *testing.T) {
+	service := coldService
+	service.HealthCheckPath = "/healthy"
+	g := newTestGate(t, service, nil)
+	g.announce(12, g.start, 0)
+	for range 16 {
+		resp, _, failure := g.la.run(t.Context(), g.call(time.Second))
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Assert(t, discardFailure(resp) == nil)
+	}
+	ea := g.la.admissions["e"]
+	g.la.change("announcement", "e", "gone", func(now time.Time) bool { return g.la.registry.Deregister(now, "e", g.start) })
+	g.la.doubtAfterFailure(ea)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, g.healthChecks.Load(), int64(0))
+}
+
+// A request that is more urgent than those that wait for a slot of a cold endpoint goes ahead
+// of them, and must not be refused because of them.
+func TestUrgentCallGoesAheadAtColdEndpoint(t *testing.T) {
+	isHeld, release := atomic.Bool{}, make(chan struct{})
+	defer close(release)
+	g := newTestGate(t, coldService, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Sig", "1")
+		if isHeld.Load() {
+			<-release
+		}
+	})
+	g.announce(1, g.start, 10*time.Second)
+	run := func() *verdict.Error {
+		c := g.call(3 * time.Second)
+		c.Priority, c.Tenant, c.TenantPriority = 2, "t", 5
+		resp, _, failure := g.la.run(t.Context(), c)
+		if failure == nil {
+			failure = discardFailure(resp)
+		}
+		return failure
+	}
+	for range 9 {
+		assert.Assert(t, run() == nil)
+	}
+	isHeld.Store(true)
+	for range 8 {
+		go run()
+	}
+	waitFor(t, "calls wait", func() bool { return g.la.loadOf(g.la.admissions["e"], "").Waiting == 7 })
+	for _, c := range []struct {
+		priority, tenantPriority int
+		nested, wantRejected     bool
+	}{{2, 5, false, true}, {3, 5, false, true}, {2, 4, false, false}, {1, 5, false, false}, {3, 6, true, false}} {
+		urgent := g.call(300 * time.Millisecond)
+		urgent.Priority, urgent.Tenant, urgent.TenantPriority, urgent.Nested = c.priority, "u", c.tenantPriority, c.nested
+		g.la.mu.Lock()
+		rejection := g.la.coldRejection(g.la.admissions["e"], urgent, time.Now())
+		g.la.mu.Unlock()
+		assert.Equal(t, rejection != nil, c.wantRejected, "%+v: %v", c, rejection)
+	}
+}
--- a/pkg/sidecar/restore.go
+++ b/pkg/sidecar/restore.go
@@ -35,8 +35,8 @@
 		return false
 	}
 	t.eras[kind] = era
-	if known == 0 {
-		return false
+	if !t.loadedKinds[kind] {
+		return false // The first view.
 	}
 	t.deps.log.event("store_restored", fields{"kind": string(kind), "era": era, "before": known})
 	// Followers get all objects: what they know of removals ends with the era.
@@ -45,6 +45,17 @@
 	return true
 }
 
+// adoptEra records the era of objects that another node has sent to this one, which has read
+// none; t.mu must be held.
+func (t *tracker) adoptEra(kind platform.Kind, objects []platform.Object) {
+	if t.eras[kind] > 0 {
+		return
+	}
+	for _, o := range objects {
+		t.eras[kind] = max(t.eras[kind], platform.EraOf(o.ResourceVersion))
+	}
+}
+
 // keepsLostWrites reports whether the known object of a name is kept while the store has
 // lost it. What this node itself writes is compared with the store instead.
 func (t *tracker) keepsLostWrites(kind platform.Kind, name string) bool {
@@ -73,23 +84,29 @@
 	notify(t.lostWritesWake)
 }
 
-// expireLostWrites ends the use of instance entries that their nodes have not stored again.
+// expireLostWrites ends the use of instance entries that their nodes, and of evacuations that
+// the operator has not stored again.
 func (t *tracker) expireLostWrites(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
+		next, expired := t.takeExpiredLostWrites()
+		if expired {
+			t.refresh(platform.KindMeshState)
+		}
+		nextEvacuation, expired := t.takeExpiredEvacuations()
+		if expired {
+			t.refresh(platform.KindEvacuation)
+		}
+		if next.IsZero() || !nextEvacuation.IsZero() && nextEvacuation.Before(next) {
+			next = nextEvacuation
+		}
+		var due <-chan time.Time // Never, without lost writes.
+		if !next.IsZero() {
+			due = time.After(next.Sub(t.deps.now()))
+		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-t.lostWritesWake:
-		}
-		for ctx.Err() == nil {
-			next, expired := t.takeExpiredLostWrites()
-			if expired {
-				t.refresh(platform.KindMeshState)
-			}
-			if next.IsZero() {
-				break
-			}
-			sleep(ctx, next.Sub(t.deps.now()))
+		case <-due:
 		}
 	}
 }
--- a/pkg/sidecar/restore_test.go
+++ b/pkg/sidecar/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,3 +95,90 @@
 	tracker.list(platform.KindMeshState, 2, 5)
 	assert.Equal(t, len(tracker.publishWake), 1, "the lost entry is not published")
 }
+
+// An evacuation must stay in force after the store was restored from a copy without it: the
+// operator needs some time to write it again, and nodes to hear of it. One that is not
+// written again must end.
+func TestEvacuationOutlivesRestoredStore(t *testing.T) {
+	tracker := newEvacuationTracker(t)
+	now := time.Now()
+	tracker.deps.now = func() time.Time { return now }
+	domains := func() []string { return tracker.deps.evacuations.Load().Domains() }
+	expire := func() (next time.Time) {
+		next, expired := tracker.takeExpiredEvacuations()
+		if expired {
+			tracker.refresh(platform.KindEvacuation)
+		}
+		return next
+	}
+	tracker.list(platform.KindEvacuation, 1, 10, inEra(1, evacuationObject("x", 3)), inEra(1, evacuationObject("y", 8)), inEra(1, evacuationObject("z", 9)))
+	tracker.list(platform.KindEvacuation, 2, 5, inEra(2, evacuationObject("x", 3)))
+	assert.DeepEqual(t, domains(), []string{"x", "y", "z"})
+	tracker.list(platform.KindEvacuation, 2, 6, inEra(2, evacuationObject("x", 3)))
+	assert.DeepEqual(t, domains(), []string{"x", "y", "z"}) // A list that is read again changes nothing.
+
+	// y is written again, and x ended as usual.
+	tracker.apply(platform.KindEvacuation, put(inEra(2, evacuationObject("y", 7))))
+	tracker.apply(platform.KindEvacuation, platform.Event{
+		Type: platform.EventDeleted, Object: inEra(2, evacuationObject("x", 3)), AsOf: inEra(2, evacuationObject("x", 8)).ResourceVersion,
+	})
+	assert.DeepEqual(t, domains(), []string{"y", "z"})
+
+	// A second restore gives the operator as much time again.
+	now = now.Add(lostWritePeriod)
+	tracker.list(platform.KindEvacuation, 3, 6)
+	hold := lostWritePeriod + tracker.deps.settings.EvacuationTimeout
+	assert.Assert(t, expire().Equal(now.Add(hold)))
+	assert.DeepEqual(t, domains(), []string{"y", "z"})
+	tracker.apply(platform.KindEvacuation, put(inEra(3, evacuationObject("y", 7))))
+	now = now.Add(hold)
+	assert.Assert(t, expire().IsZero())
+	assert.DeepEqual(t, domains(), []string{"y"})
+}
+
+// A node that started while the store was away knows the objects from other nodes. What the
+// store has lost when it is back must outlive that as well.
+func TestTransferredStateOutlivesRestoredStore(t *testing.T) {
+	tracker := newEvacuationTracker(t)
+	tracker.replaceView(platform.KindEvacuation, []platform.Object{inEra(1, evacuationObject("z", 9))}, 0)
+	tracker.refresh(platform.KindEvacuation)
+	tracker.list(platform.KindEvacuation, 2, 5)
+	assert.DeepEqual(t, tracker.deps.evacuations.Load().Domains(), []string{"z"})
+
+	tracker.replaceView(platform.KindMeshState, []platform.Object{inEra(1, entryOf(t, "a", 7))}, 0)
+	tracker.refresh(platform.KindMeshState)
+	tracker.list(platform.KindMeshState, 2, 5)
+	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true})
+}
+
+// A store may count its eras from 0: the first restore must be noticed as well.
+func TestRestoreAfterEraZeroIsNoticed(t *testing.T) {
+	tracker := newEvacuationTracker(t)
+	tracker.list(platform.KindEvacuation, 0, 10, evacuationObject("z", 9))
+	tracker.list(platform.KindEvacuation, 1, 5)
+	assert.DeepEqual(t, tracker.deps.evacuations.Load().Domains(), []string{"z"})
+
+	stale := stateObject(instancePrefix+"b", 3, `{"name":"b","address":"10.0.0.1:80","failureDomain":"d","region":"r"}`)
+	tracker.list(platform.KindMeshState, 0, 10, entryOf(t, "a", 7), entryOf(t, "b", 8))
+	tracker.list(platform.KindMeshState, 1, 5, inEra(1, stale))
+	assert.DeepEqual(t, knownEndpoints(tracker), map[string]bool{"e-a": true, "e-b": true})
+}
+
+// The entries that the store has lost must not be used for longer because evacuations are
+// kept for longer.
+func TestLostEntriesExpireBeforeLostEvacuations(t *testing.T) {
+	tracker := newEvacuationTracker(t)
+	var offset atomic.Int64
+	tracker.deps.now = func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }
+	tracker.list(platform.KindEvacuation, 1, 10, inEra(1, evacuationObject("z", 9)))
+	tracker.list(platform.KindMeshState, 1, 10, inEra(1, entryOf(t, "a", 7)))
+	go tracker.expireLostWrites(t.Context())
+	tracker.list(platform.KindEvacuation, 2, 5)
+	waitFor(t, "the evacuation is waited for", func() bool { return len(tracker.lostWritesWake) == 0 })
+	time.Sleep(50 * time.Millisecond)
+	offset.Store(int64(100*time.Millisecond - lostWritePeriod))
+	tracker.list(platform.KindMeshState, 2, 5)
+	offset.Store(0)
+	waitFor(t, "the entry is forgotten", func() bool { return len(knownEndpoints(tracker)) == 0 })
+	assert.DeepEqual(t, tracker.deps.evacuations.Load().Domains(), []string{"z"})
+}
