Refuse fewer requests of tenants below their limit

Holders report their demand when a request waits. That request counted in full, so that a node with 0.7 requests/s reported more than 2, got a share, and lost it with its tokens at the next renewal. Shares near the smallest size came and went for the same reason.

--- a/pkg/mesh/quota/allocation.go
+++ b/pkg/mesh/quota/allocation.go
@@ -112,7 +112,11 @@
 	if t.demand > 0 && a.demand > 0 {
 		target = min((1-reserve)*a.demand/t.demand, shareFactor*a.demand/limit.Rate+minShareTokens/limit.depth())
 	}
-	if target*limit.depth() < minShareTokens {
+	least := minShareTokens
+	if a.share > 0 {
+		least = minKeptTokens
+	}
+	if target*limit.depth() < least {
 		target = 0
 	}
 	switch since, ok := g.nodeSince[holder]; {
--- a/pkg/mesh/quota/share.go
+++ b/pkg/mesh/quota/share.go
@@ -59,9 +59,11 @@
 	}
 }
 
-// steadyDemand returns the demand that is reported.
+// steadyDemand returns the demand that is reported. Reports are made when a request waits;
+// the latest one is left out, or holders with few requests would report several times
+// their mean.
 func (s *share) steadyDemand(limit Limit) float64 {
-	return max(s.demand, min(s.slowDemand, slowDemandPart*limit.Rate))
+	return max(s.demand-1/demandTime.Seconds(), min(s.slowDemand, slowDemandPart*limit.Rate))
 }
 
 // shrinksAt returns when the demand has fallen so far that the holder needs less than half
