Take no term over before the nodes and the limits are known

A granter that was restarted is still asked by holders, and may take its own term back at once. Its port accepts messages before the entries and the configuration have been read. With an empty list of nodes nobody was left to report what it holds, and the first report ended the wait for the others: shares in use for up to 10 s counted as free, so that up to twice the limit could run.

Such a node now answers that it is to be asked again. A node that has just started reads the list of nodes again at each look until it has one, and asks at once then, instead of after up to 2 s. TestTermOfAnOldCopyIsNotUsed sets the list of nodes, which the test left out; its checks are the same.

--- a/pkg/mesh/quota/granter.go
+++ b/pkg/mesh/quota/granter.go
@@ -104,6 +104,10 @@
 	g.order = nodes
 }
 
+// isLoaded reports whether the limits and the nodes are known. Before that, the node would
+// not know whose shares may be in use, and must not become granter.
+func (g *Granter) isLoaded() bool { return g.limits != nil && len(g.order) > 0 }
+
 // begin starts a term. isFresh is set if no lease of an earlier term is in use and no
 // request was admitted for a window; earlier says which tenants had shares.
 func (g *Granter) begin(now time.Duration, isFresh bool, earlier sharing) {
@@ -139,8 +143,11 @@
 		return response
 	}
 	if !g.term.grants(now) || r.Term > g.term.number {
-		g.term.wantedUntil = now + wantedTime
 		response.Status, response.RetryMs = StatusRetry, retryTime.Milliseconds()
+		if !g.isLoaded() {
+			return response
+		}
+		g.term.wantedUntil = now + wantedTime
 		if g.term.hasObserved && !g.term.isMissing && !g.term.mayTakeOver(now, g.name) {
 			response.RetryMs = waitRetryTime.Milliseconds()
 		}
--- a/pkg/mesh/quota/holder.go
+++ b/pkg/mesh/quota/holder.go
@@ -75,6 +75,9 @@
 func (h *Holder) SetNodes(nodes []string) {
 	for slot := range h.slots {
 		s := &h.slots[slot]
+		if len(s.order) == 0 {
+			s.notBefore = 0 // There was no node to ask.
+		}
 		s.order = Order(slot, nodes)
 		if s.position >= len(s.order) {
 			s.position = 0
--- a/pkg/mesh/quota/messages_test.go
+++ b/pkg/mesh/quota/messages_test.go
@@ -147,6 +147,7 @@
 	for _, state := range []string{StateIdle, StateReleased, StateHeld} {
 		g := NewGranter(SlotOf("t"), "g", 2)
 		g.SetLimits(unitLimits)
+		g.SetNodes(0, []string{"h"})
 		ask := func(now time.Duration) { g.Receive(now, g.testRequest(1, 12, Usage{Want: 1})) }
 		ask(0)
 		call, _ := g.Step(0)
@@ -162,3 +163,43 @@
 		assert.Assert(t, g.earlier.All)
 	}
 }
+
+// A node that has just started does not know which nodes hold shares before it has read the
+// entries, nor what the limits are before it has read the configuration. If it took its own
+// earlier term back before, nobody would be left to report, and it would give shares away
+// that are in use.
+func TestNodeThatHasReadNothingIsNoGranter(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limits map[string]Limit
+		nodes  []string
+	}{{"no nodes", unitLimits, nil}, {"no limits", nil, []string{"g", "h"}}} {
+		g := NewGranter(SlotOf("t"), "g", 2)
+		g.SetLimits(c.limits)
+		g.SetNodes(0, c.nodes)
+		ask := func(now time.Duration) Response {
+			return g.Receive(now, g.testRequest(1, 7, Usage{Want: 5, Demand: 50}))
+		}
+		assert.Equal(t, ask(0).Status, StatusRetry)
+		if call, ok := g.Step(0); ok {
+			assert.Equal(t, call.Verb, StoreGet)
+			record := Record{Slot: g.slot, Node: "g", Term: 7, Incarnation: 1, State: StateHeld, Sharing: sharing{All: true}}
+			g.Complete(0, call, StoreResult{Outcome: StoreOK, Record: record, Version: "5"})
+		}
+		ask(time.Second)
+		_, ok := g.Step(time.Second)
+		assert.Assert(t, !ok, "%s: the node took the term", c.name)
+		g.SetLimits(unitLimits)
+		g.SetNodes(2*time.Second, []string{"g", "h", "other"})
+		ask(2 * time.Second)
+		call, ok := g.Step(2 * time.Second)
+		if ok && call.Verb == StoreGet {
+			record := Record{Slot: g.slot, Node: "g", Term: 7, Incarnation: 1, State: StateHeld, Sharing: sharing{All: true}}
+			g.Complete(2*time.Second, call, StoreResult{Outcome: StoreOK, Record: record, Version: "5"})
+			call, ok = g.Step(2 * time.Second)
+		}
+		assert.Assert(t, ok && call.Verb == StoreUpdate, c.name)
+		g.Complete(2*time.Second, call, StoreResult{Outcome: StoreOK, Version: "6"})
+		assert.Equal(t, len(g.Unreported()), 3, c.name)
+	}
+}
--- a/pkg/mesh/quota/term.go
+++ b/pkg/mesh/quota/term.go
@@ -101,7 +101,7 @@
 		if !g.stepTerm(now, &call) {
 			return StoreCall{}, false
 		}
-	case now >= t.wantedUntil || t.isReleasing:
+	case now >= t.wantedUntil || t.isReleasing || !g.isLoaded():
 		return StoreCall{}, false
 	case !t.hasObserved || now >= t.observedAt+observationTime:
 		if t.hasRead && now < t.readAt+minReadInterval {
--- a/pkg/quotasync/service.go
+++ b/pkg/quotasync/service.go
@@ -114,7 +114,7 @@
 		}
 	}
 	now := s.options.Now()
-	if s.addresses != nil && now < s.nodesReadAt+nodesInterval {
+	if len(s.addresses) > 0 && now < s.nodesReadAt+nodesInterval {
 		return
 	}
 	s.nodesReadAt = now
