End the shares of nodes whose entry has gone

A node without an entry got no larger share, but kept and renewed the one that it had. A successor of the granter asks the nodes with an entry only, and counted that share as free once these had reported: both could use it for up to 10 s. Such a node now gets tokens only, as docs/design/quota.md says.

--- a/pkg/mesh/quota/allocation.go
+++ b/pkg/mesh/quota/allocation.go
@@ -120,6 +120,8 @@
 		target = 0
 	}
 	switch since, ok := g.nodeSince[holder]; {
+	case !ok && len(g.nodeSince) > 0:
+		return 0 // A successor would not ask this node for its share.
 	case target < a.share/2, target < a.share*(1-shareTolerance) && t.allocated > 1-reserve-shareTolerance:
 		return target
 	case target <= a.share*(1+shareTolerance) || !ok || now-since < newNodeTime:
--- a/pkg/mesh/quota/messages_test.go
+++ b/pkg/mesh/quota/messages_test.go
@@ -203,3 +203,18 @@
 		assert.Equal(t, len(g.Unreported()), 3, c.name)
 	}
 }
+
+// The share of a node whose entry has gone must end: a successor of the granter that does
+// not know the node would not wait for its report, and give the share to others as well.
+func TestNodeWithoutEntryKeepsNoShare(t *testing.T) {
+	g := newTestGranter(t, 0, "h", "other")
+	report := g.testRequest(1, 8, Usage{Share: 0.5, Demand: 50})
+	other := Request{Slot: g.slot, Holder: "other", Incarnation: 1, Sequence: 1, Term: 8}
+	g.Receive(0, report)
+	g.Receive(0, other)
+	report.Sequence++
+	assert.Equal(t, g.Receive(time.Second, report).Grants[0].Share, 0.5)
+	g.SetNodes(time.Second, []string{"other"})
+	report.Sequence++
+	assert.Equal(t, g.Receive(2*time.Second, report).Grants[0].Share, 0.0)
+}
