Count the turns of tenants for each urgency

A tenant that becomes active continues with the latest turn that was served. That was one number for all tenants, also for more urgent ones: while these got two slots of three, a tenant of lower priority that became active had to wait until another one that had been waiting had caught up with all of their turns, and got one slot in four by the guard at most. The latest turn is now kept for each urgency.

--- a/pkg/mesh/gate/fairness.go
+++ b/pkg/mesh/gate/fairness.go
@@ -48,8 +48,9 @@
 	flows  map[string]*flow
 	routes map[string]*group
 	all    group
-	// turn is the latest turn that was served.
-	turn int64
+	// turns holds the latest turn that was served of each urgency. Urgent tenants may be
+	// many turns ahead of others.
+	turns map[urgency]int64
 	// sinceGuard counts the admissions since the last one by the guard.
 	sinceGuard int
 	// tenantAt is the time of the last request of a tenant, sweptAt that of the last sweep,
@@ -60,6 +61,19 @@
 	touched []*flow
 }
 
+// urgency is what compareUrgency compares of requests that are no calls of endpoints.
+type urgency struct{ rank, priority int }
+
+// urgencyOf returns the urgency under which the turn of a request counts. Beyond maxFlows
+// urgencies, further ones share one.
+func (f *fairness) urgencyOf(w *waiter) urgency {
+	u := urgency{rank: w.rank(), priority: w.Priority}
+	if _, ok := f.turns[u]; !ok && len(f.turns) >= maxFlows {
+		return urgency{}
+	}
+	return u
+}
+
 // FairnessCounts are the decisions that only the order between tenants makes.
 type FairnessCounts struct {
 	// Displaced is the number of waiting requests that more urgent ones replaced, Guarded
@@ -103,7 +117,7 @@
 func (g *group) share() float64 { return (g.served + 1) / (g.offered + 1) }
 
 func newFairness(now time.Time) *fairness {
-	return &fairness{flows: make(map[string]*flow), routes: make(map[string]*group), tenantAt: now, sweptAt: now, now: now}
+	return &fairness{flows: make(map[string]*flow), routes: make(map[string]*group), turns: make(map[urgency]int64), tenantAt: now, sweptAt: now, now: now}
 }
 
 // updateFairness turns the order between tenants on with the first request of a tenant, and
@@ -165,7 +179,7 @@
 		}
 	}
 	if w.flow.waiting == 0 {
-		w.flow.turn = max(w.flow.turn, f.turn)
+		w.flow.turn = max(w.flow.turn, f.turns[f.urgencyOf(w)])
 	}
 }
 
@@ -211,7 +225,8 @@
 		w.flow.waiting--
 	}
 	if isServed && !w.Nested {
-		f.turn = max(f.turn, w.flow.turn)
+		u := f.urgencyOf(w)
+		f.turns[u] = max(f.turns[u], w.flow.turn)
 		w.flow.turn++
 	}
 	f.all.record(f.now, isServed, 1)
--- a/pkg/mesh/gate/tenantorder_test.go
+++ b/pkg/mesh/gate/tenantorder_test.go
@@ -282,3 +282,45 @@
 	decisions := q.Release(epoch.Add(100*time.Millisecond), 50*time.Millisecond)
 	assert.DeepEqual(t, decisions, []Decision{{ID: 7}})
 }
+
+// A tenant that becomes active must share the slots at once with another one that is as
+// urgent and has been waiting, also if a more urgent tenant has had most of the slots
+// meanwhile. Guards against turns of the urgent tenant that count for the others.
+func TestTurnsOfUrgentTenantsDoNotCountForOthers(t *testing.T) {
+	q := NewQueue(1)
+	fillSlots(t, q)
+	waiting := make(map[uint64]string)
+	add := func(tenant string, rank int) {
+		id := uint64(len(waiting) + 1)
+		waiting[id] = tenant
+		_, rejection := q.Admit(epoch, request(id, tenantOf(tenant, rank)))
+		assert.Assert(t, rejection == nil)
+	}
+	serve := func() string {
+		for _, d := range q.Release(epoch, 50*time.Millisecond) {
+			assert.Assert(t, d.Rejection == nil)
+			return waiting[d.ID]
+		}
+		return ""
+	}
+	for range 3 {
+		add("busy", 1)
+	}
+	for range 50 { // The busy tenant gets one slot of three.
+		for range 2 {
+			add("urgent", 0)
+			assert.Equal(t, serve(), "urgent")
+		}
+		assert.Equal(t, serve(), "busy")
+		add("busy", 1)
+	}
+	for range 2 {
+		add("busy", 1)
+		add("new", 1)
+	}
+	served := make(map[string]int)
+	for range 4 {
+		served[serve()]++
+	}
+	assert.DeepEqual(t, served, map[string]int{"busy": 2, "new": 2})
+}
