Give up a term that another node has replaced

If the store comes back from an old copy with the term of a granter that was paused meanwhile, that node renewed it again, although holders had seen a higher one. It refused these until it was idle, for 15 s, and another 4 s until its term could be replaced. It now gives the term up at the first such request, and the next one begins 4 s after the read.

--- a/pkg/mesh/quota/granter.go
+++ b/pkg/mesh/quota/granter.go
@@ -143,6 +143,9 @@
 		response.Status = StatusStopping
 		return response
 	}
+	if g.term.number > 0 && r.Term > g.term.number && !g.term.isCalling {
+		g.lose() // Another node has been granter since, and the store is back from an old copy.
+	}
 	if !g.term.grants(now) || r.Term > g.term.number {
 		response.Status, response.RetryMs = StatusRetry, retryTime.Milliseconds()
 		if !g.isLoaded() {
--- a/pkg/mesh/quota/messages_test.go
+++ b/pkg/mesh/quota/messages_test.go
@@ -218,3 +218,22 @@
 	report.Sequence++
 	assert.Equal(t, g.Receive(2*time.Second, report).Grants[0].Share, 0.0)
 }
+
+// A granter that learns of a higher term has been replaced, although the store shows its own
+// term again, from an old copy. It must give that up, and not renew it until it is idle
+// while it refuses all requests.
+func TestGranterGivesUpAReplacedTerm(t *testing.T) {
+	g := newTestGranter(t, 0, "h")
+	g.Receive(time.Second, g.testRequest(1, 9, Usage{Want: 1}))
+	number, _ := g.Term(time.Second)
+	assert.Equal(t, number, uint64(0))
+	call, ok := g.Step(time.Second)
+	assert.Assert(t, ok && call.Verb == StoreGet)
+	record := Record{Slot: g.slot, Node: "g", Term: 8, Incarnation: 2, State: StateHeld}
+	g.Complete(time.Second, call, StoreResult{Outcome: StoreOK, Record: record, Version: "6"})
+	g.Receive(time.Second+TakeOverTime, g.testRequest(2, 9, Usage{Want: 1}))
+	call, ok = g.Step(time.Second + TakeOverTime)
+	assert.Assert(t, ok && call.Verb == StoreUpdate)
+	assert.Equal(t, call.Record.Term, uint64(10))
+	assert.Assert(t, call.Record.Sharing.All)
+}
