Tell refused callers when there is another token

Retry-After was the time after which the holder asks the granter again, 200 ms at most for few holders. At 0.5 requests/s the next token was there after 1.75 s: a caller that kept to Retry-After was refused again and again. The granter now says when it has another token, and a caller gets that time if it is later.

--- a/pkg/mesh/quota/allocation.go
+++ b/pkg/mesh/quota/allocation.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // allocation is what a holder may hold of one tenant's limit: the share that it reported
 // or the one that was sent to it last, whichever is larger.
@@ -86,6 +89,10 @@
 	result.Tokens = fromBucket + fromPool
 	if missing := want - result.Tokens; missing > 0 {
 		result.WaitMs = g.promise(now, t, missing).Milliseconds()
+		wait := min(t.bucket.wait(g.rest(t)*limit.depth()), t.pool.wait(poolPart*limit.headroom()))
+		if wait < math.MaxInt64 {
+			result.TokenMs = (wait + time.Millisecond - 1).Milliseconds()
+		}
 	}
 	return result
 }
--- a/pkg/mesh/quota/belowlimit_test.go
+++ b/pkg/mesh/quota/belowlimit_test.go
@@ -59,3 +59,34 @@
 		assert.Equal(t, f.refused, 0, "of %d requests", f.refused+len(f.admitted))
 	}
 }
+
+// A caller that retries when Retry-After says so must be able to get a token then. With few
+// requests per second, that is later than the time after which a holder asks the granter again.
+func TestRetryAfterIsNotBeforeTheNextToken(t *testing.T) {
+	const now = time.Minute
+	limit := Limit{Rate: 0.5, Rule: Rule{Window: 5 * time.Second, Overage: 0.1, Slack: 2}}
+	limits := map[string]Limit{"t": limit}
+	g := newTestGranter(t, 0, "h")
+	g.SetLimits(limits)
+	h := NewHolder("h", 1)
+	h.SetLimits(limits)
+	h.SetNodes([]string{"g"})
+	h.slots[g.slot].term = 8
+	g.Receive(0, Request{Slot: g.slot, Holder: "h", Incarnation: 1, Sequence: 1, Term: 8})
+	g.term.grantUntil = now + TermTime
+	h.slots[g.slot].sequence = 1
+	for range 10 {
+		h.Take(now, maxGrantWait, "t")
+	}
+	h.Accept(now, g.Receive(now, h.Poll(now)[0].Request))
+	refused := h.Take(now, maxGrantWait, "t")
+	for h.TakeWaiting(now, "t").Admitted {
+		refused = h.Take(now, maxGrantWait, "t")
+	}
+	assert.Assert(t, !refused.Admitted)
+	s := g.tenants["t"]
+	next := min(s.bucket.wait(limit.depth()), s.pool.wait(limit.headroom()))
+	assert.Assert(t, next > time.Second, "%v", next)
+	assert.Assert(t, refused.RetryAfter >= next-time.Millisecond && refused.RetryAfter <= next+time.Second,
+		"Retry-After %v, the next token is there after %v", refused.RetryAfter, next)
+}
--- a/pkg/mesh/quota/exchange.go
+++ b/pkg/mesh/quota/exchange.go
@@ -215,7 +215,7 @@
 		if end := s.sentAt + limit.tokenLife(); g.Tokens > 0 && now < end {
 			each.extra, each.extraEnd = g.Tokens, end
 		}
-		each.dryUntil = 0
+		each.dryUntil, each.tokenAt = 0, now+min(max(time.Duration(g.TokenMs)*time.Millisecond, 0), LeaseTime)
 		if g.WaitMs > 0 {
 			each.dryUntil = now + min(time.Duration(g.WaitMs)*time.Millisecond, renewInterval)
 		}
--- a/pkg/mesh/quota/holder.go
+++ b/pkg/mesh/quota/holder.go
@@ -156,8 +156,8 @@
 // retryAfter returns when a request may be admitted.
 func (h *Holder) retryAfter(now time.Duration, s *share, limit Limit) time.Duration {
 	wait := s.bucket.wait(s.fraction * limit.depth())
-	if s.dryUntil > now {
-		wait = min(wait, s.dryUntil-now)
+	if until := max(s.dryUntil, s.tokenAt); until > now {
+		wait = min(wait, until-now)
 	}
 	if wait == math.MaxInt64 {
 		return defaultRetryAfter
--- a/pkg/mesh/quota/message.go
+++ b/pkg/mesh/quota/message.go
@@ -70,6 +70,9 @@
 	// WaitMs is the time in milliseconds until the granter expects more tokens; 0 if it
 	// gave all that were wanted.
 	WaitMs int64 `cbor:"4,keyasint,omitempty"`
+	// TokenMs is the time in milliseconds until the granter has another token for anybody, 0
+	// if it does not know.
+	TokenMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Announcement tells a holder of a new granter. The holder responds with a Request, which
--- a/pkg/mesh/quota/share.go
+++ b/pkg/mesh/quota/share.go
@@ -24,7 +24,9 @@
 	extra    int
 	extraEnd time.Duration
 	// dryUntil is when the granter expects more tokens.
-	dryUntil        time.Duration
+	dryUntil time.Duration
+	// tokenAt is when the granter has another token at all, for what refused callers are told.
+	tokenAt         time.Duration
 	demand          float64
 	slowDemand      float64
 	demandUpdatedAt time.Duration
