Let writers to slow clients go on in small steps

A write to a client that takes its response steadily waited until a third of the socket's buffer was free, more than 512 KB on loopback. Between two of these steps the client looked stalled, and slow while memory was short: with a write stall of one second, a client that took 160 KB a second was given up after 4 MB. TCP_NOTSENT_LOWAT bounds the steps.

--- a/pkg/clientlimit/conn.go
+++ b/pkg/clientlimit/conn.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/azurespring/azurespring/pkg/mesh/overload"
 )
 
@@ -20,7 +22,22 @@
 	gate *gate
 }
 
-func newConn(c net.Conn, account *Account) *Conn { return &Conn{Conn: c, account: account} }
+// maxUnsentBytes bounds what the kernel takes of a response before it can send it, and lets a
+// writer go on once half of that has been sent. Without it a writer waits until a third of the
+// socket's buffer is free, which grows to 4 MB: a client that takes its response steadily
+// would look stalled, and slow while memory is short, between two of these steps.
+const maxUnsentBytes = 32 << 10
+
+func newConn(c net.Conn, account *Account) *Conn {
+	if socket, ok := c.(*net.TCPConn); ok {
+		if raw, err := socket.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
+			})
+		}
+	}
+	return &Conn{Conn: c, account: account}
+}
 
 // Account returns the account of the connection.
 func (c *Conn) Account() *Account { return c.account }
