State no length for responses without a body by their status

A client got Content-Length: 0 with each 204 and 304 of an endpoint, over the local path and over the hop. RFC 9110 (8.6) forbids the field in a 204, and in a 304 unless it is that of the 200 that the response stands for. The server for clients now leaves it out, as that of net/http does.

--- a/pkg/sidecar/responsewriter.go
+++ b/pkg/sidecar/responsewriter.go
@@ -123,7 +123,11 @@
 			w.contentLength = n
 		}
 	}
-	w.hasNoBody = w.request.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+	isEmptyByStatus := status == http.StatusNoContent || status == http.StatusNotModified
+	if isEmptyByStatus {
+		w.header.Del("Content-Length") // A 204 may have none, and that of a 304 is not known here.
+	}
+	w.hasNoBody = w.request.Method == http.MethodHead || isEmptyByStatus
 	switch {
 	case w.hasNoBody || w.contentLength >= 0:
 	case w.request.ProtoAtLeast(1, 1):
