Read what is still being sent of a refused request

A server of net/http that refuses a request for lack of memory closed its connection under the body that the peer was still sending.

--- a/pkg/clientlimit/gate.go
+++ b/pkg/clientlimit/gate.go
@@ -195,10 +195,22 @@
 	return c.Conn.SetReadDeadline(g.deadline)
 }
 
+// Bounds of what a client may still send once its request was refused. Other nodes send
+// bodies of up to 64 KB with the header section.
+const (
+	maxRefusedBytes = 128 << 10
+	refusalLinger   = 200 * time.Millisecond
+)
+
 // refuse answers a request that the server has not seen. It returns an error after which
-// net/http sends nothing.
+// net/http sends nothing and closes the connection. What the client is still sending is
+// read before: a connection that is closed under it is reset, and the refusal may be lost.
 func (c *Conn) refuse(status int) error {
 	_ = WriteRefusal(c, status, c.account.guard.options.RefusalFields[c.account.listener])
+	c.account.Release(c.gate.heldBytes)
+	c.gate.heldBytes, c.gate.buffer, c.gate.released = 0, nil, 0
+	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalLinger))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxRefusedBytes)
 	return os.ErrDeadlineExceeded
 }
 
