Give no shares of limits that are thin over their holders

Whoever asked twice in a second got a share of 1.5 tokens and kept it; the shares of some 36 nodes held 0.9 of a limit and used little, so that a third of the requests below it was served from the eighth second on. Such tenants now live on single tokens.

--- a/pkg/mesh/quota/allocation.go
+++ b/pkg/mesh/quota/allocation.go
@@ -17,6 +17,8 @@
 type tenantState struct {
 	allocated float64
 	demand    float64
+	// holders is the number of holders that use the tenant.
+	holders int
 	// hadShares is set if shares of the term before may be in use.
 	hadShares bool
 	bucket    bucket
@@ -110,6 +112,13 @@
 	return max(t.reservedUntil-now, minSendInterval)
 }
 
+// isThin reports whether the limit divided by the holders is less than the smallest share.
+// The few holders with a share would then keep most of the limit and use little of it: of a
+// tenant with 30 requests/s from each of 100 nodes in turn, a third was served.
+func (t *tenantState) isThin(limit Limit) bool {
+	return float64(t.holders)*minShareTokens > (1-reserve)*limit.depth()
+}
+
 // nextShare returns the share that a holder gets. a holds what it has now.
 func (g *Granter) nextShare(now time.Duration, holder, tenant string, t *tenantState, a *allocation, limit Limit) float64 {
 	if g.unreported != nil && t.hadShares {
@@ -119,6 +128,9 @@
 	if t.demand > 0 && a.demand > 0 {
 		target = min((1-reserve)*a.demand/t.demand, shareFactor*a.demand/limit.Rate+minShareTokens/limit.depth())
 	}
+	if t.isThin(limit) {
+		target = 0
+	}
 	least := minShareTokens
 	if a.share > 0 {
 		least = minKeptTokens
--- a/pkg/mesh/quota/granter.go
+++ b/pkg/mesh/quota/granter.go
@@ -226,6 +226,7 @@
 		if _, ok := reported[tenant]; !ok {
 			g.set(now, tenant, a, 0, 0)
 			delete(h.shares, tenant)
+			g.tenant(now, tenant).holders--
 		}
 	}
 	for tenant, usage := range reported {
@@ -236,6 +237,7 @@
 		if a == nil {
 			a = &allocation{}
 			h.shares[tenant] = a
+			g.tenant(now, tenant).holders++
 		}
 		g.set(now, tenant, a, usage.Share, usage.Demand)
 	}
@@ -272,13 +274,14 @@
 		}
 	}
 	for _, t := range g.tenants {
-		t.allocated, t.demand = 0, 0 // Sums of floating point numbers drift.
+		t.allocated, t.demand, t.holders = 0, 0, 0 // Sums of floating point numbers drift.
 	}
 	for _, h := range g.holders {
 		for tenant, a := range h.shares {
 			if t := g.tenants[tenant]; t != nil {
 				t.allocated += a.share
 				t.demand += a.demand
+				t.holders++
 			}
 		}
 	}
