--- a/pkg/mesh/configcheck/compare.go
+++ b/pkg/mesh/configcheck/compare.go
@@ -31,12 +31,6 @@
 	Fields []string `json:"fields,omitempty"`
 }
 
-// entry is a part of a configuration in a form that can be compared.
-type entry struct {
-	name   string
-	fields map[string]string
-}
-
 // compare returns the differences between two configurations, ordered by entry.
 func compare(before, after mesh.Configuration) []Change {
 	changes := []Change{}
@@ -48,9 +42,9 @@
 			continue
 		}
 		var fields []string
-		for field, value := range e.fields {
-			if known.fields[field] != value {
-				fields = append(fields, fmt.Sprintf("%s: %s -> %s", field, known.fields[field], value))
+		for field, value := range e {
+			if known[field] != value {
+				fields = append(fields, fmt.Sprintf("%s: %s -> %s", field, known[field], value))
 			}
 		}
 		if len(fields) > 0 {
@@ -67,9 +61,11 @@
 	return changes
 }
 
-func entriesOf(c mesh.Configuration) map[string]entry {
-	entries := make(map[string]entry)
-	add := func(name string, fields map[string]string) { entries[name] = entry{name: name, fields: fields} }
+// entriesOf returns the fields of all parts of a configuration, by entry, in a form that can
+// be compared and shown.
+func entriesOf(c mesh.Configuration) map[string]map[string]string {
+	entries := make(map[string]map[string]string)
+	add := func(name string, fields map[string]string) { entries[name] = fields }
 	add("limits", map[string]string{
 		"max_header_bytes": fmt.Sprint(c.Limits.MaxHeaderBytes), "max_body_bytes": fmt.Sprint(c.Limits.MaxBodyBytes),
 		"header_timeout": formatDuration(c.Limits.HeaderTimeout), "idle_timeout": formatDuration(c.Limits.IdleTimeout),
