--- a/pkg/clientlimit/conn.go
+++ b/pkg/clientlimit/conn.go
@@ -18,8 +18,8 @@
 	account   *Account
 	closeOnce sync.Once
 
-	// gate keeps header sections back until they are complete; nil if the server does that.
-	gate *gate
+	// headerBuffer keeps header sections back until they are complete; nil if the server does that.
+	headerBuffer *headerBuffer
 }
 
 // maxUnsentBytes bounds what the kernel takes of a response before it can send it, and lets a
--- a/pkg/clientlimit/gate.go
+++ b/pkg/clientlimit/headerbuffer.go
@@ -13,10 +13,10 @@
 	"github.com/azurespring/azurespring/pkg/mesh/overload"
 )
 
-// gate keeps the header sections of one connection of a net/http server back until they are
+// headerBuffer keeps the header sections of one connection of a net/http server back until they are
 // complete. net/http reads on one goroutine at a time and calls ConnState between reads;
 // only deadline is set at other times.
-type gate struct {
+type headerBuffer struct {
 	scanner overload.HeaderScanner
 	// isHeader is set while a header section arrives.
 	isHeader bool
@@ -32,10 +32,10 @@
 	deadline time.Time
 }
 
-// gateReadBytes is the size of one read of a header section. Few are longer.
-const gateReadBytes = 2 << 10
+// headerReadBytes is the size of one read of a header section. Few are longer.
+const headerReadBytes = 2 << 10
 
-var gateReads = sync.Pool{New: func() any { b := make([]byte, gateReadBytes); return &b }}
+var headerReads = sync.Pool{New: func() any { b := make([]byte, headerReadBytes); return &b }}
 
 // KeepHeaders lets a server keep the header sections of its connections back until they are
 // complete. Its listener must be one of the guard.
@@ -52,24 +52,24 @@
 	switch state {
 	case http.StateNew:
 		o := c.account.guard.options
-		c.gate = &gate{scanner: overload.HeaderScanner{MaxBytes: o.HeaderBytes, MaxFields: o.HeaderFields}, isHeader: true}
+		c.headerBuffer = &headerBuffer{scanner: overload.HeaderScanner{MaxBytes: o.HeaderBytes, MaxFields: o.HeaderFields}, isHeader: true}
 	case http.StateActive:
-		c.gate.isHeader = false
+		c.headerBuffer.isHeader = false
 		c.account.Enter(overload.Running)
 	case http.StateIdle:
-		c.account.Release(c.gate.heldBytes)
-		c.gate.heldBytes, c.gate.scanned, c.gate.released, c.gate.isHeader = 0, 0, 0, true
-		c.gate.scanner.Reset()
+		c.account.Release(c.headerBuffer.heldBytes)
+		c.headerBuffer.heldBytes, c.headerBuffer.scanned, c.headerBuffer.released, c.headerBuffer.isHeader = 0, 0, 0, true
+		c.headerBuffer.scanner.Reset()
 		c.account.Enter(overload.Idle)
 	}
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
-	if c.gate != nil {
-		c.gate.mu.Lock()
-		defer c.gate.mu.Unlock()
-		c.gate.deadline = t
+	if c.headerBuffer != nil {
+		c.headerBuffer.mu.Lock()
+		defer c.headerBuffer.mu.Unlock()
+		c.headerBuffer.deadline = t
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -84,7 +84,7 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	g := c.gate
+	g := c.headerBuffer
 	if g == nil {
 		return c.Conn.Read(p)
 	}
@@ -117,7 +117,7 @@
 
 // awaitHeader reads until a header section is complete and releases it.
 func (c *Conn) awaitHeader() error {
-	g := c.gate
+	g := c.headerBuffer
 	for {
 		if g.scanned < len(g.buffer) {
 			if g.scanner.Bytes() == 0 {
@@ -146,9 +146,9 @@
 	if timeout <= 0 {
 		return
 	}
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	if deadline := time.Now().Add(timeout); c.gate.deadline.IsZero() || deadline.Before(c.gate.deadline) {
+	c.headerBuffer.mu.Lock()
+	defer c.headerBuffer.mu.Unlock()
+	if deadline := time.Now().Add(timeout); c.headerBuffer.deadline.IsZero() || deadline.Before(c.headerBuffer.deadline) {
 		_ = c.Conn.SetReadDeadline(deadline)
 	}
 }
@@ -156,9 +156,9 @@
 // readMore reads the next bytes of a header section. Its memory is held until the request
 // has ended.
 func (c *Conn) readMore() error {
-	g := c.gate
-	chunk := gateReads.Get().(*[]byte)
-	defer gateReads.Put(chunk)
+	g := c.headerBuffer
+	chunk := headerReads.Get().(*[]byte)
+	defer headerReads.Put(chunk)
 	n, err := c.Conn.Read(*chunk)
 	if n == 0 {
 		switch {
@@ -182,7 +182,7 @@
 
 // releaseHeader lets the server read the complete header section.
 func (c *Conn) releaseHeader() error {
-	g := c.gate
+	g := c.headerBuffer
 	bytes := overload.RequestBytes(g.scanner.Bytes(), g.scanner.Fields())
 	if !c.account.Hold(bytes) {
 		c.account.Refuse(ReasonMemory)
@@ -207,8 +207,8 @@
 // read before: a connection that is closed under it is reset, and the refusal may be lost.
 func (c *Conn) refuse(status int) error {
 	_ = WriteRefusal(c, status, c.account.guard.options.RefusalFields[c.account.listener])
-	c.account.Release(c.gate.heldBytes)
-	c.gate.heldBytes, c.gate.buffer, c.gate.released = 0, nil, 0
+	c.account.Release(c.headerBuffer.heldBytes)
+	c.headerBuffer.heldBytes, c.headerBuffer.buffer, c.headerBuffer.released = 0, nil, 0
 	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalLinger))
 	_, _ = io.CopyN(io.Discard, c.Conn, maxRefusedBytes)
 	return os.ErrDeadlineExceeded
