review: keep cases 6, 8 and 9 within the shares of the site files

The fault of the cases: they drained, added or killed one of three machines, where the largest shares are 0.25, 0.3 and 0.1. They now have eight, four and ten machines. A quote in case 9 is corrected.

--- a/review/standin-2/forgotten.go
+++ b/review/standin-2/forgotten.go
@@ -19,8 +19,9 @@
 	nodeKillAt   = 500 * time.Millisecond
 	nodeStartAt  = time.Second
 	storeBackAt  = 1500 * time.Millisecond
-	leaverEndAt  = 8500 * time.Millisecond
+	leaverEndAt  = 8 * time.Second
 	settleWindow = 3 * time.Second
+	entryClients = 4
 )
 
 // hire is the deployment priecka-mesh.
@@ -41,14 +42,15 @@
 	entry.addEndpoint("i-portal-1", 50*time.Millisecond)
 	leaving := l.addMachine("sidecar-a-2", "zone-a", "billing")
 	leaving.addEndpoint("i-billing-1", 210*time.Millisecond)
-	staying := l.addMachine("sidecar-a-3", "zone-a", "billing")
-	staying.addEndpoint("i-billing-2", 210*time.Millisecond)
+	for i := range 8 {
+		l.addMachine(fmt.Sprintf("sidecar-a-%d", i+3), "zone-a", "billing").addEndpoint(fmt.Sprintf("i-billing-%d", i+2), 210*time.Millisecond)
+	}
 	if err := l.startAll(); err != nil {
 		return nil, err
 	}
-	if err := waitFor("both endpoints serve", 15*time.Second, func() bool {
+	if err := waitFor("the endpoint serves", 15*time.Second, func() bool {
 		get(entry, "/read/probe", l.requestID("probe"))
-		return len(leaving.endpoint.received()) > 0 && len(staying.endpoint.received()) > 0
+		return len(leaving.endpoint.received()) > 0
 	}); err != nil {
 		return nil, err
 	}
@@ -64,7 +66,9 @@
 	stop := make(chan struct{})
 	var running sync.WaitGroup
 	var lost atomic.Int64
-	running.Go(func() { sendPayments(entry, stop, &running, &lost) })
+	for range entryClients {
+		running.Go(func() { sendPayments(entry, stop, &running, &lost) })
+	}
 	until(storeGoneAt)
 	if hasTrouble {
 		l.log("the store is away")
--- a/review/standin-2/quota.go
+++ b/review/standin-2/quota.go
@@ -53,6 +53,7 @@
 	first.addEndpoint("i-desk-1", 0)
 	second := l.addMachine("sidecar-b-1", "zone-b", "desk")
 	second.addEndpoint("i-desk-2", 0)
+	l.addMachine("sidecar-a-3", "zone-a", "desk").addEndpoint("i-desk-4", 0)
 	if err := l.startAll(); err != nil {
 		return nil, err
 	}
--- a/review/standin-2/upload.go
+++ b/review/standin-2/upload.go
@@ -23,6 +23,7 @@
 	uploadBytes   = 96 << 10
 	uploadStart   = 8 << 10
 	uploadTimeout = 4 * time.Second
+	uploadCount   = 30
 )
 
 // council is the deployment tmwwc-mesh.
@@ -40,7 +41,7 @@
 	`{"name":"read","kind":"safe","target_latency":"500ms","priority":2,"match":{"path_prefix":"/read/"},"action":{"service":"billing","timeout":"3000ms","max_attempts":2}}]}],` +
 	`"clusters":[{"name":"billing","health_check_path":"/health","max_connections":110},{"name":"portal","health_check_path":"/health","max_connections":110}]}`
 
-// playUpload drains one of two endpoints while clients upload slowly. The rule DRAIN bounds
+// playUpload drains one of seven endpoints while clients upload slowly. The rule DRAIN bounds
 // when a request may still reach the endpoint.
 func playUpload(recordPath string, hasTrouble bool) ([]string, error) {
 	l, err := newLab(recordPath, council)
@@ -53,20 +54,21 @@
 	entry.addEndpoint("i-portal-1", 50*time.Millisecond)
 	leaving := l.addMachine("sidecar-a-2", "zone-a", "billing")
 	leaving.addEndpoint("i-billing-1", 210*time.Millisecond)
-	staying := l.addMachine("sidecar-a-3", "zone-a", "billing")
-	staying.addEndpoint("i-billing-2", 210*time.Millisecond)
+	for i := range 6 {
+		l.addMachine(fmt.Sprintf("sidecar-a-%d", i+3), "zone-a", "billing").addEndpoint(fmt.Sprintf("i-billing-%d", i+2), 210*time.Millisecond)
+	}
 	if err := l.startAll(); err != nil {
 		return nil, err
 	}
-	if err := waitFor("both endpoints serve", 15*time.Second, func() bool {
+	if err := waitFor("the endpoint serves", 15*time.Second, func() bool {
 		get(entry, "/read/probe", l.requestID("probe"))
-		return len(leaving.endpoint.received()) > 0 && len(staying.endpoint.received()) > 0
+		return len(leaving.endpoint.received()) > 0
 	}); err != nil {
 		return nil, err
 	}
 	time.Sleep(4 * time.Second) // Longer than settle_window.
 	var running sync.WaitGroup
-	for range 10 {
+	for range uploadCount {
 		id := l.requestID("upload")
 		running.Go(func() { upload(entry, id, hasTrouble) })
 	}
