exchange: do not take a response that an abort cuts for complete

Callers saw a part of a response as a complete one: an endpoint responded to a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: such a response ends with its connection, and each end counted. Linux reports the error of a connection to one system call. If the write of the upload gets it (ECONNRESET, or ETIMEDOUT from a peer that accepts no bytes), the read after it returns an ordinary end. An endpoint that closes a connection without unread bytes even sends an ordinary end; the reset only replies to the next bytes of the upload.

Change: at the end of a response without a length, the write of its request must have ended without an error. A write that is still running has one second (earlyResponseTimeout, as before) to end. The write is what the reset cannot hide from: one of its system calls gets the error in each of these cases. A peer that half-closes the connection and reads on, or neither reads nor resets within that second, has completed its response, so that early responses are still delivered.

The clients of the platform's store are not affected: a JSON document that is cut is not decoded.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -230,7 +230,10 @@
 	if err != nil {
 		return nil, fail(err)
 	}
-	response.Body = &responseBody{ReadCloser: response.Body, conn: c, stopCancelWatch: stopCancelWatch, writer: writer}
+	response.Body = &responseBody{
+		ReadCloser: response.Body, ctx: ctx, conn: c, stopCancelWatch: stopCancelWatch, writer: writer,
+		isCloseDelimited: IsCloseDelimited(response),
+	}
 	return response, nil
 }
 
@@ -297,9 +300,7 @@
 	isInMemory bool
 	// body is set if the peer has to ask for the body.
 	body   *heldBody
-	mu     sync.Mutex
-	isDone bool
-	err    error
+	result *WriteResult
 }
 
 func newRequestWriter(c *conn, r Request) *requestWriter {
@@ -308,7 +309,9 @@
 		// net/http flushes the header on its own unless it knows that the body is in memory.
 		r.Body = io.NopCloser(body.Reader)
 	}
-	w := &requestWriter{conn: c, request: r.Request, isInMemory: r.Body == nil || r.Body == http.NoBody || inMemory}
+	w := &requestWriter{
+		conn: c, request: r.Request, isInMemory: r.Body == nil || r.Body == http.NoBody || inMemory, result: NewWriteResult(),
+	}
 	if r.ExpectContinue && !w.isInMemory {
 		w.body = &heldBody{ReadCloser: r.Body, wanted: make(chan struct{}), abandoned: make(chan struct{})}
 		w.request.Body = w.body
@@ -365,10 +368,6 @@
 	}
 }
 
-// earlyResponseTimeout bounds the time until the end of a response to a request whose body
-// could not be written completely.
-const earlyResponseTimeout = time.Second
-
 // Buffers of requests that are being written. A body that is not in memory is written in
 // larger pieces, to save system calls.
 const bodyBufferBytes = 32 << 10
@@ -393,9 +392,7 @@
 	if err == nil {
 		err = writer.Flush()
 	}
-	w.mu.Lock()
-	w.isDone, w.err = true, err
-	w.mu.Unlock()
+	w.result.Set(err)
 	if err != nil && !w.isInMemory {
 		// The peer may have responded before it closed the connection under the body. The
 		// reader must not wait long for a response to a truncated request.
@@ -404,13 +401,6 @@
 	return err
 }
 
-// isComplete reports whether the complete request was written.
-func (w *requestWriter) isComplete() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.isDone && w.err == nil
-}
-
 // inMemoryBody marks a body in memory.
 type inMemoryBody struct{ io.Reader }
 
@@ -423,9 +413,14 @@
 // responseBody returns the connection to its pool after a complete response.
 type responseBody struct {
 	io.ReadCloser
+	ctx             context.Context
 	conn            *conn
 	stopCancelWatch func() bool
 	writer          *requestWriter
+	// isCloseDelimited is set if the end of the connection is the end of the body, endErr if
+	// that end does not complete it.
+	isCloseDelimited bool
+	endErr           error
 	// release returns the connection to its pool, or closes it if it is not reusable.
 	release    func(reusable bool)
 	isFinished bool
@@ -434,6 +429,14 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.isCloseDelimited {
+		if !b.isFinished {
+			b.endErr = b.writer.result.ConfirmEnd(b.ctx)
+		}
+		if b.endErr != nil {
+			err = b.endErr
+		}
+	}
 	if err != nil {
 		b.finish(err == io.EOF)
 	}
@@ -455,5 +458,6 @@
 	b.isFinished = true
 	b.writer.abandonBody()
 	notCanceled := b.stopCancelWatch()
-	b.release(complete && notCanceled && b.writer.isComplete())
+	isWritten, writeErr := b.writer.result.get()
+	b.release(complete && notCanceled && isWritten && writeErr == nil)
 }
