proxy: do not take a response that an abort cuts for complete

Callers of the product's own interface saw the same as those of the users' platform: a part of a response without a length counted as complete when its target aborted the connection while the upload was still being written.

Cause: net/http's transport takes each end of the connection for the end of such a response, and then ends the write of the request itself, so that the error of the write tells nothing afterwards.

Change: the connection to a target confirms its end before the transport sees it, by the result of the write (exchange.WriteResult, from httptrace.WroteRequest).

The test target can now send raw text in place of a response.

--- a/internal/testtarget/serve.go
+++ b/internal/testtarget/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 )
@@ -39,6 +40,9 @@
 	HeaderNestedDepth = "Testtarget-Depth"
 	// HeaderEcho makes the target respond with the request body.
 	HeaderEcho = "Testtarget-Echo"
+	// HeaderRaw makes the target send the query-escaped text as it is in place of a response,
+	// leave the request body unread, and close the connection.
+	HeaderRaw = "Testtarget-Raw"
 )
 
 // TrailerChunkCount is the trailer of a chunked response; it holds the number of chunks.
@@ -68,6 +72,10 @@
 		t.echo(w, r)
 		return
 	}
+	if text, err := url.QueryUnescape(r.Header.Get(HeaderRaw)); err == nil && text != "" {
+		sendRaw(w, text)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -227,6 +235,16 @@
 	}
 }
 
+// sendRaw sends text in place of a response and closes the connection.
+func sendRaw(w http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(conn, text)
+	_ = conn.Close()
+}
+
 // callNested calls a service through the node and forwards its response.
 func (t *Target) callNested(w http.ResponseWriter, r *http.Request, depth int) {
 	request, err := http.NewRequestWithContext(r.Context(), r.Method, t.options.CallsURL+r.URL.RequestURI(), http.NoBody)
--- a/pkg/proxy/crash.go
+++ b/pkg/proxy/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -41,6 +42,8 @@
 	tracker *connTracker
 	number  uint64
 	written atomic.Int64
+	// confirmEnd, if set, returns an error in place of the end of the connection.
+	confirmEnd atomic.Pointer[func() error]
 }
 
 func (t *connTracker) add(conn net.Conn) *trackedConn {
@@ -55,6 +58,17 @@
 	return tracked
 }
 
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if confirmEnd := c.confirmEnd.Load(); err == io.EOF && confirmEnd != nil {
+		if endErr := (*confirmEnd)(); endErr != nil {
+			return n, endErr
+		}
+	}
+	return n, err
+}
+
 // Write counts the bytes before it writes them: a failed write may have sent a part.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.written.Add(int64(len(p)))
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/transport"
 	"github.com/azurespring/azurespring/pkg/verdict"
 )
@@ -45,6 +46,8 @@
 	// that earlier calls wrote to it.
 	conn          atomic.Pointer[trackedConn]
 	writtenBefore int64
+	// written is the result of the write of the request to conn.
+	written atomic.Pointer[exchange.WriteResult]
 	// isBodyBroken is set if reading the request body failed.
 	isBodyBroken atomic.Bool
 }
@@ -114,7 +117,10 @@
 		ContentLength: headerFrame.ContentLength, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	f.setBody(outgoingRequest)
-	trace := &httptrace.ClientTrace{GotConn: f.gotConn}
+	trace := &httptrace.ClientTrace{
+		GotConn:      f.gotConn,
+		WroteRequest: func(info httptrace.WroteRequestInfo) { f.written.Load().Set(info.Err) },
+	}
 	return outgoingRequest.WithContext(httptrace.WithClientTrace(f.ctx, trace)), nil
 }
 
@@ -174,6 +180,7 @@
 }
 
 func (f *forwardedCall) gotConn(info httptrace.GotConnInfo) {
+	f.written.Store(exchange.NewWriteResult())
 	if conn, ok := info.Conn.(*trackedConn); ok {
 		f.writtenBefore = conn.written.Load()
 		f.conn.Store(conn)
@@ -212,6 +219,10 @@
 	if length := response.ContentLength; length >= 0 && length <= maxBufferedResponseBytes {
 		return f.forwardSmallResponse(headerFrame, response, chunk)
 	}
+	if conn := f.conn.Load(); conn != nil && exchange.IsCloseDelimited(response) {
+		confirmEnd := f.confirmEnd
+		conn.confirmEnd.Store(&confirmEnd)
+	}
 	f.startProgressTimer()
 	defer f.progressTimer.Stop()
 	err := f.writer.start(headerFrame)
@@ -241,6 +252,10 @@
 	}
 }
 
+// confirmEnd checks the end of the connection before net/http sees it, which would end the
+// write of the request.
+func (f *forwardedCall) confirmEnd() error { return f.written.Load().ConfirmEnd(f.ctx) }
+
 func (f *forwardedCall) forwardSmallResponse(headerFrame *responseHeaderFrame, response *http.Response, chunk []byte) *verdict.Error {
 	n, err := io.ReadFull(response.Body, chunk[:response.ContentLength])
 	if err == io.EOF && !isBodyAllowed(response.Request.Method, response.StatusCode) {
