exchange: fail responses with malformed field names

Callers saw a signed 200 of an endpoint whose header section was malformed: without the line in question, with a body of all bytes until the end of the connection ("Content-Length : 6"), or with the line as a part of the value before it (a line that begins with a blank).

Cause: what net/http parses counted as a valid header section. It accepts names with blanks but ignores them for the framing, and joins a line that begins with a blank to the one before it. Names with control bytes fail in net/http, so that part was handled already.

Change: after a header section, also of an interim response, all names have to be tokens. A reader below the buffer of the connection fails at a line of a header section that begins with a blank, which is not visible any more once the section is parsed. Both fail the exchange: the request may have run, and the connection is closed, so that nothing behind such a section can count as a body or a response. Gateways may reject folded lines (RFC 9112, section 5.2).

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -100,6 +100,7 @@
 // conn is one connection. It is used by one exchange at a time.
 type conn struct {
 	net.Conn
+	head   *headReader
 	input  *LimitedReader
 	reader *bufio.Reader
 	// writeMu guards bytesWritten while a request body is written in the background.
@@ -119,8 +120,9 @@
 }
 
 func newConn(c net.Conn) *conn {
-	input := &LimitedReader{Source: c, RemainingBytes: math.MaxInt64, Err: errResponseTooLarge}
-	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, bufferBytes), sentIDs: make(map[uint64]struct{})}
+	head := newHeadReader(c)
+	input := &LimitedReader{Source: head, RemainingBytes: math.MaxInt64, Err: errResponseTooLarge}
+	return &conn{Conn: c, head: head, input: input, reader: bufio.NewReaderSize(input, bufferBytes), sentIDs: make(map[uint64]struct{})}
 }
 
 var idHashSeed = maphash.MakeSeed()
@@ -246,7 +248,7 @@
 	remainingStaleBytes := int64(maxStaleResponseBytes)
 	mayOmitID, interimResponses := c.requestCount == 1, 0
 	for {
-		response, err := http.ReadResponse(c.reader, r.Request)
+		response, err := c.readHead(r.Request)
 		if err != nil {
 			return nil, err
 		}
@@ -287,6 +289,19 @@
 	}
 }
 
+// readHead reads a header section and checks its fields.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.head.beginHead(buffered); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return nil, err
+	}
+	return response, CheckFieldNames(response.Header)
+}
+
 var (
 	errStaleResponse        = errors.New("received a response to another request that cannot be discarded")
 	errUnidentifiedResponse = errors.New("received a response without an ID on a connection that was used before")
--- a/pkg/mesh/overload/header.go
+++ b/pkg/mesh/overload/header.go
@@ -6,6 +6,7 @@
 var (
 	ErrHeaderTooLarge = errors.New("the header section is too large")
 	ErrTooManyFields  = errors.New("the header section has too many fields")
+	ErrLeadingBlank   = errors.New("a line of the header section begins with a blank")
 )
 
 // HeaderScanner finds the end of a header section in bytes that arrive in pieces. Until a
@@ -14,6 +15,8 @@
 type HeaderScanner struct {
 	// MaxBytes and MaxFields bound a header section; 0 means no bound.
 	MaxBytes, MaxFields int
+	// RejectLeadingBlank rejects lines that begin with a blank.
+	RejectLeadingBlank bool
 
 	bytes, lines int
 	// lineBytes is the size of the last line so far without carriage returns.
@@ -48,6 +51,9 @@
 			}
 		case '\r':
 		default:
+			if s.RejectLeadingBlank && s.lineBytes == 0 && (b == ' ' || b == '\t') {
+				return i, false, ErrLeadingBlank
+			}
 			s.lineBytes++
 		}
 	}
