proxy, platform, ctl: fail responses with malformed field names

Callers of the product's own interface got responses whose header section or trailers hold a name with a blank, with a body that the target had not meant if the name was that of the length or the coding. Nodes took the 404, 429 and 503 of such a response of a store for its answer: that an object does not exist, or that a write was not applied. azurespringctl printed such a response as the state of a node.

Cause: as in the exchange, net/http accepts such names.

--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/azurespring/azurespring/pkg/admin"
 	"github.com/azurespring/azurespring/pkg/config/static"
+	"github.com/azurespring/azurespring/pkg/exchange"
 )
 
 // Values of the flag -o.
@@ -126,6 +127,9 @@
 		return &noResponseError{node: node, maybeReceived: maybeReceived, cause: err}
 	}
 	defer response.Body.Close()
+	if err := exchange.CheckFieldNames(response.Header); err != nil {
+		return &noResponseError{node: node, maybeReceived: true, cause: err}
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return &noResponseError{node: node, maybeReceived: true, cause: err}
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -361,3 +361,18 @@
 	run(nil, "aply").check(t, ctl.ExitUsage, "there is no command")
 	run(nil, "get", "-o", "html").check(t, ctl.ExitUsage)
 }
+
+// A response whose header section has a malformed name is not a node's: it must not count as
+// its state.
+func TestResponseWithMalformedFieldIsNoAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX Note: 1\r\nContent-Length: 2\r\n\r\n[]"))
+	}))
+	defer server.Close()
+	run(nodesEnv(server.Listener.Addr().String()), "moves").check(t, ctl.ExitUnavailable, "field name")
+}
--- a/pkg/platform/objectapi/client.go
+++ b/pkg/platform/objectapi/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/azurespring/azurespring/pkg/exchange"
 	"github.com/azurespring/azurespring/pkg/platform"
 	"github.com/rotisserie/eris"
 )
@@ -285,6 +286,10 @@
 	if err != nil {
 		return nil, sendError(err, method, requestURL)
 	}
+	if err := exchange.CheckFieldNames(response.Header); err != nil {
+		_ = response.Body.Close()
+		return nil, eris.Wrapf(err, "reply to %s %s", method, requestURL.Path)
+	}
 	return response, nil
 }
 
--- a/pkg/platform/objectapi/faults_test.go
+++ b/pkg/platform/objectapi/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -150,3 +151,26 @@
 		})
 	}
 }
+
+// A response whose header section has a malformed name tells nothing of the platform: neither
+// that an object does not exist nor that a write was not applied.
+func TestResponseWithMalformedFieldIsNoAnswer(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusConflict, http.StatusTooManyRequests} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d None\r\nX Note: 1\r\nContent-Length: 2\r\n\r\n{}", status)
+		}))
+		client, err := objectapi.New(objectapi.Options{BaseURL: server.URL})
+		assert.NilError(t, err)
+		_, err = client.Get(t.Context(), platform.KindLease, "a")
+		assert.Assert(t, err != nil && !errors.Is(err, platform.ErrNotFound), "status %d: %v", status, err)
+		_, err = client.Create(t.Context(), platform.KindLease, "a", nil)
+		assert.Assert(t, err != nil && !platform.IsNotApplied(err), "status %d: %v", status, err)
+		client.Close()
+		server.Close()
+	}
+}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -70,6 +70,9 @@
 		// connection is closed with the body that nobody reads.
 		return verdict.MayHaveRunErrorf(verdict.TargetFailed, nil, "the target responded with %d, which is no final status", status)
 	}
+	if err := exchange.CheckFieldNames(response.Header); err != nil {
+		return verdict.MayHaveRunErrorf(verdict.TargetFailed, err, "the target's response is malformed")
+	}
 	f.status = response.StatusCode
 	if isShed(response) {
 		_, _ = io.CopyN(io.Discard, response.Body, transport.MaxCallFrameBytes)
@@ -283,6 +286,9 @@
 func (f *forwardedCall) finishResponse(total int64, response *http.Response) *verdict.Error {
 	var trailers []string
 	if len(response.Trailer) > 0 {
+		if err := exchange.CheckFieldNames(response.Trailer); err != nil {
+			return verdict.MayHaveRunErrorf(verdict.AnswerCut, err, "the trailers of the target's response are malformed")
+		}
 		trailers = flattenHeader(response.Trailer, excludedResponseHeaders)
 	}
 	if err := f.writer.finish(total, trailers); err != nil {
