--- a/pkg/proxy/status_test.go
+++ b/pkg/proxy/status_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"fmt"
+	"net/url"
 	"testing"
 
 	"github.com/azurespring/azurespring/internal/testtarget"
@@ -18,3 +20,20 @@
 		}
 	}
 }
+
+// What follows the header section of a response without a status must not be taken for a
+// response either, whatever length it states.
+func TestBodyOfResponseWithoutStatusIsNotPassedOn(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.nodes[0].newTarget(testtarget.Options{}, testtarget.Behavior{})
+	const body = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged"
+	for _, n := range f.nodes {
+		for _, status := range []string{"000", "020", "099", "600", "999", "0000", "+20", "abc"} {
+			for _, fields := range []string{"", "Content-Length: 0\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(body))} {
+				raw := url.QueryEscape("HTTP/1.1 " + status + " None\r\n" + fields + "\r\n" + body)
+				r := n.send("POST", "/pay", nil, testtarget.HeaderRaw, raw)
+				checkProblem(t, r, verdict.TargetFailed, verdict.MayHaveRun)
+			}
+		}
+	}
+}
