--- a/pkg/proxy/crash.go
+++ b/pkg/proxy/crash.go
@@ -42,8 +42,8 @@
 	tracker *connTracker
 	number  uint64
 	written atomic.Int64
-	// confirmEnd, if set, returns an error in place of the end of the connection.
-	confirmEnd atomic.Pointer[func() error]
+	// closeDelimited is the call whose response ends with this connection; nil if there is none.
+	closeDelimited atomic.Pointer[forwardedCall]
 }
 
 func (t *connTracker) add(conn net.Conn) *trackedConn {
@@ -58,11 +58,11 @@
 	return tracked
 }
 
-// Read implements net.Conn.
+// Read returns an error in place of an end that does not complete a response.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if confirmEnd := c.confirmEnd.Load(); err == io.EOF && confirmEnd != nil {
-		if endErr := (*confirmEnd)(); endErr != nil {
+	if call := c.closeDelimited.Load(); err == io.EOF && call != nil {
+		if endErr := call.confirmEnd(); endErr != nil {
 			return n, endErr
 		}
 	}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -223,8 +223,7 @@
 		return f.forwardSmallResponse(headerFrame, response, chunk)
 	}
 	if conn := f.conn.Load(); conn != nil && exchange.IsCloseDelimited(response) {
-		confirmEnd := f.confirmEnd
-		conn.confirmEnd.Store(&confirmEnd)
+		conn.closeDelimited.Store(f)
 	}
 	f.startProgressTimer()
 	defer f.progressTimer.Stop()
