sidecar: keep the refusal of an upload whose connection is aborted

The check of the end of a response without a length would have made callers worse off: an endpoint that refuses an upload at once, without a length, and closes the connection has not run it, and said so. The caller got 502 may-have-run in place of 503 not-run, and no other endpoint was tried.

Cause: a refusal whose body has no end is not trusted. An aborted connection counted as such, although it has ended.

Change: the exchange reports such an end as ErrAborted, and a refusal stays one. Its header section is complete, and no client gets its body. Bodies that do not end within 64 KB are not trusted, as before.

--- a/pkg/sidecar/endpointcall.go
+++ b/pkg/sidecar/endpointcall.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -57,8 +58,8 @@
 		return nil, verdict.MayHaveRunErrorf(verdict.TargetFailed, nil, "the answer with status %d is not signed", httpResponse.StatusCode)
 	}
 	if resp.notRun {
-		// The body of a rejection is never sent to a client.
-		if err := discardBody(httpResponse.Body); err != nil {
+		// The body of a rejection is never sent to a client, so that no part of it can be missing.
+		if err := discardBody(httpResponse.Body); err != nil && !errors.Is(err, exchange.ErrAborted) {
 			return nil, verdict.MayHaveRunErrorf(verdict.AnswerCut, err, "the endpoint's rejection has no end")
 		}
 		resp.body, resp.contentLength = http.NoBody, 0
