rollout: log what the canary analysis has seen at each step

The step of a rollout named a reason, but not the results behind it, so that the log could not tell a version without comparable results from one that passed its analysis.

Change: rollout_step and rollout_bad have the number of results, of those whose latency could be compared with the old version's, and of the slow ones. No decision changes.

--- a/pkg/mesh/rollout/analyzer.go
+++ b/pkg/mesh/rollout/analyzer.go
@@ -73,6 +73,9 @@
 	resultCount int
 	// unknownCount is the number of unfinished requests that may have been good or bad.
 	unknownCount int
+	// comparedCount and slowCount count the results with a comparable latency.
+	comparedCount int
+	slowCount     int
 }
 
 type routeResults struct {
@@ -80,6 +83,22 @@
 	slow     window
 }
 
+// Summary counts the results of an analysis, for decisions and logs.
+type Summary struct {
+	// Results is the number of results by which the others, whose requests ended without
+	// showing whether the version is good, are outnumbered.
+	Results int
+	// Compared is the number of results whose latency could be compared with the old
+	// version's, and Slow the number of slow ones among them.
+	Compared int
+	Slow     int
+}
+
+// Add returns the sum of two summaries.
+func (s Summary) Add(other Summary) Summary {
+	return Summary{Results: s.Results + other.Results, Compared: s.Compared + other.Compared, Slow: s.Slow + other.Slow}
+}
+
 // window holds the latest outcomes as bits, with the newest in the lowest bit.
 type window struct{ bits uint32 }
 
@@ -104,9 +123,10 @@
 // NewAnalyzer returns an analyzer without results.
 func NewAnalyzer() *Analyzer { return &Analyzer{routes: make(map[string]*routeResults)} }
 
-// ResultCount returns the number of results by which the others, whose requests ended
-// without showing whether the version is good, are outnumbered.
-func (a *Analyzer) ResultCount() int { return max(a.resultCount-a.unknownCount, 0) }
+// Summary returns the counts of the results so far.
+func (a *Analyzer) Summary() Summary {
+	return Summary{Results: max(a.resultCount-a.unknownCount, 0), Compared: a.comparedCount, Slow: a.slowCount}
+}
 
 // Add applies a result and reports whether the version has failed its analysis. An
 // unfinished request counts if it was slow already: callers cancel slow requests first,
@@ -128,6 +148,10 @@
 	if result.Latency <= 0 || result.Baseline <= 0 || result.Failed {
 		return false
 	}
+	a.comparedCount++
+	if result.slow() {
+		a.slowCount++
+	}
 	limit := slowLimit
 	if result.Shifted {
 		limit = shiftedSlowLimit
--- a/pkg/mesh/rollout/rollout_test.go
+++ b/pkg/mesh/rollout/rollout_test.go
@@ -99,11 +99,11 @@
 	for i := range 30 {
 		analyzer.Add(Result{Route: "a", Latency: time.Millisecond, Baseline: time.Second, Unfinished: i%3 != 0})
 	}
-	assert.Equal(t, analyzer.ResultCount(), 0)
+	assert.Equal(t, analyzer.Summary().Results, 0)
 	for range minResults + 10 {
 		analyzer.Add(Result{Route: "a", Latency: time.Millisecond, Baseline: time.Second})
 	}
-	assert.Equal(t, analyzer.ResultCount(), minResults)
+	assert.Equal(t, analyzer.Summary().Results, minResults)
 }
 
 // Requests that callers cancel must not count as successes, which would hide the
@@ -162,18 +162,18 @@
 	assert.Equal(t, len(first), 2)
 	assert.Equal(t, first[0].State, mesh.RolloutRunning)
 	m.Step(epoch, rolloutInState(mesh.RolloutRunning))
-	effects, shiftedAt := tickUntil(m, time.Second, 12*time.Second, NodeRole{ResultCount: 50})
+	effects, shiftedAt := tickUntil(m, time.Second, 12*time.Second, NodeRole{Analysis: Summary{Results: 50}})
 	assert.Equal(t, effects[0].Progress.Phase, Shift)
 	assert.Assert(t, shiftedAt < 8*time.Second, "%v", shiftedAt)
 	p := effects[0].Progress
 	m.Step(epoch.Add(shiftedAt), Event{Kind: ProgressRead, Progress: p, NowUnixMs: p.StartedUnixMs + shiftedAt.Milliseconds()})
 	assert.Equal(t, m.Policies()["s"].Share, 1.0)
-	effects, completedAt := tickUntil(m, shiftedAt, 12*time.Second, NodeRole{ResultCount: 500})
+	effects, completedAt := tickUntil(m, shiftedAt, 12*time.Second, NodeRole{Analysis: Summary{Results: 500}})
 	assert.Equal(t, effects[0].State, mesh.RolloutCompleted)
 	assert.Assert(t, completedAt-shiftedAt >= minShiftDuration && completedAt < 12*time.Second, "%v after the shift at %v", completedAt, shiftedAt)
 	m.Step(epoch.Add(completedAt), rolloutInState(mesh.RolloutCompleted))
 	assert.Equal(t, m.Policies()["s"].Share, 1.0)
-	effects, _ = tickUntil(m, completedAt, 20*time.Second, NodeRole{ResultCount: 500})
+	effects, _ = tickUntil(m, completedAt, 20*time.Second, NodeRole{Analysis: Summary{Results: 500}})
 	assert.Equal(t, len(effects), 0, "a completed rollout must not be written again")
 }
 
@@ -200,7 +200,7 @@
 func TestRolloutEndsWithoutResultsOrLeadingNode(t *testing.T) {
 	m := newMachine()
 	m.Step(epoch, rolloutInState(mesh.RolloutRunning))
-	effects, _ := tickUntil(m, 0, 12*time.Second, NodeRole{Rank: 0, ResultCount: minResults - 1})
+	effects, _ := tickUntil(m, 0, 12*time.Second, NodeRole{Rank: 0, Analysis: Summary{Results: minResults - 1}})
 	assert.Equal(t, effects[0].State, mesh.RolloutRolledBack)
 
 	m = newMachine()
@@ -218,7 +218,7 @@
 	m := newMachine()
 	m.Step(epoch, rolloutInState(mesh.RolloutRunning))
 	m.Step(epoch, Event{Kind: ProgressRead, Progress: Progress{Service: "s", Version: "v2", Phase: Canary, StartedUnixMs: 1000}, NowUnixMs: 8000})
-	effects, at := tickUntil(m, 0, 12*time.Second, NodeRole{ResultCount: 50})
+	effects, at := tickUntil(m, 0, 12*time.Second, NodeRole{Analysis: Summary{Results: 50}})
 	assert.Equal(t, effects[0].Progress.Phase, Shift)
 	assert.Assert(t, at <= time.Second, "%v", at)
 }
--- a/pkg/mesh/rollout/statemachine.go
+++ b/pkg/mesh/rollout/statemachine.go
@@ -99,8 +99,8 @@
 	// Rank orders the nodes with endpoints of the new version; -1 for other nodes.
 	// The node of rank 0 gets the canary requests.
 	Rank int
-	// ResultCount is the number of results in the local analysis.
-	ResultCount int
+	// Analysis is the state of the local analysis.
+	Analysis Summary
 	// RestoreRank orders the nodes that may write a decided state again after the store
 	// has lost it; -1 for other nodes.
 	RestoreRank int
@@ -360,9 +360,9 @@
 	switch {
 	case t.phase == Shift && reached(completeAt) && now.Sub(t.shiftedAt) >= minShiftDuration:
 		return []Effect{{Kind: WriteState, State: mesh.RolloutCompleted, Reason: "all traffic shifted without a failed analysis"}}
-	case t.phase == Canary && reached(abortAt) && role.Rank == 0 && role.ResultCount < minResults:
+	case t.phase == Canary && reached(abortAt) && role.Rank == 0 && role.Analysis.Results < minResults:
 		return []Effect{{Kind: WriteState, State: mesh.RolloutRolledBack, Reason: "the new version got too few results for an analysis"}}
-	case t.phase == Canary && reached(shiftAt) && (role.Rank > 0 || role.ResultCount >= minResults):
+	case t.phase == Canary && reached(shiftAt) && (role.Rank > 0 || role.Analysis.Results >= minResults):
 		return []Effect{{Kind: WriteProgress, Progress: Progress{Phase: Shift}, Reason: "the canary analysis of the new version did not fail"}}
 	case t.rollout.State == "" && elapsed >= 0:
 		return []Effect{
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -208,18 +208,16 @@
 	return sum
 }
 
-// analyzedResults returns the number of results that the canary analysis of a version
-// has seen on this node.
-func (la *localAdmission) analyzedResults(service, version string) int {
+// analysis returns the state of the canary analysis of a version on this node.
+func (la *localAdmission) analysis(service, version string) (sum rollout.Summary) {
 	la.mu.Lock()
 	defer la.mu.Unlock()
-	count := 0
 	for _, ea := range la.admissions {
 		if ea.endpoint.Service == service && ea.endpoint.Version == version {
-			count += ea.analyzer.ResultCount()
+			sum = sum.Add(ea.analyzer.Summary())
 		}
 	}
-	return count
+	return sum
 }
 
 // serve runs a call at the endpoint that it names. The returned load is the endpoint's
--- a/pkg/sidecar/canary.go
+++ b/pkg/sidecar/canary.go
@@ -49,11 +49,11 @@
 	result.Shifted = shifted
 	la.mu.Lock()
 	failed := ea.analyzer.Add(result)
-	resultCount := ea.analyzer.ResultCount()
+	analysis := ea.analyzer.Summary()
 	la.mu.Unlock()
 	if failed {
 		la.deps.rollouts.failVersion(c.Service, c.Version, fields{
-			"requestId": c.id, "route": c.Route, "answers": resultCount, "tookMs": result.Latency.Milliseconds(),
+			"requestId": c.id, "route": c.Route, "answers": analysis.Results, "compared": analysis.Compared, "slow": analysis.Slow, "tookMs": result.Latency.Milliseconds(),
 			"referenceMs": result.Baseline.Milliseconds(), "failed": result.Failed, "unfinished": result.Unfinished, "shifted": shifted,
 		})
 	}
--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -55,8 +55,8 @@
 	table := t.deps.table.Load()
 	for _, r := range t.deps.rollouts.activeRollouts() {
 		rolloutRoles[r.Service] = rollout.NodeRole{
-			Rank:        slices.Index(table.DecidingInstances(r.Service, r.Version, t.deps.canaryOrder(r.Service)), t.deps.settings.Instance),
-			ResultCount: t.admission.analyzedResults(r.Service, r.Version),
+			Rank:     slices.Index(table.DecidingInstances(r.Service, r.Version, t.deps.canaryOrder(r.Service)), t.deps.settings.Instance),
+			Analysis: t.admission.analysis(r.Service, r.Version),
 		}
 	}
 	for _, r := range t.deps.rollouts.unstoredRollouts() {
@@ -72,8 +72,10 @@
 
 // execute performs one write that the rollout state machine requested.
 func (t *tracker) execute(ctx context.Context, effect rollout.Effect) {
+	analysis := t.admission.analysis(effect.Rollout.Service, effect.Rollout.Version)
 	f := fields{
 		"service": effect.Rollout.Service, "version": effect.Rollout.Version, "reason": effect.Reason,
+		"answers": analysis.Results, "compared": analysis.Compared, "slow": analysis.Slow,
 	}
 	var err error
 	if effect.Kind == rollout.WriteState {
