rollout: roll back slow versions of services with few requests

Cause, from the results that rollout_step now logs: the canary's node had 10 to 12 results at the shift, 0 to 4 of them slow. Six slow ones of 20 on one route had to fail the version, and one that had not failed passed. In two of six rollouts a node of a higher rank shifted all traffic 0.7 s later, with no result at all.

Change: a sequential probability ratio test over all routes and over each fails a version, and is what lets it pass, at any rank. An undecided version is shifted at the last moment only if it is clearly more likely good, and rolled back otherwise. The canary's node raises the share of a quiet service, up to 15%, so that about 40 results come. Results between fast and slow show nothing.

Why it works: a slow half of the requests gives some 14 of evidence in 40 results, a good version the opposite; 7 and 8 decide.

TestRolloutEndsWithoutResultsOrLeadingNode required that the node of rank 1 shifts without a result, which is the fault; it now requires that such a rollout is rolled back in time at every rank, and shifted by rank 1 with results. Good versions in tests come with the evidence for it.

--- a/pkg/mesh/rollout/analyzer.go
+++ b/pkg/mesh/rollout/analyzer.go
@@ -6,16 +6,14 @@
 
 // Windows of the latest results of a new version, and the number of failed or slow
 // ones in a window at which the version fails its analysis. Bad versions fail a third
-// of their requests or more. Good ones fail less than 1 in 100, and on a slow host
-// about 1 in 20 of their results takes more than slowFactor times the baseline.
+// of their requests or more. Good ones fail less than 1 in 100.
 const (
 	failureWindow = 16
 	failureLimit  = 4
-	slowWindow    = 20
-	slowLimit     = 6
-	// shiftedSlowLimit applies once the new version gets all requests: faults and load
-	// of single endpoints then slow down some of its results as well.
-	shiftedSlowLimit = 12
+	// Once the new version gets all requests, faults and load of single endpoints slow down
+	// some of its results as well.
+	shiftedSlowWindow = 20
+	shiftedSlowLimit  = 12
 )
 
 // slowFactor and minSlowExcess are lower bounds of the slow threshold: a multiple of
@@ -66,6 +64,12 @@
 	return r.Latency > 0 && r.Baseline > 0 && r.Latency > SlowThreshold(r.Baseline, r.Timeout)
 }
 
+// fast reports whether the latency is about that of the old version. What lies between fast
+// and slow is as usual for a good version on a slow host as for a bad one, and shows nothing.
+func (r Result) fast() bool {
+	return !r.slow() && r.Latency <= max(minSlowFactor*r.Baseline, r.Baseline+minSlowExcess/2)
+}
+
 // Analyzer counts the results of one version by route, so that a version that fails on
 // a single route is detected as well.
 type Analyzer struct {
@@ -73,14 +77,20 @@
 	resultCount int
 	// unknownCount is the number of unfinished requests that may have been good or bad.
 	unknownCount int
-	// comparedCount and slowCount count the results with a comparable latency.
+	// comparedCount counts the results with a comparable latency, slowCount and fastCount
+	// those that show something.
 	comparedCount int
 	slowCount     int
+	fastCount     int
+	// evidence is that of all routes together: a service with few requests may get too few
+	// on each single route.
+	evidence evidence
 }
 
 type routeResults struct {
-	failures window
-	slow     window
+	failures    window
+	shiftedSlow window
+	evidence    evidence
 }
 
 // Summary counts the results of an analysis, for decisions and logs.
@@ -89,14 +99,23 @@
 	// showing whether the version is good, are outnumbered.
 	Results int
 	// Compared is the number of results whose latency could be compared with the old
-	// version's, and Slow the number of slow ones among them.
+	// version's; Slow and Fast are those of the slow and of the fast ones among them.
 	Compared int
 	Slow     int
+	Fast     int
+	// Support is the evidence that the version is not slow, Suspicion the strongest recent
+	// evidence that it is, on one route or all. Both are natural logarithms of likelihood ratios.
+	Support   float64
+	Suspicion float64
 }
 
 // Add returns the sum of two summaries.
 func (s Summary) Add(other Summary) Summary {
-	return Summary{Results: s.Results + other.Results, Compared: s.Compared + other.Compared, Slow: s.Slow + other.Slow}
+	return Summary{
+		Results: s.Results + other.Results, Compared: s.Compared + other.Compared,
+		Slow: s.Slow + other.Slow, Fast: s.Fast + other.Fast,
+		Support: s.Support + other.Support, Suspicion: max(s.Suspicion, other.Suspicion),
+	}
 }
 
 // window holds the latest outcomes as bits, with the newest in the lowest bit.
@@ -125,7 +144,14 @@
 
 // Summary returns the counts of the results so far.
 func (a *Analyzer) Summary() Summary {
-	return Summary{Results: max(a.resultCount-a.unknownCount, 0), Compared: a.comparedCount, Slow: a.slowCount}
+	suspicion := a.evidence.recent
+	for _, route := range a.routes {
+		suspicion = max(suspicion, route.evidence.recent)
+	}
+	return Summary{
+		Results: max(a.resultCount-a.unknownCount, 0), Compared: a.comparedCount, Slow: a.slowCount, Fast: a.fastCount,
+		Support: -a.evidence.total, Suspicion: suspicion,
+	}
 }
 
 // Add applies a result and reports whether the version has failed its analysis. An
@@ -149,12 +175,19 @@
 		return false
 	}
 	a.comparedCount++
-	if result.slow() {
+	slow, fast := result.slow(), result.fast()
+	switch {
+	case slow:
 		a.slowCount++
+	case fast:
+		a.fastCount++
 	}
-	limit := slowLimit
 	if result.Shifted {
-		limit = shiftedSlowLimit
+		return route.shiftedSlow.add(slow, shiftedSlowWindow) >= shiftedSlowLimit
+	}
+	if slow || fast {
+		a.evidence.add(slow)
+		route.evidence.add(slow)
 	}
-	return route.slow.add(result.slow(), slowWindow) >= limit
+	return max(a.evidence.recent, route.evidence.recent) >= failEvidence
 }
--- a/pkg/mesh/rollout/rollout_test.go
+++ b/pkg/mesh/rollout/rollout_test.go
@@ -141,6 +141,9 @@
 	return nil, until
 }
 
+// goodAnalysis is an analysis that a version has passed.
+var goodAnalysis = Summary{Results: 50, Compared: 50, Fast: 50, Support: 50 * -fastStep}
+
 func newMachine() *StateMachine {
 	m := NewStateMachine()
 	m.Step(epoch, Event{Kind: RolloutsReplaced, Rollouts: []mesh.Rollout{baseRollout}})
@@ -162,18 +165,18 @@
 	assert.Equal(t, len(first), 2)
 	assert.Equal(t, first[0].State, mesh.RolloutRunning)
 	m.Step(epoch, rolloutInState(mesh.RolloutRunning))
-	effects, shiftedAt := tickUntil(m, time.Second, 12*time.Second, NodeRole{Analysis: Summary{Results: 50}})
+	effects, shiftedAt := tickUntil(m, time.Second, 12*time.Second, NodeRole{Analysis: goodAnalysis})
 	assert.Equal(t, effects[0].Progress.Phase, Shift)
 	assert.Assert(t, shiftedAt < 8*time.Second, "%v", shiftedAt)
 	p := effects[0].Progress
 	m.Step(epoch.Add(shiftedAt), Event{Kind: ProgressRead, Progress: p, NowUnixMs: p.StartedUnixMs + shiftedAt.Milliseconds()})
 	assert.Equal(t, m.Policies()["s"].Share, 1.0)
-	effects, completedAt := tickUntil(m, shiftedAt, 12*time.Second, NodeRole{Analysis: Summary{Results: 500}})
+	effects, completedAt := tickUntil(m, shiftedAt, 12*time.Second, NodeRole{Analysis: goodAnalysis})
 	assert.Equal(t, effects[0].State, mesh.RolloutCompleted)
 	assert.Assert(t, completedAt-shiftedAt >= minShiftDuration && completedAt < 12*time.Second, "%v after the shift at %v", completedAt, shiftedAt)
 	m.Step(epoch.Add(completedAt), rolloutInState(mesh.RolloutCompleted))
 	assert.Equal(t, m.Policies()["s"].Share, 1.0)
-	effects, _ = tickUntil(m, completedAt, 20*time.Second, NodeRole{Analysis: Summary{Results: 500}})
+	effects, _ = tickUntil(m, completedAt, 20*time.Second, NodeRole{Analysis: goodAnalysis})
 	assert.Equal(t, len(effects), 0, "a completed rollout must not be written again")
 }
 
@@ -195,17 +198,24 @@
 	}
 }
 
-// A version with too few results must not get all traffic, and a rollout must not
-// remain undecided if the node of rank 0 is gone.
+// A version with too few results must not get all traffic, whatever the rank of the node that
+// decides, and a rollout must not remain undecided if the node of rank 0 is gone. The node of
+// rank 1 used to shift all traffic without a result.
 func TestRolloutEndsWithoutResultsOrLeadingNode(t *testing.T) {
-	m := newMachine()
-	m.Step(epoch, rolloutInState(mesh.RolloutRunning))
-	effects, _ := tickUntil(m, 0, 12*time.Second, NodeRole{Rank: 0, Analysis: Summary{Results: minResults - 1}})
-	assert.Equal(t, effects[0].State, mesh.RolloutRolledBack)
+	fewResults := goodAnalysis
+	fewResults.Results = minResults - 1
+	for _, role := range []NodeRole{{Analysis: fewResults}, {}, {Rank: 1}, {Rank: 1, Analysis: fewResults}} {
+		m := newMachine()
+		m.Step(epoch, rolloutInState(mesh.RolloutRunning))
+		m.Step(epoch, Event{Kind: ProgressRead, Progress: Progress{Service: "s", Version: "v2", Phase: Canary, Share: maxCanaryShare}})
+		effects, at := tickUntil(m, 0, 12*time.Second, role)
+		assert.Equal(t, effects[0].State, mesh.RolloutRolledBack, "%+v", role)
+		assert.Assert(t, at < 11*time.Second, "%v", at)
+	}
 
-	m = newMachine()
+	m := newMachine()
 	m.Step(epoch, rolloutInState(mesh.RolloutRunning))
-	effects, at := tickUntil(m, 0, 12*time.Second, NodeRole{Rank: 1})
+	effects, at := tickUntil(m, 0, 12*time.Second, NodeRole{Rank: 1, Analysis: goodAnalysis})
 	assert.Equal(t, effects[0].Progress.Phase, Shift)
 	assert.Assert(t, at < 9*time.Second, "%v", at)
 
@@ -218,7 +228,7 @@
 	m := newMachine()
 	m.Step(epoch, rolloutInState(mesh.RolloutRunning))
 	m.Step(epoch, Event{Kind: ProgressRead, Progress: Progress{Service: "s", Version: "v2", Phase: Canary, StartedUnixMs: 1000}, NowUnixMs: 8000})
-	effects, at := tickUntil(m, 0, 12*time.Second, NodeRole{Analysis: Summary{Results: 50}})
+	effects, at := tickUntil(m, 0, 12*time.Second, NodeRole{Analysis: goodAnalysis})
 	assert.Equal(t, effects[0].Progress.Phase, Shift)
 	assert.Assert(t, at <= time.Second, "%v", at)
 }
--- a/pkg/mesh/rollout/statemachine.go
+++ b/pkg/mesh/rollout/statemachine.go
@@ -12,13 +12,28 @@
 // back within a fraction of a second.
 const CanaryShare = 0.06
 
-// Fractions of a rollout's duration: the shift of all traffic begins at shiftAt, the
-// rollout is completed at completeAt. The time between them must cover the requests
-// that the old version still runs, because its endpoints are stopped at completion.
+// A service with few requests gets a larger share, so that its canary is analyzed by about
+// wantedResults. At maxCanaryShare until the shift, a bad version of such a service still
+// gets less than operators allow (a tenth of all requests and 50).
 const (
-	shiftAt    = 0.55
-	completeAt = 0.85
-	// abortAt rolls back a version that got too few requests to be analyzed.
+	wantedResults  = 40
+	maxCanaryShare = 0.15
+	// minShareRise is the least factor by which the share is raised.
+	minShareRise = 1.25
+	// measuredAt is the fraction of a rollout's duration after which the rate of the
+	// service is estimated from the results so far.
+	measuredAt = 0.2
+)
+
+// Fractions of a rollout's duration: the shift of all traffic begins at shiftAt if the
+// version has passed its analysis by then, and at lastShiftAt at the latest if it is likely
+// to be good. The rollout is completed at completeAt. The time between them must cover the
+// requests that the old version still runs, because its endpoints are stopped at completion.
+const (
+	shiftAt     = 0.55
+	lastShiftAt = 0.75
+	completeAt  = 0.85
+	// abortAt rolls back a version that has not passed its analysis.
 	abortAt = 0.8
 	// minResults is the number of results that a version needs to pass its analysis.
 	minResults = 10
@@ -48,6 +63,9 @@
 	Service string `json:"service"`
 	Version string `json:"version"`
 	Phase   Phase  `json:"phase"`
+	// Share is the share of requests that go to the version in the Canary phase; 0 stands
+	// for CanaryShare.
+	Share float64 `json:"share,omitempty"`
 	// StartedUnixMs is when the rollout was first seen, in Unix milliseconds.
 	StartedUnixMs int64 `json:"startedMs"`
 	// Era is the era of the store in which the object was written.
@@ -149,9 +167,11 @@
 	// startedAt is when the rollout was first seen, corrected by stored progress.
 	startedAt time.Time
 	phase     Phase
-	shiftedAt time.Time
-	failed    bool
-	lastWrite time.Time
+	// canaryShare is the share in the Canary phase if it was raised, 0 if not.
+	canaryShare float64
+	shiftedAt   time.Time
+	failed      bool
+	lastWrite   time.Time
 	// lostState is the decided state that the store has lost; "" if it has not. isMissing
 	// is set while the store lacks the rollout itself.
 	lostState mesh.RolloutState
@@ -244,6 +264,9 @@
 	if ageMs > now.Sub(t.startedAt).Milliseconds() && ageMs <= t.rollout.Duration.Milliseconds() {
 		t.startedAt = now.Add(-time.Duration(ageMs) * time.Millisecond)
 	}
+	if p.Share > CanaryShare && p.Share <= maxCanaryShare {
+		t.canaryShare = p.Share
+	}
 	if p.Phase == Shift && t.phase != Shift {
 		t.phase, t.shiftedAt = Shift, now
 	}
@@ -253,7 +276,7 @@
 func (m *StateMachine) Policies() map[string]Policy {
 	policies := make(map[string]Policy, len(m.rollouts))
 	for service, t := range m.rollouts {
-		p := Policy{Version: t.rollout.Version, Share: CanaryShare}
+		p := Policy{Version: t.rollout.Version, Share: max(t.canaryShare, CanaryShare)}
 		switch {
 		case t.state() == mesh.RolloutCompleted:
 			p.Share = 1
@@ -328,6 +351,7 @@
 			e.Rollout = t.rollout
 			if e.Kind == WriteProgress {
 				e.Progress.Service, e.Progress.Version = service, t.rollout.Version
+				e.Progress.Share = max(e.Progress.Share, t.canaryShare)
 				e.Progress.StartedUnixMs = event.NowUnixMs - now.Sub(t.startedAt).Milliseconds()
 			}
 			effects = append(effects, e)
@@ -360,10 +384,17 @@
 	switch {
 	case t.phase == Shift && reached(completeAt) && now.Sub(t.shiftedAt) >= minShiftDuration:
 		return []Effect{{Kind: WriteState, State: mesh.RolloutCompleted, Reason: "all traffic shifted without a failed analysis"}}
-	case t.phase == Canary && reached(abortAt) && role.Rank == 0 && role.Analysis.Results < minResults:
-		return []Effect{{Kind: WriteState, State: mesh.RolloutRolledBack, Reason: "the new version got too few results for an analysis"}}
-	case t.phase == Canary && reached(shiftAt) && (role.Rank > 0 || role.Analysis.Results >= minResults):
-		return []Effect{{Kind: WriteProgress, Progress: Progress{Phase: Shift}, Reason: "the canary analysis of the new version did not fail"}}
+	case t.phase == Canary && t.rollout.State != "" && t.canaryShare == 0 && reached(measuredAt) && !reached(shiftAt) && t.neededShare(elapsed, role) > 0:
+		return []Effect{{
+			Kind: WriteProgress, Progress: Progress{Phase: Canary, Share: t.neededShare(elapsed, role)},
+			Reason: "the service has few requests",
+		}}
+	case t.phase == Canary && reached(shiftAt) && role.Analysis.passes():
+		return []Effect{{Kind: WriteProgress, Progress: Progress{Phase: Shift}, Reason: "the new version passed its canary analysis"}}
+	case t.phase == Canary && elapsed >= t.lastShift() && role.Analysis.isLikelyGood():
+		return []Effect{{Kind: WriteProgress, Progress: Progress{Phase: Shift}, Reason: "the new version is likely to be good"}}
+	case t.phase == Canary && reached(abortAt):
+		return []Effect{{Kind: WriteState, State: mesh.RolloutRolledBack, Reason: "the new version did not pass its canary analysis"}}
 	case t.rollout.State == "" && elapsed >= 0:
 		return []Effect{
 			{Kind: WriteState, State: mesh.RolloutRunning, Reason: "the rollout is new"},
@@ -372,3 +403,27 @@
 	}
 	return nil
 }
+
+// neededShare returns the share that the canary needs to get wantedResults before the last
+// shift, 0 if the present one is enough. Only the node of the canary's endpoint knows.
+func (t *trackedRollout) neededShare(elapsed time.Duration, role NodeRole) float64 {
+	missing := float64(wantedResults - role.Analysis.Results)
+	if role.Rank != 0 || missing <= 0 {
+		return 0
+	}
+	// Without a result yet, the rate is below that of one.
+	perSecond := max(float64(role.Analysis.Results), 1) / elapsed.Seconds() / CanaryShare
+	share := missing / (perSecond * (t.lastShift() - elapsed).Seconds())
+	if share < minShareRise*CanaryShare {
+		return 0
+	}
+	return min(share, maxCanaryShare)
+}
+
+// lastShift returns when, after the start of the rollout, all traffic can be shifted at the
+// latest, so that the rollout is completed in time.
+func (t *trackedRollout) lastShift() time.Duration {
+	duration := float64(t.rollout.Duration)
+	last := min(time.Duration(lastShiftAt*duration), time.Duration(completeAt*duration)-minShiftDuration)
+	return max(last, time.Duration(shiftAt*duration))
+}
--- a/pkg/sidecar/canary.go
+++ b/pkg/sidecar/canary.go
@@ -53,7 +53,7 @@
 	la.mu.Unlock()
 	if failed {
 		la.deps.rollouts.failVersion(c.Service, c.Version, fields{
-			"requestId": c.id, "route": c.Route, "answers": analysis.Results, "compared": analysis.Compared, "slow": analysis.Slow, "tookMs": result.Latency.Milliseconds(),
+			"requestId": c.id, "route": c.Route, "answers": analysis.Results, "compared": analysis.Compared, "slow": analysis.Slow, "fast": analysis.Fast, "tookMs": result.Latency.Milliseconds(),
 			"referenceMs": result.Baseline.Milliseconds(), "failed": result.Failed, "unfinished": result.Unfinished, "shifted": shifted,
 		})
 	}
--- a/pkg/sidecar/decide.go
+++ b/pkg/sidecar/decide.go
@@ -75,7 +75,7 @@
 	analysis := t.admission.analysis(effect.Rollout.Service, effect.Rollout.Version)
 	f := fields{
 		"service": effect.Rollout.Service, "version": effect.Rollout.Version, "reason": effect.Reason,
-		"answers": analysis.Results, "compared": analysis.Compared, "slow": analysis.Slow,
+		"answers": analysis.Results, "compared": analysis.Compared, "slow": analysis.Slow, "fast": analysis.Fast,
 	}
 	var err error
 	if effect.Kind == rollout.WriteState {
