quota: begin no second term while the store may have lost one

Two nodes logged quota_term_begun with the same term after the store came back from a copy.

Cause: a node took the stored term, or its absence, for the latest one if neither it nor the asking node had heard of a higher one. The era of the store was not looked at, and a missing object could not tell it.

Change: records hold the era in which they were written, and errors of the store about an object hold the era of the response. What is from an earlier era is replaced only after the era has been known for 4 s, with empty buckets and a term above all of earlier eras. A granter stores its lost term again while it grants. A write that crosses the change of the era counts for nothing. At the first start of a fleet the era counts as known, so that tenants have their burst.

Why it works: a granter grants for 3 s after its last write. After 4 s in an era, it has either written in that era, which makes other writes conflict, or has ended.

--- a/pkg/mesh/quota/fleet_test.go
+++ b/pkg/mesh/quota/fleet_test.go
@@ -79,10 +79,13 @@
 
 	// mostShared is the largest sum of the shares in use and of the rest that a granter's
 	// bucket fills with.
-	mostShared   float64
-	record       Record
-	version      int
-	hasRecord    bool
+	mostShared float64
+	record     Record
+	version    int
+	hasRecord  bool
+	era        uint64
+	// written holds the states of the store after each write, the latest last.
+	written      []simCopy
 	isStoreDown  bool
 	storeCalls   int
 	messages     int
@@ -93,6 +96,27 @@
 	networkDelay time.Duration
 }
 
+// simCopy is the state of the store from a time on.
+type simCopy struct {
+	at        time.Duration
+	record    Record
+	version   int
+	hasRecord bool
+}
+
+// restoreStore replaces what is stored by a copy that is as old as age, in a new era.
+func (f *simFleet) restoreStore(age time.Duration) {
+	c := simCopy{}
+	for _, each := range f.written {
+		if each.at <= f.now-age {
+			c = each
+		}
+	}
+	f.record, f.version, f.hasRecord = c.record, c.version, c.hasRecord
+	f.era++
+	f.written = append(f.written, simCopy{f.now, f.record, f.version, f.hasRecord})
+}
+
 func newSimFleet(count int, limit Limit, seed uint64) *simFleet {
 	f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), tenant: "t", maxLate: 3 * time.Second, networkDelay: 8 * time.Millisecond}
 	for i := range count {
@@ -268,15 +292,16 @@
 func (f *simFleet) execute(call StoreCall) StoreResult {
 	switch {
 	case call.Verb == StoreGet && !f.hasRecord:
-		return StoreResult{Outcome: StoreNotFound}
+		return StoreResult{Outcome: StoreNotFound, Era: f.era}
 	case call.Verb == StoreGet:
-		return StoreResult{Outcome: StoreOK, Record: f.record, Version: fmt.Sprint(f.version)}
+		return StoreResult{Outcome: StoreOK, Record: f.record, Version: fmt.Sprint(f.version), Era: f.era}
 	case call.Verb == StoreCreate && f.hasRecord, call.Verb == StoreUpdate && call.Version != fmt.Sprint(f.version):
-		return StoreResult{Outcome: StoreConflict}
+		return StoreResult{Outcome: StoreConflict, Era: f.era}
 	}
 	f.version++
 	f.record, f.hasRecord = call.Record, true
-	return StoreResult{Outcome: StoreOK, Version: fmt.Sprint(f.version)}
+	f.written = append(f.written, simCopy{f.now, f.record, f.version, f.hasRecord})
+	return StoreResult{Outcome: StoreOK, Version: fmt.Sprint(f.version), Era: f.era}
 }
 
 // run advances the simulated time by d.
--- a/pkg/mesh/quota/granter.go
+++ b/pkg/mesh/quota/granter.go
@@ -157,7 +157,7 @@
 			return response
 		}
 		g.term.wantedUntil = now + wantedTime
-		if g.term.hasObserved && !g.term.isMissing && !g.term.mayTakeOver(now, g.name) {
+		if g.term.hasObserved && !g.term.mayTakeOver(now, g.name) {
 			response.RetryMs = waitRetryTime.Milliseconds()
 		}
 		if granter := g.term.otherGranter(g.name); granter != "" {
@@ -294,7 +294,13 @@
 
 // isIdle reports whether no lease can be in use and no request was admitted for a window.
 func (g *Granter) isIdle(now time.Duration) bool {
-	return g.unreported == nil && now >= g.lastActivity+LeaseTime+leaseMargin+g.window()+maxTokenLife
+	return g.unreported == nil && now >= g.lastActivity+g.idleTime()
+}
+
+// idleTime is the time from the last message on after which no lease can be in use and no request
+// was admitted for a window.
+func (g *Granter) idleTime() time.Duration {
+	return LeaseTime + leaseMargin + g.window() + maxTokenLife
 }
 
 // window returns the longest window of the limits.
--- a/pkg/mesh/quota/message.go
+++ b/pkg/mesh/quota/message.go
@@ -103,6 +103,8 @@
 	// Sharing names the tenants of which holders may have shares; of the others, they have
 	// at most single tokens.
 	Sharing sharing `json:"sharing,omitzero"`
+	// Era is the era of the store in which the record was written.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // StoreVerb is the kind of a call of the store.
@@ -123,6 +125,8 @@
 	Record  Record
 	Version string
 	started time.Duration
+	// era is that of the store as far as it was known.
+	era uint64
 }
 
 // StoreOutcome is the outcome of a call of the store.
@@ -136,9 +140,11 @@
 	StoreUnknown
 )
 
-// StoreResult is the result of a call of the store. Record is that of a StoreGet.
+// StoreResult is the result of a call of the store. Record is that of a StoreGet, Era the era of
+// the store in which it responded, 0 if unknown.
 type StoreResult struct {
 	Outcome StoreOutcome
 	Record  Record
 	Version string
+	Era     uint64
 }
--- a/pkg/mesh/quota/rule_test.go
+++ b/pkg/mesh/quota/rule_test.go
@@ -72,6 +72,17 @@
 		f.isStoreDown = true
 		return func() { f.isStoreDown = false }
 	}},
+	{"store restored from a copy", func(f *simFleet, _ *simNode, d time.Duration) func() {
+		f.restoreStore(d / 2)
+		return func() {}
+	}},
+	{"store away and restored from a copy", func(f *simFleet, _ *simNode, d time.Duration) func() {
+		f.isStoreDown = true
+		return func() {
+			f.restoreStore(d + time.Second)
+			f.isStoreDown = false
+		}
+	}},
 	{"demand moves", func(f *simFleet, n *simNode, _ time.Duration) func() {
 		f.loadOnly(n)
 		return func() {}
--- a/pkg/mesh/quota/term.go
+++ b/pkg/mesh/quota/term.go
@@ -30,6 +30,10 @@
 	// highest is the highest term that any node is known to have seen.
 	highest     uint64
 	wantedUntil time.Duration
+	// era is the highest known era of the store, 0 if it was never restored. It is known
+	// since eraSince.
+	era      uint64
+	eraSince time.Duration
 
 	// observed is the term of another node, or of an earlier process, as it was read at
 	// observedAt. hasObserved is set once the store has been read.
@@ -43,6 +47,8 @@
 
 	isCalling   bool
 	isUncertain bool
+	// isLost is set if the stored object of this node's term has to be created again.
+	isLost      bool
 	isReleasing bool
 	writeAt     time.Duration
 }
@@ -95,7 +101,7 @@
 	if t.isCalling {
 		return StoreCall{}, false
 	}
-	call := StoreCall{Slot: g.slot, started: now}
+	call := StoreCall{Slot: g.slot, started: now, era: t.era}
 	switch {
 	case t.number > 0:
 		if !g.stepTerm(now, &call) {
@@ -109,10 +115,11 @@
 		}
 		call.Verb = StoreGet
 		t.readAt, t.hasRead = now, true
-	case t.isMissing && (t.highest == 0 || now >= t.observedAt+TakeOverTime):
-		call.Verb, call.Record = StoreCreate, g.nextRecord()
-	case !t.isMissing && t.mayTakeOver(now, g.name):
-		call.Verb, call.Record, call.Version = StoreUpdate, g.nextRecord(), t.observedVersion
+	case t.mayTakeOver(now, g.name):
+		call.Verb, call.Record, call.Version = StoreUpdate, g.nextRecord(now), t.observedVersion
+		if t.isMissing {
+			call.Verb = StoreCreate
+		}
 	default:
 		return StoreCall{}, false
 	}
@@ -149,7 +156,10 @@
 		return true
 	}
 	call.Verb, call.Version = StoreUpdate, t.version
-	call.Record = Record{Slot: g.slot, Node: g.name, Term: t.number, Incarnation: g.incarnation, State: StateHeld}
+	if t.isLost {
+		call.Verb = StoreCreate
+	}
+	call.Record = Record{Slot: g.slot, Node: g.name, Term: t.number, Incarnation: g.incarnation, State: StateHeld, Era: t.era}
 	if g.sweep(now); g.isIdle(now) {
 		call.Record.State = StateIdle
 	} else if t.isReleasing {
@@ -195,31 +205,54 @@
 
 // mayTakeOver reports whether the observed term has ended.
 func (t *term) mayTakeOver(now time.Duration, name string) bool {
-	if now >= t.observedAt+TakeOverTime {
+	switch {
+	case now >= t.observedAt+TakeOverTime:
 		return true
-	}
-	if t.observed.Term < t.highest {
+	case t.mayBeLost():
+		// A granter that lives has written its term in this era by then, or has ended it.
+		return now >= t.eraSince+TakeOverTime
+	case t.isMissing:
+		return t.highest == 0
+	case t.observed.Term < t.highest:
 		return false // The store is back from an old copy: the true term is not known.
 	}
 	return t.observed.State != StateHeld || t.observed.Node == name
 }
 
+// mayBeLost reports whether the store may have lost a later term than the observed one, when it
+// was restored from a copy. What was written in this era is the latest.
+func (t *term) mayBeLost() bool { return isOfEarlierEra(t.observed, t.isMissing, t.era) }
+
+// isOfEarlierEra reports whether a record, or the lack of one, is from before the store was
+// restored for the last time.
+func isOfEarlierEra(r Record, isMissing bool, era uint64) bool {
+	return era > 0 && (isMissing || r.Era < era)
+}
+
 // isFreshStart reports whether no lease of an earlier term can be in use.
-func (t *term) isFreshStart() bool {
-	if t.isMissing {
+func (g *Granter) isFreshStart(now time.Duration) bool {
+	t := &g.term
+	switch {
+	case t.mayBeLost():
+		return now >= t.eraSince+TakeOverTime+g.idleTime()
+	case t.isMissing:
 		return t.highest == 0
 	}
 	return t.observed.State == StateIdle && t.observed.Term >= t.highest
 }
 
-func (g *Granter) nextRecord() Record {
+// eraTermBits is the number of bits by which the terms of an era are counted: a term that
+// begins in an era is higher than all that began before, also than those the store has lost.
+const eraTermBits = 32
+
+func (g *Granter) nextRecord(now time.Duration) Record {
 	t := &g.term
 	r := Record{
-		Slot: g.slot, Node: g.name, Term: max(t.highest, t.observed.Term) + 1, Incarnation: g.incarnation, State: StateHeld,
+		Slot: g.slot, Node: g.name, Term: max(t.highest, t.observed.Term, t.era<<eraTermBits) + 1, Incarnation: g.incarnation, State: StateHeld, Era: t.era,
 	}
 	switch {
-	case t.isFreshStart():
-	case t.observed.Term < t.highest:
+	case g.isFreshStart(now):
+	case t.mayBeLost(), t.observed.Term < t.highest:
 		r.Sharing.All = true // The term that was lost may have shared any.
 	default:
 		r.Sharing = t.observed.Sharing
@@ -227,20 +260,41 @@
 	return r
 }
 
+// SetEra records that the store is known to be in an era since the given time. It rises each time
+// the store is restored from a copy, which may have lost terms.
+func (g *Granter) SetEra(since time.Duration, era uint64) {
+	t := &g.term
+	switch {
+	case era == t.era:
+		t.eraSince = min(t.eraSince, since)
+	case era > t.era:
+		t.era, t.eraSince = era, since
+		t.hasObserved = false
+		if t.number > 0 {
+			t.isUncertain, t.writeAt = true, since
+		}
+	}
+}
+
 // Complete applies the result of a call that Step returned.
 func (g *Granter) Complete(now time.Duration, call StoreCall, result StoreResult) {
 	t := &g.term
 	t.isCalling = false
+	g.SetEra(now, result.Era)
+	if isCrossed := call.era < t.era; isCrossed && (call.Verb != StoreGet || result.Era < t.era) {
+		// The store was restored meanwhile, with or without what was written.
+		result.Outcome = StoreUnknown
+	}
 	switch {
 	case call.Verb == StoreGet:
 		g.completeRead(now, result)
 	case t.number > 0:
 		g.completeRenewal(now, call, result)
 	case result.Outcome == StoreOK:
-		isFresh := t.isFreshStart()
+		isFresh := g.isFreshStart(now)
 		t.number, t.version, t.grantUntil, t.writeAt = call.Record.Term, result.Version, call.started+TermTime, g.nextWrite(call.started)
 		t.highest = max(t.highest, t.number)
-		t.isUncertain, t.hasObserved = false, false
+		t.isUncertain, t.isLost, t.hasObserved = false, false, false
 		t.declared, t.undeclared = make(map[uint32]bool), make(map[uint32]bool)
 		g.begin(now, isFresh, call.Record.Sharing)
 	default:
@@ -255,14 +309,21 @@
 	}
 	t.highest = max(t.highest, result.Record.Term)
 	isOwn := result.Outcome == StoreOK && t.number > 0 && result.Record.Node == g.name && result.Record.Incarnation == g.incarnation
-	if isOwn && result.Record.Term <= t.number && result.Record.State == StateHeld {
+	isMissing := result.Outcome == StoreNotFound
+	mayBeLost := isOfEarlierEra(result.Record, isMissing, t.era)
+	if isOwn && result.Record.Term <= t.number && result.Record.State == StateHeld && (!mayBeLost || t.grants(now)) {
 		// The store may be back from an old copy, with an earlier write of this process.
-		t.version, t.isUncertain, t.writeAt = result.Version, false, now
+		t.version, t.isUncertain, t.isLost, t.writeAt = result.Version, false, false, now
+		return
+	}
+	if mayBeLost && t.grants(now) && t.highest <= t.number {
+		// The store has lost the term. No other node takes over before it has ended.
+		t.version, t.isUncertain, t.isLost, t.writeAt = result.Version, false, isMissing, now
 		return
 	}
 	g.lose()
 	t.observed, t.observedVersion, t.observedAt = result.Record, result.Version, now
-	t.hasObserved, t.isMissing = true, result.Outcome == StoreNotFound
+	t.hasObserved, t.isMissing = true, isMissing
 	if t.isMissing {
 		t.observed = Record{}
 	}
@@ -276,7 +337,7 @@
 		t.observed, t.observedVersion, t.observedAt = call.Record, result.Version, now
 		t.hasObserved, t.isMissing = true, false
 	case result.Outcome == StoreOK:
-		t.version = result.Version
+		t.version, t.isLost = result.Version, false
 		t.grantUntil = max(t.grantUntil, call.started+TermTime)
 		t.recordDeclared(call.Record.Sharing, g.limits)
 	case result.Outcome == StoreConflict || result.Outcome == StoreNotFound:
@@ -289,6 +350,6 @@
 // lose ends the term of this node without a write.
 func (g *Granter) lose() {
 	t := &g.term
-	t.number, t.grantUntil, t.version, t.isUncertain = 0, 0, "", false
+	t.number, t.grantUntil, t.version, t.isUncertain, t.isLost = 0, 0, "", false, false
 	g.holders, g.tenants, g.unreported = nil, nil, nil
 }
--- a/pkg/platform/era.go
+++ b/pkg/platform/era.go
@@ -1,6 +1,9 @@
 package platform
 
-import "strconv"
+import (
+	"errors"
+	"strconv"
+)
 
 // A store that is restored from an older copy gives revisions out again. Each time it
 // does, its era rises. Resource versions of such a store hold both, so that versions are
@@ -32,3 +35,24 @@
 	era, _ := SplitVersion(version)
 	return era
 }
+
+// EraError is ErrNotFound, ErrAlreadyExists or ErrConflict of a store that told its era.
+type EraError struct {
+	Err error
+	Era uint64
+}
+
+// Error implements error.
+func (e *EraError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error without the era.
+func (e *EraError) Unwrap() error { return e.Err }
+
+// EraOfError returns the era in which the store responded with err, 0 if it is not known.
+func EraOfError(err error) uint64 {
+	var e *EraError
+	if errors.As(err, &e) {
+		return e.Era
+	}
+	return 0
+}
--- a/pkg/quotasync/service.go
+++ b/pkg/quotasync/service.go
@@ -60,6 +60,9 @@
 	Snapshot func() *mesh.Snapshot
 	// Nodes returns the live nodes by name.
 	Nodes func() map[string]Node
+	// Era returns the era of the store and since when, on the clock of Now, it is known; nil if
+	// the store has none.
+	Era func() (since time.Duration, era uint64)
 	// Post sends a message to the node at address and returns the body of its response.
 	Post func(ctx context.Context, address, path string, body []byte) ([]byte, error)
 	// Now is a clock that counts suspension, such as BootClock.
@@ -122,6 +125,12 @@
 			g.SetLimits(limits)
 		}
 	}
+	if s.options.Era != nil {
+		since, era := s.options.Era()
+		for _, g := range s.granters {
+			g.SetEra(since, era)
+		}
+	}
 	now := s.options.Now()
 	if len(s.addresses) > 0 && now < s.nodesReadAt+nodesInterval {
 		return
--- a/pkg/quotasync/wire.go
+++ b/pkg/quotasync/wire.go
@@ -135,12 +135,12 @@
 			Kind: platform.KindQuotaTerm, Name: name, ResourceVersion: call.Version, Value: value,
 		})
 	}
-	result := quota.StoreResult{Outcome: quota.StoreOK, Version: o.ResourceVersion}
+	result := quota.StoreResult{Outcome: quota.StoreOK, Version: o.ResourceVersion, Era: platform.EraOf(o.ResourceVersion)}
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		return quota.StoreResult{Outcome: quota.StoreNotFound}, nil
+		return quota.StoreResult{Outcome: quota.StoreNotFound, Era: platform.EraOfError(err)}, nil
 	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrAlreadyExists):
-		return quota.StoreResult{Outcome: quota.StoreConflict}, nil
+		return quota.StoreResult{Outcome: quota.StoreConflict, Era: platform.EraOfError(err)}, nil
 	case err != nil:
 		return quota.StoreResult{Outcome: quota.StoreUnknown}, err
 	case call.Verb == quota.StoreGet:
--- a/pkg/sidecar/quota.go
+++ b/pkg/sidecar/quota.go
@@ -25,7 +25,7 @@
 	return quotasync.New(quotasync.Options{
 		Node: s.settings.Instance, Incarnation: uint64(time.Now().UnixNano()),
 		Rule:  quota.Rule{Window: s.settings.QuotaWindow, Overage: s.settings.QuotaOverage, Slack: s.settings.QuotaSlack},
-		Store: t.store, Snapshot: func() *mesh.Snapshot { return s.snapshot.Load() }, Nodes: t.quotaNodes,
+		Store: t.store, Snapshot: func() *mesh.Snapshot { return s.snapshot.Load() }, Nodes: t.quotaNodes, Era: t.storeEraSince,
 		Post: h.post, Now: quotasync.BootClock, Metrics: s.metrics.scope,
 		Log: func(event string, f map[string]any) { s.log.event(event, f) },
 	})
--- a/pkg/sidecar/restore.go
+++ b/pkg/sidecar/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/mesh/rollout"
 	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/quotasync"
 )
 
 // The store may come back from an older copy, in a new era. What nodes wrote since the
@@ -34,7 +36,7 @@
 	if era <= known {
 		return false
 	}
-	t.eras[kind] = era
+	t.setEra(kind, era)
 	if !t.loadedKinds[kind] {
 		return false // The first view.
 	}
@@ -51,11 +53,40 @@
 	if t.eras[kind] > 0 {
 		return
 	}
+	era := uint64(0)
 	for _, o := range objects {
-		t.eras[kind] = max(t.eras[kind], platform.EraOf(o.ResourceVersion))
+		era = max(era, platform.EraOf(o.ResourceVersion))
+	}
+	if era > 0 {
+		t.setEra(kind, era)
 	}
 }
 
+// firstReadPeriod is the time after the first start of a fleet in which no tenant sends requests
+// yet, so that the store cannot lose the term of a granter.
+const firstReadPeriod = 5 * time.Second
+
+// setEra records the era of a kind; t.mu must be held.
+func (t *tracker) setEra(kind platform.Kind, era uint64) {
+	isFirst := t.eras[kind] == 0
+	t.eras[kind] = era
+	if kind != platform.KindMeshState {
+		return
+	}
+	t.eraSince = quotasync.BootClock()
+	if isFirst && t.deps.settings.IsFirstStart && t.eraSince < t.startedAt+firstReadPeriod {
+		t.eraSince = math.MinInt64 / 2 // The fleet has known no other era.
+	}
+}
+
+// storeEraSince returns the era of the store as far as it is known, and since when on the
+// boot clock.
+func (t *tracker) storeEraSince() (since time.Duration, era uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.eraSince, t.eras[platform.KindMeshState]
+}
+
 // keepsLostWrites reports whether the known object of a name is kept while the store has
 // lost it. What this node itself writes is compared with the store instead.
 func (t *tracker) keepsLostWrites(kind platform.Kind, name string) bool {
--- a/pkg/sidecar/restore_test.go
+++ b/pkg/sidecar/restore_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurespring/azurespring/pkg/mesh"
 	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/quotasync"
 )
 
 // inEra returns o as it is read in an era of the store.
@@ -182,3 +183,19 @@
 	waitFor(t, "the entry is forgotten", func() bool { return len(knownEndpoints(tracker)) == 0 })
 	assert.DeepEqual(t, tracker.deps.evacuations.Load().Domains(), []string{"z"})
 }
+
+// Quotas must begin with their burst when a fleet starts for the first time on a store that tells
+// an era, and without after any other start: terms may have been lost shortly before.
+func TestEraIsTrustedOnlyAtFirstStart(t *testing.T) {
+	for _, isFirstStart := range []bool{true, false} {
+		tracker, _ := newTestTracker(t)
+		tracker.deps.settings.IsFirstStart = isFirstStart
+		for era := uint64(1); era <= 2; era++ {
+			before := quotasync.BootClock()
+			tracker.list(platform.KindMeshState, era, 10)
+			since, known := tracker.storeEraSince()
+			assert.Equal(t, known, era)
+			assert.Equal(t, since < before, isFirstStart && era == 1)
+		}
+	}
+}
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -30,6 +30,9 @@
 	// MetricsPort is the port of the node's metrics; 0 disables them.
 	MetricsPort int
 
+	// IsFirstStart is set if the whole fleet starts for the first time.
+	IsFirstStart bool
+
 	StoreAddress string
 	// HeartbeatInterval is the usual time between two announcements of an endpoint.
 	HeartbeatInterval time.Duration
--- a/pkg/sidecar/tracker.go
+++ b/pkg/sidecar/tracker.go
@@ -18,6 +18,7 @@
 	"github.com/azurespring/azurespring/pkg/mesh/tenant"
 	"github.com/azurespring/azurespring/pkg/mesh/upstream"
 	"github.com/azurespring/azurespring/pkg/platform"
+	"github.com/azurespring/azurespring/pkg/quotasync"
 )
 
 // Pauses between two attempts to read a kind or to publish while the store is
@@ -91,7 +92,11 @@
 	isSourceStale bool
 	// eras holds the era of the store in which the view of a kind was read, and lostWrites,
 	// by name, the mesh state that is used although the store has lost it.
-	eras           map[platform.Kind]uint64
+	eras map[platform.Kind]uint64
+	// eraSince is when this node learned the era of mesh state, and startedAt when it started,
+	// on the boot clock.
+	eraSince       time.Duration
+	startedAt      time.Duration
 	lostWrites     map[string]lostWrite
 	lostWritesWake chan struct{}
 	// lostEvacuations holds the evacuations that are in force although the store has lost
@@ -133,6 +138,7 @@
 		eras: make(map[platform.Kind]uint64), lostWrites: make(map[string]lostWrite), lostWritesWake: make(chan struct{}, 1),
 		kinds: kindsOf(deps.settings), evacuated: make(map[string]bool), lostEvacuations: make(map[string]time.Time),
 		upstream:    upstream.NewSelector(deps.settings.Instance),
+		startedAt:   quotasync.BootClock(),
 		publishWake: make(chan struct{}, 1), rolloutWake: make(chan struct{}, 1), fetchWake: make(chan struct{}, 1), published: make(chan struct{}),
 	}
 	if deps.settings.EvacuationTimeout <= 0 {
