sidecar: use no endpoint of an entry that the store has outdated

Cause: a node stores the end of an endpoint before it acknowledges it, and its next process reads the entry. In a store drill that process reads the copy, which is older, and took its endpoints for ready (endpoints_restored in the log, without an announcement). The entry names the era in which it was written, but nobody compared it with that of the store.

Change: endpoints of an entry of an earlier era are used only after three announcements, as where the store cannot be read; those that start later are used at once. Nodes store their entries again in a new era, also if unchanged, so that only restarts within a drill wait.

Why it works: an endpoint that has left announces nothing more, or draining; one late announcement is not enough.

--- a/pkg/mesh/registry.go
+++ b/pkg/mesh/registry.go
@@ -151,7 +151,8 @@
 // Restore applies the entry that an earlier process of the node stored: the endpoints
 // that took requests and those that had ended. Restored endpoints stay ready until
 // they announce themselves or expire. The end of an endpoint is stored before it is
-// acknowledged, so that no restored endpoint has an acknowledged end.
+// acknowledged, so that no restored endpoint has an acknowledged end, if the entry is the
+// latest that was stored.
 func (r *EndpointRegistry) Restore(now time.Time, entry Instance) {
 	for _, e := range entry.Endpoints {
 		if r.endpoints[e.ID] == nil && e.Address != "" && IsPlausibleStart(now, e.StartUnixMs) {
--- a/pkg/sidecar/admission.go
+++ b/pkg/sidecar/admission.go
@@ -33,11 +33,14 @@
 	registry   *mesh.EndpointRegistry
 	admissions map[string]*endpointAdmission
 	nextID     uint64
-	// restored is set once the deregistrations that an earlier process acknowledged are
-	// known. Until then an endpoint takes requests only after requiredAnnouncements
-	// announcements: a single late announcement may be from an endpoint that has
-	// deregistered.
+	// restored is set once the deregistrations that an earlier process acknowledged have been
+	// read, endsMayBeLost if the store may have lost later ones. Until they are known, an
+	// endpoint that started before this process, at startedUnixMs, takes requests only after
+	// requiredAnnouncements announcements: a single late announcement may be from an endpoint
+	// that has deregistered.
 	restored           bool
+	endsMayBeLost      bool
+	startedUnixMs      int64
 	announcementCounts map[string]announcementCount
 	// warmth holds the limits of cold endpoints by the ID of the endpoint.
 	warmth    map[string]*endpointWarmth
@@ -81,7 +84,7 @@
 func newLocalAdmission(deps *shared) *localAdmission {
 	la := &localAdmission{
 		deps: deps, registry: mesh.NewEndpointRegistry(deps.settings.HeartbeatInterval), admissions: make(map[string]*endpointAdmission),
-		announcementCounts: make(map[string]announcementCount), warmth: make(map[string]*endpointWarmth),
+		startedUnixMs: deps.now().UnixMilli(), announcementCounts: make(map[string]announcementCount), warmth: make(map[string]*endpointWarmth),
 		readAhead: newReadAheadPool(deps.settings.maxReadAheadBytes(), deps.guard), crashes: newCrashRecorder(deps),
 	}
 	la.crashes.isInUse, la.crashes.onCrash = la.isInUse, la.removeCrashed
@@ -175,7 +178,7 @@
 	defer la.mu.Unlock()
 	var usable []mesh.Endpoint
 	for _, e := range la.registry.ReadyEndpoints(la.deps.now()) {
-		if la.isUsable(e.ID) {
+		if la.isUsable(e) {
 			usable = append(usable, e)
 		}
 	}
--- a/pkg/sidecar/announce.go
+++ b/pkg/sidecar/announce.go
@@ -50,12 +50,12 @@
 	return a.State != mesh.EndpointDraining || la.awaitDeregistrationStored(a.ID)
 }
 
-// recordAnnouncement counts announcements of an endpoint until the stored instance
-// entry has been read. It reports whether this announcement makes the endpoint usable.
+// recordAnnouncement counts announcements of an endpoint while its end may be unknown. It
+// reports whether this announcement makes the endpoint usable.
 func (la *localAdmission) recordAnnouncement(now time.Time, a mesh.Announcement) bool {
 	seen := la.announcementCounts[a.ID]
 	switch {
-	case la.restored || a.State != mesh.EndpointReady:
+	case la.isEndKnown(a.StartUnixMs) || a.State != mesh.EndpointReady:
 		delete(la.announcementCounts, a.ID)
 		return false
 	case seen.startUnixMs != a.StartUnixMs:
@@ -69,10 +69,16 @@
 	return seen.count == requiredAnnouncements
 }
 
-// isUsable reports whether requests may be sent to the endpoint: either the stored
-// entry has been read, or the endpoint has announced itself often enough.
-func (la *localAdmission) isUsable(id string) bool {
-	return la.restored || la.announcementCounts[id].count >= requiredAnnouncements
+// isEndKnown reports whether this node would know if an earlier process had acknowledged the
+// end of an endpoint process.
+func (la *localAdmission) isEndKnown(startUnixMs int64) bool {
+	return la.restored && (!la.endsMayBeLost || startUnixMs >= la.startedUnixMs)
+}
+
+// isUsable reports whether requests may be sent to the endpoint: either its end would be
+// known, or the endpoint has announced itself often enough.
+func (la *localAdmission) isUsable(e mesh.Endpoint) bool {
+	return la.isEndKnown(e.StartUnixMs) || la.announcementCounts[e.ID].count >= requiredAnnouncements
 }
 
 // isRestored reports whether the stored instance entry of this node has been read.
@@ -108,8 +114,13 @@
 const deregistrationAckTimeout = 700 * time.Millisecond
 
 // restore applies the instance entry that an earlier process of this node stored. Another
-// writer may have replaced it: endpoints on other instances are left out.
-func (la *localAdmission) restore(entry mesh.Instance) {
+// writer may have replaced it: endpoints on other instances are left out. If the store may have
+// lost a later entry, no endpoint of it is used before it announces itself: it may have ended.
+func (la *localAdmission) restore(entry mesh.Instance, mayBeLost bool) {
+	if mayBeLost {
+		la.deps.log.event("own_entry_outdated", fields{"era": entry.Era, "endpoints": len(entry.Endpoints)})
+		entry.Endpoints = nil
+	}
 	entry.Endpoints = slices.DeleteFunc(slices.Clone(entry.Endpoints), func(e mesh.Endpoint) bool {
 		return la.checkAddress(e.Address) != nil
 	})
@@ -117,7 +128,7 @@
 		if la.restored {
 			return false
 		}
-		la.restored = true
+		la.restored, la.endsMayBeLost = true, mayBeLost
 		la.registry.Restore(now, entry)
 		la.crashes.restore(entry)
 		return true
@@ -199,7 +210,7 @@
 		delete(la.admissions, id)
 	}
 	for _, published := range la.registry.ReadyEndpoints(la.deps.now()) {
-		if la.admissions[published.ID] != nil || !la.isUsable(published.ID) {
+		if la.admissions[published.ID] != nil || !la.isUsable(published) {
 			continue
 		}
 		e := la.registry.ReadyEndpoint(published.ID)
--- a/pkg/sidecar/coldstart_test.go
+++ b/pkg/sidecar/coldstart_test.go
@@ -72,7 +72,7 @@
 	loadAll(t, g.tracker, 10, 1)
 	g.tracker.replaceView(platform.KindEvacuation, nil, 10)
 	g.tracker.refresh(platform.KindEvacuation)
-	g.la.restore(mesh.Instance{})
+	g.la.restore(mesh.Instance{}, false)
 	return g
 }
 
--- a/pkg/sidecar/crashes_test.go
+++ b/pkg/sidecar/crashes_test.go
@@ -32,7 +32,7 @@
 	defer logText()
 	entry, stored := entryWithCrashes(t, "n")
 	tr.replace(platform.KindMeshState, []platform.Object{stored})
-	tr.admission.restore(entry)
+	tr.admission.restore(entry, false)
 	assert.Assert(t, mesh.SameCrashes(tr.ownEntry(), entry))
 	tr.endpointsChanged()
 	assert.Assert(t, tr.admission.crashes.suspicion("x").IsQuarantined)
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -100,10 +100,10 @@
 			t.put(platform.KindMeshState, o)
 			own := t.instances[t.entryName()]
 			t.mu.Unlock()
-			t.admission.restore(own)
+			t.admission.restore(own, own.Era < platform.EraOf(o.ResourceVersion))
 			return
 		case errors.Is(err, platform.ErrNotFound):
-			t.admission.restore(mesh.Instance{})
+			t.admission.restore(mesh.Instance{}, false)
 			return
 		}
 		sleep(ctx, retry.NextBackOff())
--- a/pkg/sidecar/permission_test.go
+++ b/pkg/sidecar/permission_test.go
@@ -44,7 +44,7 @@
 			deps.headers = HeaderNames{RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Sig", NotRun: "X-Not-Run", ExpectedEndpoint: "X-Expected", CallerService: "X-Caller"}
 			deps.uplink = newUplink(time.Now, 0)
 			deps.rollouts.step(rollout.Event{Kind: rollout.RolloutsReplaced, Rollouts: []mesh.Rollout{{Service: "s", Version: "v", Duration: time.Minute}}})
-			la.restore(mesh.Instance{})
+			la.restore(mesh.Instance{}, false)
 			la.Announce(mesh.Announcement{
 				ID: "e", Service: "s", Version: "v", Address: strings.TrimPrefix(endpoint.URL, "http://"), Slots: 1,
 				State: mesh.EndpointReady, StartUnixMs: 1, Sequence: 1,
--- a/pkg/sidecar/publish.go
+++ b/pkg/sidecar/publish.go
@@ -98,7 +98,7 @@
 		// here.
 		return eris.New("the store has not been read yet")
 	}
-	if resourceVersion != "" && sameEntry(stored, entry) || resourceVersion == "" && len(entry.Endpoints) == 0 && len(entry.EndedEndpoints) == 0 {
+	if resourceVersion != "" && sameEntry(stored, entry) && stored.Era >= entry.Era || resourceVersion == "" && len(entry.Endpoints) == 0 && len(entry.EndedEndpoints) == 0 {
 		return nil
 	}
 	value, err := entry.Encode()
@@ -160,7 +160,8 @@
 }
 
 // sameEntry reports whether two instance entries are equal, ignoring the remaining
-// warm-up times and the era in which they were written.
+// warm-up times and the era in which they were written. The latter tells the next process of the
+// node whether the store may have lost a later entry.
 func sameEntry(a, b mesh.Instance) bool {
 	if a.Stopping != b.Stopping || a.Address != b.Address || a.FailureDomain != b.FailureDomain || a.Region != b.Region || a.CPUShare != b.CPUShare {
 		return false
--- a/pkg/sidecar/restore_test.go
+++ b/pkg/sidecar/restore_test.go
@@ -88,7 +88,7 @@
 // This node's own entry must be compared with what the store has, and stored again.
 func TestOwnEntryIsStoredAgainAfterRestore(t *testing.T) {
 	tracker, _ := newTestTracker(t)
-	tracker.admission.restore(mesh.Instance{})
+	tracker.admission.restore(mesh.Instance{}, false)
 	tracker.list(platform.KindMeshState, 1, 10, inEra(1, entryOf(t, "n", 9)))
 	for len(tracker.publishWake) > 0 {
 		<-tracker.publishWake
@@ -199,3 +199,40 @@
 		}
 	}
 }
+
+// An endpoint of an entry that may not be the latest must show that it runs before it gets
+// requests: a single late announcement may be from one that has ended. A later process must not
+// wait.
+func TestEndpointOfOutdatedEntryAnnouncesItselfFirst(t *testing.T) {
+	tracker, logText := newTestTracker(t)
+	defer logText()
+	now := time.Now()
+	tracker.deps.now = func() time.Time { return now }
+	la := tracker.admission
+	la.startedUnixMs = now.UnixMilli()
+	startUnixMs := now.UnixMilli() - 60_000
+	la.restore(mesh.Instance{Endpoints: []mesh.Endpoint{{ID: "e", Service: "s", Version: "v", Slots: 4, Address: "10.0.0.9:8305", StartUnixMs: startUnixMs}}}, true)
+	published := func() int {
+		endpoints, _ := la.endpointsToPublish()
+		return len(endpoints)
+	}
+	announce := func(id string, startUnixMs, sequence int64) {
+		la.Announce(mesh.Announcement{
+			ID: id, Service: "s", Version: "v", Address: "10.0.0.9:8305", Slots: 4, State: mesh.EndpointReady,
+			StartUnixMs: startUnixMs, Sequence: sequence,
+		})
+	}
+	assert.Equal(t, published(), 0)
+	for i := range requiredAnnouncements {
+		assert.Equal(t, published(), 0, "after %d announcements", i)
+		announce("e", startUnixMs, int64(10+i))
+		now = now.Add(tracker.deps.settings.HeartbeatInterval)
+	}
+	assert.Equal(t, published(), 1)
+	assert.Equal(t, len(la.admissions), 1)
+
+	// The process that takes its address over has started since.
+	announce("later", now.UnixMilli(), 1)
+	assert.Equal(t, published(), 1)
+	assert.Assert(t, la.admissions["later"] != nil)
+}
--- a/pkg/sidecar/tracker_test.go
+++ b/pkg/sidecar/tracker_test.go
@@ -236,7 +236,7 @@
 		{ID: "own", Service: "s", Version: "v", Slots: 4, Address: "10.0.0.9:8305"},
 		{ID: "other", Service: "s", Version: "v", Slots: 4, Address: "10.0.0.7:8305"},
 	}}
-	tracker.admission.restore(entry)
+	tracker.admission.restore(entry, false)
 	endpoints, _ := tracker.admission.endpointsToPublish()
 	assert.Equal(t, len(endpoints), 1)
 	assert.Equal(t, endpoints[0].ID, "own")
