rollout: ask for more evidence at the last moment for a shift

Cause: a trial of review/7 had 4 slow results of 36 at the canary, where some 14 are expected; that version passed with evidence of e^4 then. With e^2, the last moment could still have shifted it.

Change: e^4 is needed at the last moment.

--- a/pkg/mesh/rollout/evidence.go
+++ b/pkg/mesh/rollout/evidence.go
@@ -18,8 +18,9 @@
 	// passEvidence against slowness lets a version pass: 16 results without a slow one. At most
 	// one bad version in e^7 = 1,100 reaches it.
 	passEvidence = 7
-	// lastEvidence against slowness is enough at the last moment for a shift.
-	lastEvidence = 2
+	// lastEvidence against slowness is enough at the last moment for a shift: nine results without
+	// a slow one.
+	lastEvidence = 4
 	// maxSuspicion is the recent evidence up to which a version passes: two slow results in
 	// a row. A version may become slow late.
 	maxSuspicion = 5
