--- a/pkg/mesh/quota/restored_test.go
+++ b/pkg/mesh/quota/restored_test.go
@@ -39,10 +39,10 @@
 				f := newSimFleet(5, limit, seed)
 				f.totalDemand = 20 * limit.Rate
 				c.prepare(f)
-				copiedAt, begin := f.now, f.now
+				begin := f.now
 				f.loadOnly(f.nodes[1])
 				f.run(2800 * time.Millisecond)
-				f.restoreStore(f.now - copiedAt)
+				f.restoreStore(f.now - begin)
 				// The node that begins to send knows of no granter, and asks one that knows of none.
 				asked := f.nodes[2]
 				f.restart(f.nodes[4])
--- a/pkg/mesh/rollout/evidence.go
+++ b/pkg/mesh/rollout/evidence.go
@@ -3,8 +3,8 @@
 import "math"
 
 // Shares of slow results among the slow and fast ones of a good and of a bad version, between
-// which the analysis of the canary decides. On a slow host about 1 in 20 results of a good version takes
-// more than slowFactor times the baseline; bad versions are slow in about half of theirs.
+// which the analysis of the canary decides. On a slow host about 1 in 20 results of a good
+// version takes more than slowFactor times the baseline; of a bad one, about half.
 const (
 	goodSlowShare = 0.05
 	badSlowShare  = 0.4
--- a/pkg/mesh/rollout/quiet_test.go
+++ b/pkg/mesh/rollout/quiet_test.go
@@ -30,7 +30,7 @@
 	return time.Duration((0.3 + 0.7*q.r.ExpFloat64()) * float64(work))
 }
 
-// request runs a request and reports whether the version fails by its result.
+// request sends a request to the new version with the probability share.
 func (q *quietService) request(share float64) {
 	if q.r.Float64() >= share {
 		return
